Put the decision module on real sockets

roadspur/net holds the real ingress: client HTTP, backends, counter, discovery and peers, with one Ingress that turns socket events into the module's events and carries out its actions.

Cause: connection_made asserted an asyncio.Transport, and uvloop's transports are not instances of it, so every connection failed as it was made (the log shows the assertion at counter.py:62, discovery.py:72, peers.py:28). Excluded: the settings and the listener, as the process had started and bound.

--- /dev/null
+++ b/roadspur/net/__init__.py
@@ -0,0 +1,1 @@
+"""roadspur.net: the real ingress, sockets round the decisions."""
--- /dev/null
+++ b/roadspur/net/discovery.py
@@ -0,0 +1,148 @@
+"""Discovery: the list of backends, followed for ever."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+from collections.abc import Callable
+from typing import Any, NamedTuple, cast
+
+import httptools
+
+from roadspur import interface as io
+from roadspur.net.upstream import Endpoint
+from roadspur.net.wire import Address, read_address
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 3.2  # an empty line comes every 2 s; what is not heard counts as told 6 s later all the same
+RETRY_S = 0.2
+CONNECT_S = 1.0
+MAX_LINE = 8 * 1024 * 1024
+PHASES = {"SERVING": io.Phase.RUNNING, "DRAINING": io.Phase.STOPPING, "DELETED": io.Phase.DELETED}
+
+
+class Listing(NamedTuple):
+    """The list of backends, or a change to it."""
+
+    version: int
+    whole: bool
+    entries: tuple[tuple[io.BackendEntry, Endpoint | None], ...]
+
+
+def read_listing(message: Any) -> Listing:
+    """A message of discovery's; ValueError for anything else."""
+    try:
+        whole = message["snapshot"]
+        if not isinstance(whole, bool):
+            raise ValueError(f"snapshot: {whole!r}")
+        return Listing(int(message["index"]), whole, tuple(_entry(e) for e in message["endpoints"]))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(f"not a list of backends: {error!r}") from error
+
+
+def _entry(e: Any) -> tuple[io.BackendEntry, Endpoint | None]:
+    name, status, born = e["name"], e["status"], float(e.get("since_ms") or 0) / 1000
+    weight = float(e.get("weight", 1.0))
+    if not isinstance(name, str) or not name or not math.isfinite(born) or not math.isfinite(weight):
+        raise ValueError(f"not a backend: {e!r}")
+    if status not in PHASES:
+        raise ValueError(f"status: {status!r}")
+    phase = PHASES[status]
+    # A deleted one needs no address any more.
+    endpoint = None if phase is io.Phase.DELETED else Endpoint(read_address(e["address"]), born)
+    return io.BackendEntry(name, phase, weight, str(e.get("type", "")), int(e.get("group") or 0), born,
+                           str(e.get("zone", ""))), endpoint
+
+
+class Watch(asyncio.Protocol):
+    """One watch: a chunked answer that holds one JSON object a line."""
+
+    def __init__(self, on_line: Callable[[bytes], None], request: bytes) -> None:
+        self.on_line, self.request = on_line, request
+        self.parser = httptools.HttpResponseParser(self)
+        self.loop = asyncio.get_running_loop()
+        self.rest = bytearray()
+        self.heard = self.loop.time()
+        self.ended: asyncio.Future[str] = self.loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        cast(asyncio.Transport, transport).write(self.request)  # no subclass of it under uvloop
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = self.loop.time()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.end(str(error.__context__ or error))
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            self.end(f"status {self.parser.get_status_code()}")
+
+    def on_body(self, data: bytes) -> None:
+        self.rest += data
+        *lines, rest = self.rest.split(b"\n")
+        self.rest = bytearray(rest)
+        for line in lines:
+            if line.strip() and not self.ended.done():
+                try:
+                    self.on_line(bytes(line))
+                except ValueError as error:  # the list stands; what follows it is asked for anew
+                    self.end(f"a garbled line: {error}")
+        if len(self.rest) > MAX_LINE:
+            self.end("a line without end")
+
+    def on_message_complete(self) -> None:
+        self.end("the watch ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end(f"the connection ended: {exc}" if exc else "the connection ended")
+
+    def end(self, why: str) -> None:
+        if not self.ended.done():
+            self.ended.set_result(why)
+
+
+class Discovery:
+    """Keeps a watch going and hands on what it says."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, index: int,
+                 on_listing: Callable[[Listing], None]) -> None:
+        self.loop, self.address, self.index, self.on_listing = loop, address, index, on_listing
+        self.task = loop.create_task(self.run())
+
+    async def run(self) -> None:
+        """Watch, and when that ends or falls silent, watch again from the last version that was taken in."""
+        while True:
+            request = b"GET /v1/servers?stream=1&index=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
+                self.index, self.address[0].encode(), self.address[1])
+            try:
+                why = await self.follow(Watch(self.line, request))
+            except (OSError, TimeoutError) as error:
+                why = f"connect: {error!r}"
+            log.info("discovery: %s", why)
+            await asyncio.sleep(RETRY_S)
+
+    async def follow(self, watch: Watch) -> str:
+        """Keep a watch going; returns why it came to its end."""
+        async with asyncio.timeout(CONNECT_S):
+            transport, _ = await self.loop.create_connection(lambda: watch, *self.address)
+        try:
+            while (left := watch.heard + SILENCE_S - self.loop.time()) > 0:
+                done, _ = await asyncio.wait([watch.ended], timeout=left)
+                if done:
+                    return watch.ended.result()
+            return f"silent for {SILENCE_S:g} s"
+        finally:
+            transport.abort()
+
+    def line(self, text: bytes) -> None:
+        listing = read_listing(json.loads(text))
+        self.index = listing.version
+        self.on_listing(listing)
+
+    def close(self) -> None:
+        self.task.cancel()
--- /dev/null
+++ b/roadspur/net/server.py
@@ -0,0 +1,301 @@
+"""The client side: HTTP/1.1 requests in, one answer each out, and /healthz."""
+
+from __future__ import annotations
+
+import asyncio
+import http
+import math
+import re
+from collections import deque
+from typing import NamedTuple, cast
+
+import httptools
+
+from roadspur import interface as io
+from roadspur.net.ingress import Ingress
+from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
+
+CUSTOMER = re.compile(rb"(?:/[^/?#]*)+?/([0-9a-fA-F]{16})(?:\?.*)?")
+CALL_ID = re.compile(rb"[!-~]{1,64}")
+BUDGET = re.compile(rb"(\d{1,10})([mu])")
+MAX_CUSTOMER = 1 << 33
+MAX_BUDGET_S = 3600.0
+PIPELINE = 16  # requests read ahead on one connection
+SLOW_S = 10.0  # for a request to come whole, once begun
+SWEEP_S = 1.0
+LINGER_S = 1.0
+HOP_BY_HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+              b"upgrade", b"expect", b"content-length", b"x-budget"}
+
+
+class Early(NamedTuple):
+    """An answer that no decision is needed for."""
+
+    status: int
+    why: str
+    close: bool = False
+
+
+class BadRequest(ValueError):
+    """A request that cannot be what the protocol describes."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection; requests on it are answered in turn."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.loop = server.loop
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.waiting: deque[tuple[Call | Early, bool]] = deque()
+        self.call: Call | None = None  # the one that is being decided on
+        self.keep = True  # whether the connection stays open after the present answer
+        self.closing = self.deaf = self.paused = False
+        self.heard = self.loop.time()
+        self.began = 0.0  # when the request that is now coming in began; 0 between requests
+        self.reset()
+
+    def reset(self) -> None:
+        """Ready for the next request's bytes."""
+        self.url = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.size, self.in_head, self.fresh = 0, True, True
+
+    # From the socket.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        self.server.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        call, self.call = self.call, None
+        if call is not None:
+            self.server.ingress.gone(call)
+
+    def data_received(self, data: bytes) -> None:
+        if self.deaf:  # the rest of a request that was turned away unread
+            return
+        self.heard = self.loop.time()
+        self.began = self.began or self.heard
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, BadRequest):
+                self.fault(int(cause.args[0]), str(cause.args[1]))
+            else:
+                self.fault(400, "malformed HTTP")
+            return
+        if self.in_head and self.began:  # the parser itself would take in a head that never ends
+            self.size += 0 if self.fresh else len(data)
+            self.fresh = False
+            if self.size > MAX_HEAD:
+                self.fault(431, "the head is too long")
+
+    def fault(self, status: int, why: str) -> None:
+        """Answer what cannot be read on, after what came before it, and close."""
+        self.deaf = True
+        self.enqueue(Early(status, why, close=True), keep=False)
+
+    # From the parser.
+
+    def on_message_begin(self) -> None:
+        self.reset()
+        self.began = self.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        if len(self.url) > MAX_HEAD:
+            raise BadRequest(431, "the head is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        if len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers) > MAX_HEAD:
+            raise BadRequest(431, "the head is too long")
+
+    def on_body(self, data: bytes) -> None:
+        if len(self.body) + len(data) > MAX_BODY:
+            raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.began, self.in_head = 0.0, True
+        self.enqueue(self.read(), self.parser.should_keep_alive())
+
+    def read(self) -> Call | Early:
+        """The request that has come, or the answer to one that is none of ours."""
+        if self.url.partition(b"?")[0] == b"/healthz":
+            return Early(200 if self.server.ready() else 503, "")
+        match = CUSTOMER.fullmatch(self.url)
+        if match is None:
+            return Early(404, "no such path")
+        try:
+            request = read_request(self.server.ingress.settings, match[1], self.parser.get_method(),
+                                   self.headers)
+        except BadRequest as error:
+            return Early(400, str(error))
+        start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), self.url)]
+        start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
+        return Call(request, b"".join(start), bytes(self.body), self.loop.time())
+
+    # Answers, in the order of the requests.
+
+    def enqueue(self, item: Call | Early, keep: bool) -> None:
+        self.waiting.append((item, keep))
+        if len(self.waiting) > PIPELINE and self.transport is not None and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+        if self.call is None:
+            self.proceed()
+
+    def proceed(self) -> None:
+        """Go on with what has been read ahead, until there is one that must wait for its answer."""
+        while self.waiting and self.call is None and not self.closing:
+            item, self.keep = self.waiting.popleft()
+            if isinstance(item, Call):
+                self.call = item
+                self.server.ingress.take(item, self.reply)
+            else:
+                self.write(item.status, b"", item.why.encode())
+        if self.paused and self.transport is not None and not self.closing and len(self.waiting) <= PIPELINE:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def reply(self, status: int, lines: bytes, body: bytes) -> None:
+        """The final answer to the present request."""
+        self.call = None
+        self.write(status, lines, body)
+        if self.waiting:  # not from here: this may be deep inside an event
+            self.loop.call_soon(self.proceed)
+
+    def write(self, status: int, lines: bytes, body: bytes) -> None:
+        if self.transport is None or self.closing:
+            return
+        close = not self.keep or self.server.leaving
+        if close:
+            lines += b"Connection: close\r\n"
+        self.transport.write(b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            status, http.HTTPStatus(status).phrase.encode(), lines, len(body), body))
+        if close:
+            self.close()
+
+    def close(self) -> None:
+        """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
+        if self.closing or self.transport is None:
+            return
+        self.closing = True
+        if self.deaf:
+            self.transport.write_eof()
+            self.loop.call_later(LINGER_S, self.transport.abort)
+        else:
+            self.transport.close()
+
+    def idle(self) -> bool:
+        """Between requests."""
+        return self.call is None and not self.waiting and not self.began
+
+    def sweep(self, now: float) -> None:
+        """A request that does not come whole in time is not waited for."""
+        if self.began and now - self.began > SLOW_S and not self.deaf:
+            self.fault(408, "the request did not come whole in time")
+
+
+class Server:
+    """Listens for clients, and leaves in order."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int) -> None:
+        self.loop, self.ingress, self.most = loop, ingress, most
+        self.connections: set[ClientConnection] = set()
+        self.stopping = self.leaving = False
+        self.listener: asyncio.Server | None = None
+        self.sweeper = loop.call_later(SWEEP_S, self.sweep)
+
+    async def listen(self, host: str, port: int) -> None:
+        self.listener = await self.loop.create_server(
+            lambda: ClientConnection(self), host, port, backlog=1024)
+
+    def ready(self) -> bool:
+        """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
+        return bool(self.ingress.serving) and not self.stopping
+
+    def joined(self, connection: ClientConnection) -> None:
+        """Room for one more is made by closing the connection that has been idle longest."""
+        self.connections.add(connection)
+        if len(self.connections) > self.most:
+            idle = [c for c in self.connections if c.idle() and c is not connection]
+            (min(idle, key=lambda c: c.heard) if idle else connection).close()
+
+    def sweep(self) -> None:
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.sweep(now)
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+
+    async def leave(self, notice: float) -> None:
+        """Go on accepting for the notice, then take nothing new and wait for what is held."""
+        self.stopping = True
+        await asyncio.sleep(notice)
+        self.leaving = True
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.close()
+        while self.connections:
+            await asyncio.sleep(0.02)
+        self.sweeper.cancel()
+
+
+def read_request(settings: io.Settings, customer: bytes, method: bytes,
+                 headers: list[tuple[bytes, bytes]]) -> io.Request:
+    """The module's request out of the headers; BadRequest says what is wrong with them."""
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key.startswith(b"x-") and key in values:
+            raise BadRequest(f"{key.decode()}: more than one")
+        values[key] = value
+    number = int(customer, 16)
+    call_id, budget = values.get(b"x-call-id", b""), BUDGET.fullmatch(values.get(b"x-budget", b""))
+    class_name = values.get(b"x-call-class", b"").decode("latin-1")
+    plan = values.get(b"x-tier", b"").decode("latin-1")
+    effect = next((c.effect for c in settings.classes if c.name == class_name), None)
+    if number >= MAX_CUSTOMER:
+        raise BadRequest("no such customer")
+    if CALL_ID.fullmatch(call_id) is None:
+        raise BadRequest("x-call-id: expected 1 to 64 visible characters")
+    if effect is None:
+        raise BadRequest("x-call-class: no such class")
+    if all(p.name != plan for p in settings.plans):
+        raise BadRequest("x-tier: no such plan")
+    if (method == b"GET") != (effect is io.Effect.SAFE) or method not in (b"GET", b"POST"):
+        raise BadRequest("the method does not fit the class")
+    if effect is io.Effect.KEYED and not values.get(b"idempotency-key"):
+        raise BadRequest("idempotency-key: missing")
+    expires_in = int(budget[1]) / (1e3 if budget[2] == b"m" else 1e6) if budget else 0.0
+    if not 0 < expires_in <= MAX_BUDGET_S:
+        raise BadRequest("x-budget: expected a time such as 480m")
+    units, spread, first = _terms(values.get(b"x-call-terms", b""), settings)
+    return io.Request(call_id.decode(), class_name, plan, number, expires_in, units, spread, first,
+                      values.get(b"x-again") == b"1")
+
+
+def _terms(text: bytes, settings: io.Settings) -> tuple[float, int, int]:
+    terms = dict(part.strip().partition("=")[::2] for part in text.decode("latin-1").split(","))
+    try:
+        units, spread, first = float(terms["units"]), int(terms["spread"]), int(terms["first"])
+    except (KeyError, ValueError) as error:
+        raise BadRequest("x-call-terms: expected units=, spread= and first=") from error
+    if not (math.isfinite(units) and 0 <= units <= settings.max_units):
+        raise BadRequest(f"x-call-terms: units: expected 0 to {settings.max_units:g}")
+    if not (1 <= spread <= settings.instances and 0 <= first < settings.instances):
+        raise BadRequest("x-call-terms: spread and first: no such ingresses")
+    return units, spread, first
