Test the real ingress over loopback sockets

One test for each trap: Unix time for the module, no call back into it, deadlines and the watchdog, one outcome an attempt, the old connection ended before the next attempt, drains while connecting, pools, whole answers only, late counter replies, garbled lists, SIGTERM, bad input and bad configuration. tests/sockets.py holds the peers; a run under uvloop also guards the first failure (transports that are no asyncio.Transport).

--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,230 @@
+"""Peers on loopback sockets for the tests: backends, counter, clients, and an ingress round them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from roadspur import interface as io
+from roadspur.net.discovery import Listing, read_listing
+from roadspur.net.ingress import Ingress
+from roadspur.net.server import Server
+from roadspur.net.upstream import Upstream
+from tests.helpers import CEILED, KEYED, PLAN, SAFE, UNSAFE
+
+HOST = "127.0.0.1"
+PATIENCE_S = 20.0  # for anything at all to happen; never what a test measures
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """Run a test on the program's own kind of loop."""
+    uvloop.run(asyncio.wait_for(main, PATIENCE_S))
+
+
+async def until(true: Callable[[], Any]) -> None:
+    """Wait for a state of the same loop; the whole test's patience bounds it."""
+    while not true():
+        await asyncio.sleep(0.002)
+
+
+def settings(**more: Any) -> io.Settings:
+    args: dict[str, Any] = dict(
+        classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CEILED), instances=3, counter_timeout=0.08, max_units=4.0,
+        max_attempts=3, settles=True, may_probe=True, may_cancel=True, connect_timeout=2.0,
+        max_retry_after=1.0)
+    return io.Settings(**{**args, **more})
+
+
+def closed_port() -> int:
+    """A port that nothing listens on."""
+    with socket.socket() as s:
+        s.bind((HOST, 0))
+        return int(s.getsockname()[1])
+
+
+class Seen:
+    """A request as a peer got it."""
+
+    def __init__(self, line: str, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter) -> None:
+        self.line, self.headers, self.body, self.writer = line, headers, body, writer
+
+    def socket(self) -> socket.socket:
+        """The connection's socket itself, past the event loop."""
+        return socket.socket(fileno=socket.dup(self.writer.get_extra_info("socket").fileno()))
+
+    def ended(self) -> bool:
+        """Whether the other side's end of the connection has come to this machine, read or not."""
+        if self.writer.transport.is_closing():
+            return True
+        with self.socket() as s:
+            s.setblocking(False)
+            try:
+                return s.recv(1, socket.MSG_PEEK) == b""
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head[:-4].split("\r\n")
+    headers = {k.lower(): v.strip() for k, _, v in (part.partition(":") for part in rest)}
+    return line, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def ok(body: bytes = b"fine", *lines: bytes) -> bytes:
+    return b"".join([b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body), *(x + b"\r\n" for x in lines),
+                     b"\r\n", body])
+
+
+class Peer:
+    """An HTTP server whose answer to each request the test gives: bytes, or None to stay silent."""
+
+    def __init__(self, act: Callable[[Seen], Awaitable[bytes | None]]) -> None:
+        self.act = act
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.port = 0
+
+    @classmethod
+    async def start(cls, *answers: bytes | None) -> Peer:
+        """One that gives these answers in turn, the last one for ever."""
+        queue = list(answers or [ok()])
+
+        async def act(_: Seen) -> bytes | None:
+            return queue.pop(0) if len(queue) > 1 else queue[0]
+
+        return await cls(act).listen()
+
+    async def listen(self) -> Peer:
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                seen = Seen(*await read_message(reader), writer)
+                self.seen.append(seen)
+                answer = await self.act(seen)
+                if answer == b"":
+                    break
+                if answer is not None:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, port: int) -> Client:
+        return cls(*await asyncio.open_connection(HOST, port))
+
+    async def ask(self, raw: bytes) -> tuple[int, dict[str, str], bytes]:
+        self.writer.write(raw)
+        return await self.answer()
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        line, headers, body = await read_message(self.reader)
+        return int(line.split(" ")[1]), headers, body
+
+
+def call(name: str = "r1", cls: str = "read", body: bytes = b"", budget: str = "6000m",
+         path: str = "/api/000000000000000a", **headers: str | None) -> bytes:
+    """A request as the front sends it; a header given as None is left out."""
+    lines: dict[str, str | None] = {
+        "X-Call-Id": name, "X-Call-Class": cls, "X-Tier": "basic", "X-Budget": budget,
+        "X-Call-Terms": "units=2,spread=2,first=1", "Content-Length": str(len(body))}
+    if cls == "pay":
+        lines["Idempotency-Key"] = "k1"
+    lines.update({k.replace("_", "-"): v for k, v in headers.items()})
+    head = "".join(f"{k}: {v}\r\n" for k, v in lines.items() if v is not None)
+    method = "GET" if cls == "read" else "POST"
+    return f"{method} {path} HTTP/1.1\r\nHost: backend.local\r\n{head}\r\n".encode() + body
+
+
+def entry(name: str, port: int, status: str = "SERVING", since_ms: int = 0) -> dict[str, Any]:
+    return {"name": name, "address": f"{HOST}:{port}", "zone": "z0", "type": "std", "group": 1,
+            "status": status, "weight": 1.0, "since_ms": since_ms}
+
+
+def listing(*entries: dict[str, Any], index: int = 1, snapshot: bool = True) -> Listing:
+    return read_listing(json.loads(json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries})))
+
+
+class Script:
+    """Stands in for the decision module: keeps what it is told and does what the test's function says."""
+
+    def __init__(self, decide: Callable[[io.Event], list[io.Action]]) -> None:
+        self.decide = decide
+        self.events: list[io.Event] = []
+        self.times: list[float] = []
+        self.inside = False
+
+    def handle(self, now: float, event: io.Event) -> list[io.Action]:
+        assert not self.inside, "called back while deciding"
+        self.inside = True
+        try:
+            self.events.append(event)
+            self.times.append(now)
+            return self.decide(event)
+        finally:
+            self.inside = False
+
+    def ends(self) -> list[io.AttemptEnded]:
+        return [e for e in self.events if isinstance(e, io.AttemptEnded)]
+
+
+def in_turn(*backends: str) -> Callable[[io.Event], list[io.Action]]:
+    """Try these backends one after another, then refuse."""
+
+    def decide(event: io.Event) -> list[io.Action]:
+        if isinstance(event, io.Request):
+            return [io.Attempt(event.id, backends[0])]
+        if isinstance(event, io.AttemptEnded) and not event.done:
+            if event.attempt + 1 < len(backends):
+                return [io.Attempt(event.request, backends[event.attempt + 1])]
+            return [io.Refuse(event.request)]
+        return []
+
+    return decide
+
+
+class Rig:
+    """An ingress with its client side, in this process."""
+
+    def __init__(self, decide: Callable[[io.Event], list[io.Action]], idle: float = 15.0,
+                 **more: Any) -> None:
+        loop = asyncio.get_running_loop()
+        self.script = Script(decide)
+        self.settings = settings(**more)
+        self.upstream = Upstream(loop, self.settings.connect_timeout, idle, 100)
+        self.ingress = Ingress(loop, self.settings, self.script, self.upstream, ("latency_ms", "inflight"))
+        self.server = Server(loop, self.ingress, 50)
+        self.port = 0
+
+    async def start(self, **backends: int) -> Client:
+        """Listen, with these backends in the list; returns a client's connection."""
+        self.ingress.listed(listing(*(entry(name, port) for name, port in backends.items())))
+        await self.server.listen(HOST, 0)
+        assert self.server.listener is not None
+        self.port = self.server.listener.sockets[0].getsockname()[1]
+        return await Client.connect(self.port)
+
+
+def unix() -> float:
+    return time.time()
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,214 @@
+"""Events, actions, deadlines and the one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from roadspur import interface as io
+from tests.sockets import Client, Peer, Rig, call, closed_port, entry, in_turn, listing, ok, run, unix, until
+
+
+def test_a_request_is_served_byte_for_byte_and_goes_on_unchanged():
+    async def main():
+        payload = bytes(range(256)) * 4
+        backend = await Peer.start(ok(payload, b"X-Cost-Units: 3"))
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        status, _, body = await client.ask(
+            call("r1", "pay", b"\x00\xffbody", path="/api/v1/00000001ffffffff?q=1", X_Again="1"))
+        assert (status, body) == (200, payload)
+        seen = backend.seen[0]
+        assert seen.line == "POST /api/v1/00000001ffffffff?q=1 HTTP/1.1" and seen.body == b"\x00\xffbody"
+        assert seen.headers["x-call-id"] == "r1" and seen.headers["idempotency-key"] == "k1"
+        assert 0 < int(seen.headers["x-budget"].removesuffix("m")) < 6000
+        request = next(e for e in rig.script.events if isinstance(e, io.Request))
+        assert request[:4] == ("r1", "pay", "basic", 0x1ffffffff) and request[5:9] == (2.0, 2, 1, True)
+        assert 5 < request.expires_in < 6
+        assert rig.script.ends()[0].true_units == 3.0 and rig.script.ends()[0].done
+        assert not rig.ingress.held
+    run(main())
+
+
+def test_the_module_runs_on_unix_time():
+    async def main():
+        backend = await Peer.start()
+        rig = Rig(in_turn("b0"))
+        before = unix()
+        client = await rig.start()
+        started = int(before * 1000) - 4000
+        rig.ingress.listed(listing(entry("b0", backend.port, since_ms=started)))
+        await client.ask(call())
+        assert all(before <= t <= unix() for t in rig.script.times)
+        born = rig.script.events[1].entries[0].born
+        assert born == started / 1000
+    run(main())
+
+
+def test_an_action_that_ends_at_once_does_not_call_back_in():
+    async def main():
+        backend = await Peer.start()
+        rig = Rig(in_turn("unknown", "b0"))  # Script.handle fails when it is entered twice
+        client = await rig.start(b0=backend.port)
+        assert (await client.ask(call()))[0] == 200
+        assert [e.outcome for e in rig.script.ends()] == [io.Outcome.MOOT, io.Outcome.OK]
+    run(main())
+
+
+def test_the_watchdog_answers_what_the_module_holds_too_long():
+    async def main():
+        rig = Rig(lambda event: [])
+        client = await rig.start()
+        began = asyncio.get_running_loop().time()
+        status, headers, _ = await client.ask(call(budget="300m"))
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert asyncio.get_running_loop().time() - began < 5
+        assert rig.script.events[-1] == io.ClientGone("r1") and not rig.ingress.held
+    run(main())
+
+
+def test_an_attempt_ends_with_the_clients_time_and_an_unsafe_one_is_not_refused():
+    async def main():
+        backend = await Peer.start(None)
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else [])
+        client = await rig.start(b0=backend.port)
+        status, headers, _ = await client.ask(call(cls="once", budget="250000u"))
+        assert status == 502 and "retry-after" not in headers
+        assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.TIMEOUT, False)]
+        await until(backend.seen[0].ended)
+        assert (await client.ask(call("r2", cls="pay", budget="250000u")))[0] == 503
+    run(main())
+
+
+def test_nothing_goes_out_for_a_client_that_has_gone():
+    async def main():
+        backend = await Peer.start()
+        rig = Rig(lambda e: [io.Attempt("r1", "b0")] if isinstance(e, io.TimerFired) else [])
+        client = await rig.start(b0=backend.port)
+        client.writer.write(call())
+        await until(lambda: rig.ingress.held)
+        client.writer.close()
+        await until(lambda: io.ClientGone("r1") in rig.script.events)
+        rig.ingress.submit(io.TimerFired(1))
+        assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.MOOT, True)]
+        assert not backend.seen and not rig.ingress.held
+    run(main())
+
+
+def test_an_attempt_that_is_out_when_the_client_goes_is_waited_for():
+    async def main():
+        go = asyncio.Event()
+
+        async def act(_):
+            await go.wait()
+            return ok()
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(call())
+        await until(lambda: backend.seen)
+        client.writer.close()
+        await until(lambda: io.ClientGone("r1") in rig.script.events)
+        go.set()
+        await until(rig.script.ends)
+        assert [(e.outcome, e.done) for e in rig.script.ends()] == [(io.Outcome.OK, True)]
+        assert not rig.ingress.held
+    run(main())
+
+
+def test_a_refusal_says_when_to_come_back():
+    async def main():
+        waits = [0.25, 0.0]
+        rig = Rig(lambda e: [io.Refuse(e.id, waits.pop(0))] if isinstance(e, io.Request) else [])
+        client = await rig.start()
+        status, headers, _ = await client.ask(call("r1"))
+        assert status == 429 and float(headers["retry-after"]) == 0.25
+        status, headers, _ = await client.ask(call("r2"))
+        assert status == 503 and float(headers["retry-after"]) == rig.settings.max_retry_after
+    run(main())
+
+
+def test_an_exception_fails_its_own_request_only(caplog):
+    async def main():
+        backend = await Peer.start()
+
+        def decide(event):
+            if isinstance(event, io.Request) and event.id == "bad":
+                raise ZeroDivisionError("a fault of the module")
+            return in_turn("b0")(event)
+
+        rig = Rig(decide)
+        client = await rig.start(b0=backend.port)
+        assert (await client.ask(call("bad")))[0] == 500
+        assert (await client.ask(call("good")))[0] == 200
+        assert "a fault of the module" in caplog.text
+    run(main())
+
+
+def test_an_id_that_is_held_is_not_taken_twice():
+    async def main():
+        rig = Rig(lambda event: [])
+        first = await rig.start()
+        first.writer.write(call("same"))
+        await until(lambda: rig.ingress.held)
+        second = await Client.connect(rig.port)
+        assert (await second.ask(call("same")))[0] == 400
+        assert len(rig.ingress.held) == 1
+    run(main())
+
+
+def test_a_drain_that_comes_while_connecting_keeps_every_byte_back():
+    async def main():
+        draining, other = await Peer.start(), await Peer.start()
+        rig = Rig(in_turn("b0", "b1"))
+        await rig.start(b0=draining.port, b1=other.port)
+        client = await Client.connect(rig.port)
+
+        real = rig.upstream.open
+
+        async def open_late(pool, exchange):
+            if pool.backend == "b0":
+                rig.ingress.listed(listing(entry("b0", draining.port, "DRAINING"), snapshot=False))
+            await real(pool, exchange)
+
+        rig.upstream.open = open_late
+        assert (await client.ask(call()))[0] == 200
+        assert [e.outcome for e in rig.script.ends()] == [io.Outcome.MOOT, io.Outcome.OK]
+        assert not draining.seen and len(other.seen) == 1
+    run(main())
+
+
+@pytest.mark.parametrize("state", ["DELETED", None])
+def test_what_is_gone_from_the_list_gets_nothing(state):
+    async def main():
+        backend = await Peer.start()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        await client.ask(call("r1"))
+        gone = listing(entry("b0", backend.port, state), snapshot=False) if state else listing(index=2)
+        rig.ingress.listed(gone)
+        assert (await client.ask(call("r2")))[0] == 503
+        assert len(backend.seen) == 1 and rig.script.ends()[-1].outcome is io.Outcome.MOOT
+    run(main())
+
+
+def test_a_probe_brings_the_load_report():
+    async def main():
+        report = b"TEXT latency_ms=14.5, inflight=7, util=1"
+        backend = await Peer.start(
+            b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report))
+        rig = Rig(lambda e: [io.Probe("b0"), io.Probe("b1")] if isinstance(e, io.TimerFired) else [],
+                  connect_timeout=5.0)
+        await rig.start(b0=backend.port, b1=closed_port())
+        rig.ingress.submit(io.TimerFired(1))
+
+        def found():
+            return {e.backend: e for e in rig.script.events if isinstance(e, io.ProbeEnded)}
+
+        await until(lambda: len(found()) == 2)
+        assert found()["b0"].load == {"latency_ms": 14.5, "inflight": 7.0}
+        assert found()["b1"].outcome is io.Outcome.CONNECT_FAILED
+        assert backend.seen[0].line == "GET /load HTTP/1.1"
+    run(main())
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,141 @@
+"""The program as a whole: configuration, readiness, SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tests.sockets import HOST, Client, Peer, call, closed_port, entry, ok, run, until
+
+SETTINGS = {
+    "balancers": 1, "me": 0, "zone": "z0", "step": 0.004, "classes": [
+        {"name": "read", "semantics": "retryable", "objective": 2.0, "hardLimit": 6.0},
+        {"name": "pay", "semantics": "dedup", "objective": 2.0, "hardLimit": 6.0, "window": 15.0,
+         "group": "all"}],
+    "plans": [{"name": "basic", "rate": 2.0, "storeSize": 8.0, "pays": 1.1}],
+    "extra": {"counter": True, "counterTimeout": 1.0, "maxUnits": 4, "truedUp": True, "peerInPerS": 100.0},
+    "limits": {"maxAttempts": 3, "cancel": True, "peers": False, "connIdle": 15.0, "connectTimeout": 2.0,
+               "maxRetryAfter": 1.0},
+    "loadReport": {"how": "pull", "fields": ["latency_ms", "inflight"]},
+    "areas": ["z0", "z1"], "unheard": {"of": 1}}
+
+
+TERMS = "units=4,spread=1,first=0"
+
+
+class Program:
+    """`python -m roadspur` with peers of the test's."""
+
+    def __init__(self, tmp_path, **config):
+        self.port = closed_port()
+        self.path = tmp_path / "config.json"
+        self.path.write_text(json.dumps({
+            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{closed_port()}",
+            "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": SETTINGS, **config}))
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "roadspur", env={**os.environ, "PROXY_CONFIG": str(self.path)},
+            stderr=subprocess.PIPE)
+        while True:
+            try:
+                return await Client.connect(self.port)
+            except OSError:
+                assert self.process.returncode is None
+                await asyncio.sleep(0.01)
+
+    async def end(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+def known(port):
+    return {"index": 3, "snapshot": True, "endpoints": [entry("b0", port)]}
+
+
+def test_a_customer_is_held_to_its_quota_by_the_counters_totals(tmp_path):
+    async def main():
+        total = 0.0
+
+        async def act(seen):
+            nonlocal total
+            total += float(seen.line.split("delta=")[1].split("&")[0])
+            return ok(f"{total:.3f}".encode())
+
+        backend, counter = await Peer.start(ok(b"fine")), await Peer(act).listen()
+        program = Program(tmp_path, known=known(backend.port), counter=f"{HOST}:{counter.port}")
+        client = await program.start()
+        try:
+            answers = [await client.ask(call(f"r{i}", X_Call_Terms=TERMS)) for i in range(6)]
+            served = [a for a in answers if a[0] == 200]
+            refused = [a for a in answers if a[0] == 429]
+            assert 1 <= len(served) < 6 and len(served) + len(refused) == 6
+            assert all(0 < float(a[1]["retry-after"]) <= 1 for a in refused)
+            assert len(backend.seen) == len(served) and counter.seen
+        finally:
+            await program.end()
+    run(main())
+
+
+def test_sigterm_is_followed_by_notice_then_an_orderly_end(tmp_path):
+    async def main():
+        go = asyncio.Event()
+
+        async def act(seen):
+            if seen.headers["x-call-id"] == "held":
+                await go.wait()
+            return ok()
+
+        backend, counter = await Peer(act).listen(), await Peer.start(ok(b"1"))
+        program = Program(tmp_path, known=known(backend.port), counter=f"{HOST}:{counter.port}")
+        client = await program.start()
+        try:
+            health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+            assert (await client.ask(health))[0] == 200
+            held = await Client.connect(program.port)
+            held.writer.write(call("held", X_Call_Terms=TERMS))
+            await until(lambda: backend.seen)
+            program.process.send_signal(signal.SIGTERM)
+            while (await client.ask(health))[0] == 200:
+                pass
+            late = await Client.connect(program.port)  # the front has not noticed yet
+            assert (await late.ask(call("late", X_Call_Terms=TERMS)))[0] == 200
+            assert await client.reader.read() == b"" and await late.reader.read() == b""
+            with pytest.raises(OSError):
+                await Client.connect(program.port)
+            go.set()
+            status, headers, _ = await held.answer()
+            assert status == 200 and headers["connection"] == "close"
+            assert await program.process.wait() == 0
+        finally:
+            await program.end()
+    run(main())
+
+
+SOUND = {"settings": SETTINGS, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "name": "n"}
+
+
+@pytest.mark.parametrize("config", [
+    None, "no json", "[]", "{}", {"settings": {}}, {"settings": SETTINGS},
+    {"settings": SETTINGS, "listen": "x"}, {**SOUND, "settings": {**SETTINGS, "plans": []}},
+    {**SOUND, "listen": "203.0.113.9:1"},  # no address of this machine
+    {**SOUND, "known": {"x": 1}}, {**SOUND, "seed": "no hex"},
+])
+def test_bad_configuration_is_one_plain_line(tmp_path, config):
+    path = tmp_path / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    if config is not None:
+        env["PROXY_CONFIG"] = str(path)
+    done = subprocess.run([sys.executable, "-m", "roadspur"], env=env, capture_output=True, text=True,
+                          timeout=60)
+    lines = [line for line in done.stderr.splitlines() if " INFO " not in line]
+    assert done.returncode == 2 and len(lines) == 1 and lines[0].startswith("roadspur: ")
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,239 @@
+"""Attempts have exactly one outcome, no copy is out twice, and pools hold no dead connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from roadspur import interface as io
+from roadspur.net import upstream as upstream_module
+from tests.sockets import Peer, Rig, call, closed_port, entry, in_turn, listing, ok, run, until
+
+BIG = b"x" * (64 * 1024 + 1)
+
+
+@pytest.mark.parametrize("answer,outcome", [
+    (b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+    (b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+    (b"HTTP/1.1 504 Late\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", io.Outcome.FULL),
+    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+    (b"HTTP/1.1 404 What\r\nContent-Length: 0\r\n\r\n", io.Outcome.ERROR),
+    (b"", io.Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nshort", io.Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\n\r\nno length at all", io.Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", io.Outcome.RESET),
+    (b"no HTTP at all\r\n\r\n", io.Outcome.RESET),
+    (ok(BIG), io.Outcome.RESET),
+])
+def test_only_a_whole_200_is_served(answer, outcome):
+    async def main():
+        async def act(seen):
+            seen.writer.write(answer)
+            return b""  # and the connection ends
+
+        backend, good = await Peer(act).listen(), await Peer.start(ok(b"whole"))
+        rig = Rig(in_turn("b0", "b1"))
+        client = await rig.start(b0=backend.port, b1=good.port)
+        status, _, body = await client.ask(call())
+        assert (status, body) == (200, b"whole")
+        assert [e.outcome for e in rig.script.ends()] == [outcome, io.Outcome.OK]
+        assert len(backend.seen) == 1  # nothing sends again by itself
+    run(main())
+
+
+def test_a_body_of_the_largest_size_and_a_chunked_one_are_served():
+    async def main():
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        backend = await Peer.start(ok(BIG[1:]), b"HTTP/1.1 100 Continue\r\n\r\n" + chunked)
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        assert (await client.ask(call("r1")))[2] == BIG[1:]
+        assert (await client.ask(call("r2")))[2] == b"abcde"
+        assert backend.connections == 1
+    run(main())
+
+
+def test_a_refused_connection_never_ran():
+    async def main():
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=closed_port())
+        assert (await client.ask(call(cls="once")))[0] == 503
+        assert [e.outcome for e in rig.script.ends()] == [io.Outcome.CONNECT_FAILED]
+    run(main())
+
+
+def test_the_old_connection_has_ended_before_the_next_attempt_is_sent():
+    async def main():
+        slow = await Peer.start(None)
+        ended = []
+
+        async def act(_):
+            ended.append(slow.seen[-1].ended())
+            return ok()
+
+        fast = await Peer(act).listen()
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else
+                  [io.CancelAttempt("r2", 0)] if isinstance(e, io.TimerFired) else
+                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        client = await rig.start(b0=slow.port, b1=fast.port)
+        rig.script.decide, decide = in_turn("b1"), rig.script.decide
+        await client.ask(call("r1"))  # so that a connection to b1 stands ready
+        rig.script.decide = decide
+        client.writer.write(call("r2"))
+        await until(lambda: slow.seen)
+        rig.ingress.submit(io.TimerFired(1))
+        slow.seen[0].writer.transport.pause_reading()  # its end stays in the kernel, to be looked at
+        assert (await client.answer())[0] == 200
+        assert ended[-1] is True
+        assert [e.outcome for e in rig.script.ends()][1:] == [io.Outcome.CANCELLED, io.Outcome.OK]
+    run(main())
+
+
+def test_a_time_out_of_the_module_ends_the_attempt():
+    async def main():
+        slow, fast = await Peer.start(None), await Peer.start()
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
+                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        client = await rig.start(b0=slow.port, b1=fast.port)
+        assert (await client.ask(call()))[0] == 200
+        assert [(e.attempt, e.outcome) for e in rig.script.ends()] == [
+            (0, io.Outcome.TIMEOUT), (1, io.Outcome.OK)]
+    run(main())
+
+
+def test_a_late_answer_is_nobodys():
+    async def main():
+        go = asyncio.Event()
+
+        async def act(seen):
+            await go.wait()
+            return ok(b"late")
+
+        slow, fast = await Peer(act).listen(), await Peer.start(ok(b"in time"))
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05)] if isinstance(e, io.Request) else
+                  [io.Attempt(e.request, "b1")] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        client = await rig.start(b0=slow.port, b1=fast.port)
+        assert (await client.ask(call("r1")))[2] == b"in time"
+        go.set()
+        assert (await client.ask(call("r2", budget="5000m")))[2] in (b"late", b"in time")
+        assert len(rig.script.ends()) == len({(e.request, e.attempt) for e in rig.script.ends()})
+    run(main())
+
+
+def test_the_newest_idle_connection_is_used_first_and_none_that_has_ended():
+    async def main():
+        gate = asyncio.Event()
+
+        async def act(seen):
+            if seen.headers["x-call-id"] in ("a", "b"):
+                await gate.wait()
+            return ok()
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        one = await rig.start(b0=backend.port)
+        two = await one.connect(rig.port)
+        one.writer.write(call("a"))
+        two.writer.write(call("b"))
+        await until(lambda: len(backend.seen) == 2)
+        gate.set()
+        await one.answer()
+        await two.answer()
+        pool = rig.upstream.pools["b0"]
+        newest = pool.idle[-1].sock.getsockname()
+        await one.ask(call("c"))
+        assert backend.seen[-1].writer.get_extra_info("peername") == newest
+        for seen in backend.seen[:2]:
+            with seen.socket() as s:
+                s.shutdown(socket.SHUT_WR)  # the ingress's loop has not heard of it yet
+        assert (await one.ask(call("d")))[0] == 200
+        assert [e.outcome for e in rig.script.ends()] == [io.Outcome.OK] * 4 and backend.connections == 3
+    run(main())
+
+
+@pytest.mark.parametrize("change", ["start", "address"])
+def test_no_connection_outlives_a_change_of_its_backend(change):
+    async def main():
+        gate = asyncio.Event()
+
+        async def act(seen):
+            if seen.headers["x-call-id"] == "held":
+                await gate.wait()
+            return ok()
+
+        backend, moved = await Peer(act).listen(), await Peer.start()
+        rig = Rig(in_turn("b0"))
+        one = await rig.start(b0=backend.port)
+        two = await one.connect(rig.port)
+        two.writer.write(call("held"))
+        await one.ask(call("idle"))
+        await until(lambda: len(backend.seen) == 2)
+        new = entry("b0", backend.port, since_ms=5000) if change == "start" else entry("b0", moved.port)
+        rig.ingress.listed(listing(new, snapshot=False))
+        gate.set()
+        assert (await two.answer())[0] == 200  # what was out is waited for
+        for seen in backend.seen:
+            await until(seen.ended)
+        assert (await one.ask(call("new")))[0] == 200
+        assert (backend.connections, moved.connections) == ((3, 0) if change == "start" else (2, 1))
+    run(main())
+
+
+def test_idle_connections_are_closed_well_before_the_backend_does(monkeypatch):
+    monkeypatch.setattr(upstream_module, "SWEEP_S", 0.01)
+
+    async def main():
+        backend = await Peer.start()
+        rig = Rig(in_turn("b0"), idle=0.1)
+        client = await rig.start(b0=backend.port)
+        await client.ask(call())
+        await until(lambda: not rig.upstream.pools["b0"].all)
+        await until(backend.seen[0].ended)
+    run(main())
+
+
+def test_a_silent_backend_loses_its_idle_connections():
+    async def main():
+        gate = asyncio.Event()
+
+        async def act(seen):
+            if seen.headers["x-call-id"] in ("a", "b"):
+                await gate.wait()
+            return None if seen.headers["x-call-id"] == "c" else ok()
+
+        backend = await Peer(act).listen()
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0", 0.05 if e.id == "c" else None)]
+                  if isinstance(e, io.Request) else in_turn("b0")(e))
+        one = await rig.start(b0=backend.port)
+        two = await one.connect(rig.port)
+        one.writer.write(call("a"))
+        two.writer.write(call("b"))
+        await until(lambda: len(backend.seen) == 2)
+        gate.set()
+        await one.answer()
+        await two.answer()
+        assert len(rig.upstream.pools["b0"].idle) == 2
+        assert (await one.ask(call("c")))[0] == 503
+        assert not rig.upstream.pools["b0"].all
+    run(main())
+
+
+def test_sockets_stay_within_their_number():
+    async def main():
+        backends = [await Peer.start() for _ in range(3)]
+        rig = Rig(lambda e: [io.Attempt(e.id, e.id)] if isinstance(e, io.Request) else
+                  [io.Refuse(e.request)] if isinstance(e, io.AttemptEnded) and not e.done else [])
+        rig.upstream.most = 2
+        client = await rig.start(**{f"b{i}": b.port for i, b in enumerate(backends)})
+        for i in range(3):
+            assert (await client.ask(call(f"b{i}")))[0] == 200
+        assert sum(len(p.all) for p in rig.upstream.pools.values()) == 2
+        assert not rig.upstream.pools["b0"].all  # the one that had been idle longest made room
+        rig.upstream.most = 0
+        for pool in rig.upstream.pools.values():
+            pool.close_idle()
+        assert (await client.ask(call("b1")))[0] == 503
+        assert rig.script.ends()[-1].outcome is io.Outcome.CONNECT_FAILED
+    run(main())
