Tell a silent backend by what came, not by when

Seen: the check of a silent backend failed in about half of its runs: its idle connections stayed open after a time-out. Cause: the loop's clock moves in whole milliseconds, so that an answer and the next attempt carried the same time and 'heard before started' (upstream.py, expire and cancel) was not true. Excluded: the time-out itself, which came, and the closing, which works when it is called. The pool now counts what it hears.

--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -41,7 +41,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # from here on it may have run
         self.ended = False
-        self.started = 0.0
+        self.heard = 0  # what the pool had heard at the start
 
     def end(self, outcome: io.Outcome, answer: Answer | None = None) -> None:
         """Tell the outcome, the first time only."""
@@ -98,7 +98,7 @@
         self.transport.write(exchange.message())
 
     def data_received(self, data: bytes) -> None:
-        self.pool.heard = self.pool.loop.time()
+        self.pool.heard += 1
         if self.exchange is None:
             self.drop()
             return
@@ -160,7 +160,7 @@
         self.backend, self.endpoint, self.loop = backend, endpoint, loop
         self.idle: list[Connection] = []
         self.all: set[Connection] = set()
-        self.heard = 0.0
+        self.heard = 0  # times that anything came; the loop's clock is too coarse to tell before from after
 
     def take(self, oldest: float) -> Connection | None:
         """The newest idle connection that still stands; those idle since before `oldest` do not count."""
@@ -211,13 +211,13 @@
 
     def send(self, exchange: Exchange, timeout: float) -> None:
         """Carry out one exchange; its outcome may come before this returns."""
-        now = exchange.started = self.loop.time()
         pool = self.pools.get(exchange.backend)
         if pool is None or not exchange.may_send():
             exchange.end(io.Outcome.MOOT)
             return
+        exchange.heard = pool.heard
         exchange.timer = self.loop.call_later(max(0.0, timeout), self.expire, exchange)
-        connection = pool.take(now - self.idle)
+        connection = pool.take(self.loop.time() - self.idle)
         if connection is not None:
             connection.send(exchange)
         elif not self.room():
@@ -227,18 +227,19 @@
             exchange.opening = self.loop.create_task(self.open(pool, exchange))
 
     def expire(self, exchange: Exchange) -> None:
-        """No answer in time; if nothing at all has come from the backend, idle connections are dead too."""
-        pool = self.pools.get(exchange.backend)
-        if pool is not None and pool.heard < exchange.started:
-            pool.close_idle()
-        exchange.give_up(io.Outcome.TIMEOUT)
+        """No answer in time."""
+        self.give_up(exchange, io.Outcome.TIMEOUT)
 
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting for an attempt."""
+        self.give_up(exchange, io.Outcome.CANCELLED)
+
+    def give_up(self, exchange: Exchange, outcome: io.Outcome) -> None:
+        """If nothing at all has come from the backend since the start, its idle connections are dead too."""
         pool = self.pools.get(exchange.backend)
-        if pool is not None and pool.heard < exchange.started:
+        if pool is not None and exchange.written and pool.heard == exchange.heard:
             pool.close_idle()
-        exchange.give_up(io.Outcome.CANCELLED)
+        exchange.give_up(outcome)
 
     async def open(self, pool: Pool, exchange: Exchange) -> None:
         """A new connection for an exchange, whose first byte waits until it stands."""
