Order clients by who was heard last, not by the clock

Seen: test_too_many_clients hung in about one run of three: the client that had just been served was closed instead of the one idle longest. Cause: the same coarse clock of the loop; both carried one time, and min() over a set then takes either (server.py, joined). Excluded: the count of connections, and the closing itself. A counter gives the order now.

--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import itertools
 import math
 import re
 from collections import deque
@@ -52,7 +53,7 @@
         self.call: Call | None = None  # the one that is being decided on
         self.keep = True  # whether the connection stays open after the present answer
         self.closing = self.deaf = self.paused = False
-        self.heard = self.loop.time()
+        self.heard = next(server.order)
         self.began = 0.0  # when the request that is now coming in began; 0 between requests
         self.reset()
 
@@ -80,8 +81,8 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:  # the rest of a request that was turned away unread
             return
-        self.heard = self.loop.time()
-        self.began = self.began or self.heard
+        self.heard = next(self.server.order)
+        self.began = self.began or self.loop.time()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -214,6 +215,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int) -> None:
         self.loop, self.ingress, self.most = loop, ingress, most
         self.connections: set[ClientConnection] = set()
+        self.order = itertools.count()  # who was heard last; the loop's clock is too coarse to tell
         self.stopping = self.leaving = False
         self.listener: asyncio.Server | None = None
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
