--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 RATE ?= 120
 PORT ?= 8080
 SEED ?= 1
+MINUTES ?= 5
 FAULTS ?=
 export PIP_DISABLE_PIP_VERSION_CHECK = 1
 
-.PHONY: run test check clean
+.PHONY: run test soak check clean
 
 run: $(VENV)/.run  ## a fleet on loopback: make run SECONDS=20 FAULTS=examples/faults/backends.toml
 	$(VENV)/bin/python -m standins fleet --seconds $(SECONDS) --rate $(RATE) --port $(PORT) --seed $(SEED) \
@@ -17,6 +18,9 @@
 test: $(VENV)/.dev  ## the tests, as CI runs them
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m pytest -q
 
+soak: $(VENV)/.dev  ## random failures with fresh seeds: make soak MINUTES=5
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m soak --minutes $(MINUTES)
+
 check: $(VENV)/.dev  ## lint and types
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -9,7 +9,9 @@
 
 import argparse
 import json
+import os
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -84,13 +86,13 @@
             began = time.monotonic()
             soak = subprocess.Popen([sys.executable, "-m", "soak", "--minutes", str(args.minutes), "--seed",
                                      str(args.seed), "--folder", "found"], cwd=folder, stdout=subprocess.PIPE,
-                                    stderr=subprocess.DEVNULL, text=True)
+                                    stderr=subprocess.DEVNULL, text=True, start_new_session=True)
             assert soak.stdout is not None
             for line in soak.stdout:  # the finding is enough: it need not be cut down here
                 if line.startswith("found: "):
                     break
             took = time.monotonic() - began
-            soak.terminate()
+            os.killpg(soak.pid, signal.SIGKILL)  # with its workers and their fleets
             soak.wait()
             kept = sorted((folder / "found").glob("*.json"))
             by = f"{kept[0].name.partition('-')[0]}: {json.loads(kept[0].read_text())['found'].strip()}" if kept else ""
