--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -14,6 +15,9 @@
 from roadspur.net.counters_file import read_counters
 from roadspur.net.daemon import Daemon
 
+if TYPE_CHECKING:
+    from roadspur.state.keeper import Keeper
+
 log = logging.getLogger("roadspur")
 
 NOTICE_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
@@ -21,6 +25,7 @@
 
 USAGE = """usage: python -m roadspur              serve as PROXY_CONFIG says
        python -m roadspur --counters FILE   the same, with several counters
+       python -m roadspur --state FILE      the same, with a state folder; both may be given
        python -m roadspur bound -h    how far quotas can be passed while the counter fails
 """
 
@@ -36,11 +41,28 @@
     return 0 if wanted else 2
 
 
-async def serve(config: Config, counters: str | None = None) -> None:
-    """Serve until told to stop, then leave in order. `counters`: the operator's file of several."""
+def keeper_of(config: Config, path: str) -> Keeper:
+    """The state folder that an operator's file names; BadConfiguration says what keeps it from being used."""
+    try:
+        from roadspur.state.keeper import Keeper
+        from roadspur.state.options import read_options
+        from roadspur.state.store import BadState
+    except ImportError as error:
+        raise BadConfiguration(f"--state needs the extra 'state': {error}") from error
+    from roadspur.policy.sharing import kept_for
+
+    try:
+        return Keeper(read_options(path), config.name, config.settings, kept_for(config.settings))
+    except (ValueError, BadState) as error:
+        raise BadConfiguration(str(error)) from error
+
+
+async def serve(config: Config, counters: str | None = None, state: str | None = None) -> None:
+    """Serve until told to stop, then leave in order. `counters`, `state`: the operator's files."""
     loop = asyncio.get_running_loop()
     placement = read_counters(counters) if counters else None
-    daemon, stop = Daemon(config, placement=placement), asyncio.Event()
+    keeper = keeper_of(config, state) if state else None
+    daemon, stop = Daemon(config, placement=placement, keeper=keeper), asyncio.Event()
 
     def reload() -> None:
         try:
@@ -61,15 +83,16 @@
 
 def main() -> int:
     """Run, or one of the commands; what keeps it from starting is one plain line and a non-zero exit."""
-    counters = None
-    if len(sys.argv) == 3 and sys.argv[1] == "--counters":
-        counters = sys.argv[2]
-    elif len(sys.argv) > 1:
-        return command(sys.argv[1:])
+    words, files = sys.argv[1:], dict[str, str]()
+    while len(words) >= 2 and words[0] in ("--counters", "--state") and words[0] not in files:
+        files[words[0]] = words[1]
+        words = words[2:]
+    if words:
+        return command(words)
     logging.basicConfig(level=logging.INFO, stream=sys.stderr,
                         format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
-        uvloop.run(serve(read_config(os.environ), counters))
+        uvloop.run(serve(read_config(os.environ), files.get("--counters"), files.get("--state")))
     except (BadConfiguration, OSError) as error:
         print(f"roadspur: {error}", file=sys.stderr)
         return 2
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -343,6 +343,23 @@
                FetchList, Log]
 
 
+class SavedMember(NamedTuple):
+    """What one ingress knew of a member's count, to be kept or put back; the fields of `policy.store.Customer`."""
+
+    key: int
+    plan: str
+    level: float
+    at: float
+    window: int
+    told: float
+    pending: float
+    mine: int
+    theirs: dict[int, int]
+    heard: float = 0.0
+    heard_in: int = -1
+    excess: float = 0.0
+
+
 class Escrow(Protocol):
     """What holds members to an ingress's own share of their allowance; `roadspur.ledger` is one.
 
--- a/roadspur/net/daemon.py
+++ b/roadspur/net/daemon.py
@@ -7,6 +7,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from roadspur.assembly import make_gateway
 from roadspur.core.ports import Scheduler
@@ -20,6 +21,9 @@
 from roadspur.services.counters import Counters
 from roadspur.services.peers import Peers
 
+if TYPE_CHECKING:  # imported only where a state folder is given
+    from roadspur.state.keeper import Keeper
+
 log = logging.getLogger("roadspur")
 
 LAST_WORDS_S = 0.05  # in which the counter takes in what was not in it yet
@@ -30,13 +34,14 @@
     """What `python -m roadspur` runs. `clock` gives Unix time in seconds; it must agree at all ingresses."""
 
     def __init__(self, config: Config, clock: Callable[[], float] = time.time,
-                 scheduler: Scheduler | None = None, placement: Placement | None = None) -> None:
-        """`placement`: several counters in place of the configuration's one."""
+                 scheduler: Scheduler | None = None, placement: Placement | None = None,
+                 keeper: Keeper | None = None) -> None:
+        """`placement`: several counters in place of the configuration's one; `keeper`: a state folder."""
         self.config = config
         self.loop = loop = asyncio.get_running_loop()
         self.share = max(16, (config.sockets - SOCKETS_SPARE) // 2)
         self.upstream = Upstream(loop, config.settings.connect_timeout or 1.0, config.idle, self.share)
-        self.placement = placement
+        self.placement, self.keeper, self.clock = placement, keeper, clock
         gateway = self.gateway = make_gateway(config.settings, config.seed, clock(), placement)
         self.ingress = Ingress(loop, config.settings, gateway, self.upstream, config.load_fields, clock,
                                scheduler)
@@ -48,6 +53,8 @@
     async def start(self) -> None:
         """Open everything, clients' door last. OSError where an address cannot be had."""
         config, ingress, driver = self.config, self.ingress, self.ingress.driver
+        if self.keeper is not None:
+            self.keeper.begin(self.gateway, self.clock(), self.loop)
         if self.placement is not None:
             driver.counter = self.counter = Counters(self.loop, self.placement, config.settings.counter_timeout,
                                                      ingress.submit, driver.scheduler.time)
@@ -98,3 +105,5 @@
         if self.peers is not None:
             self.peers.close()
         self.upstream.close()
+        if self.keeper is not None:
+            self.keeper.close()
--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -65,6 +65,7 @@
         name = c.name(now)
         self.calls.setdefault(name, deque()).append((c, window, units, f))
         c.flying += f.charge if f else 0.0
+        c.owing += max(0.0, units - (f.charge if f else 0.0))
         self.sharing.counters.of(name).asked += ASK_OVER
         self.acts.append(io.CounterAdd(name, units, min(60.0, 3 * c.length)))
 
@@ -77,6 +78,8 @@
         if not queue:
             del self.calls[e.name]
         c.flying -= f.charge if f else 0.0
+        c.owing -= max(0.0, units - (f.charge if f else 0.0))
+        self.sharing.touched(c)
         health = self.sharing.counters.of(e.name)
         f = f if f is not None and f.req.id in self.attempts.flights else None
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
--- a/roadspur/policy/gateway.py
+++ b/roadspur/policy/gateway.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from itertools import islice
 from typing import Any
 
 from roadspur import interface as io
@@ -78,6 +79,19 @@
             return min(c.room(now), c.carried(now)) - c.flying  # as the next total will find it
         return c.room(now) - c.flying
 
+    def restore(self, now: float, members: Iterable[io.SavedMember]) -> None:
+        """Put back what an earlier life knew, and follow what changes from now on. Before any event."""
+        self.sharing.changed = {}
+        for m in members:
+            self.sharing.meet(now, m.key, self.sharing.plans[m.plan]).restore(m)
+
+    def saved(self, most: int) -> list[io.SavedMember]:
+        """Members that have changed since they were last asked for, `most` at once. Costs in proportion to them."""
+        changed = self.sharing.changed
+        if not changed:
+            return []
+        return [changed.pop(key).saved() for key in list(islice(changed, most))]
+
     def timer(self, now: float, e: io.TimerFired) -> None:
         """A beat, or the time to tell peers."""
         if e.token == TELL:
--- a/roadspur/policy/sharing.py
+++ b/roadspur/policy/sharing.py
@@ -29,6 +29,11 @@
 TOLD_MOST = (256 - len(TOLD_MARK)) // TOLD.size  # customers that a message of 256 bytes tells of
 
 
+def kept_for(settings: io.Settings) -> float:
+    """Seconds after which a quiet customer is forgotten."""
+    return KEPT_LENGTHS * max((p.burst / p.rate for p in settings.plans if p.rate > 0), default=1.0)
+
+
 class Charged(Protocol):
     """Who was let in: a request that remembers what it took off the store."""
 
@@ -44,13 +49,14 @@
         self.s, self.counters, self.acts, self.escrow = settings, counters, acts, escrow
         self.plans = {p.name: p for p in settings.plans}
         self.customers = OrderedDict[int, Customer]()  # the longest quiet first
-        self.kept = KEPT_LENGTHS * max((p.burst / p.rate for p in settings.plans if p.rate > 0), default=1.0)
+        self.kept = kept_for(settings)
         self.spent = OrderedDict[bytes, float]()  # windows known to be used up, until when it matters
         taken_in = TELL_PART * settings.peer_in_per_s
         self.tell_every = max(TELL_S, (settings.instances - 1) / max(1e-9, taken_in))
         self.tell_most = int(taken_in * self.tell_every / max(1, settings.instances - 1))  # messages at once
         self.tells = settings.peers and settings.instances > 1 and self.tell_every <= TELL_MOST_S
         self.untold: dict[int, Customer] = {}  # whose use is to be told to peers
+        self.changed: dict[int, Customer] | None = None  # since they were last kept; None where nothing is
         self.telling, self.began = False, now
         self.owed, self.last_told = False, now  # a word to peers that tell of use here; when they last had one
         self.touch = dict.fromkeys(range(settings.instances), 0.0)  # when each peer was last heard
@@ -68,6 +74,7 @@
         else:
             self.customers.move_to_end(key)
         c.seen = now
+        self.touched(c)
         while (first := next(iter(self.customers.values()))).seen < now - self.kept:
             if first.flying > 0:
                 first.seen = now
@@ -76,9 +83,15 @@
                 del self.customers[first.key]
         return c
 
+    def touched(self, c: Customer) -> None:
+        """Something about it may change: it is to be kept, where changes are kept."""
+        if self.changed is not None:
+            self.changed[c.key] = c
+
     def admit(self, now: float, c: Customer, units: float, f: Charged | None = None) -> None:
         """Units were let in here: they come off the store, and peers are told."""
         c.use(now, units)
+        self.touched(c)
         if self.escrow is not None and not (f is not None and f.escrowed):
             self.escrow.spend(now, self.plan_numbers[c.plan.name], c.key, units)
         if f is not None:
--- a/roadspur/policy/store.py
+++ b/roadspur/policy/store.py
@@ -21,7 +21,7 @@
     __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
                  "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
                  "vouched", "seen", "named", "hashed",
-                 "doubt", "doubted", "pending", "flying", "part", "known", "chance")
+                 "doubt", "doubted", "pending", "flying", "owing", "part", "known", "chance")
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -39,6 +39,7 @@
         self.first, self.born, self.seen = 0, now, now
         self.vouched = False  # a peer has told the level to this ingress, which had only begun
         self.pending, self.flying = 0.0, 0.0  # own use not in the count yet, and charges without a verdict
+        self.owing = 0.0  # own use that is on its way to the count
         self.part = 0.0  # of the customer's recent use, what came through here
         self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
 
@@ -69,6 +70,20 @@
         refill = max(self.plan.rate, (1 - UNKNOWN) * self.plan.burst / GUESS_S)
         return min(self.plan.burst, UNKNOWN * self.plan.burst + refill * since)
 
+    def saved(self) -> io.SavedMember:
+        """What of it can be put back in another life; what is on its way to the count may not have come."""
+        window = self.window if self.known else -1
+        return io.SavedMember(self.key, self.plan.name, self.level, self.at, window, self.told,
+                              self.pending + self.owing, self.mine, dict(self.theirs), self.heard, self.heard_in,
+                              self.excess)
+
+    def restore(self, s: io.SavedMember) -> None:
+        """Put back what another life knew: a peer's level does not stand in for it any more."""
+        self.level, self.at, self.window, self.told, self.pending = s.level, s.at, s.window, s.told, s.pending
+        self.mine = self.mine_told = s.mine
+        self.theirs, self.vouched = dict(s.theirs), True
+        self.heard, self.heard_in, self.excess, self.excess_at = s.heard, s.heard_in, s.excess, self.born
+
     def use(self, now: float, units: float) -> None:
         """Units were let in."""
         if self.known:
--- a/tests/ledger/test_loopback.py
+++ b/tests/ledger/test_loopback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 
 SECONDS = 6.0
 AWAY = 3.5
+AT_A_TIME = 4  # fleets
 SCENARIOS = {
     "silence": [Fault(1.0, "counter.silence", lasts=AWAY)],
     "split": [Fault(1.0, "counter.split", 0, AWAY)],
@@ -60,20 +62,31 @@
     return out
 
 
-@pytest.mark.parametrize("scenario", SCENARIOS)
-def test_members_that_move_every_second_stay_within_the_stated_errors(scenario):
+async def played(scenario):
+    size = dict(servers=6, seconds=SECONDS, rate=120.0, loss=0.0, faults=tuple(SCENARIOS[scenario]), move_s=1.0,
+                members={"basic": 6, "plus": 2}, shape=Shape(cores=8, work=0.005))
+    rules = stated(Options(**size), scenario)
+    records = Records()
+    verdict, _, sent = await run_fleet(Options(**size, plans=rules), records=records)
+    return verdict, sent, sum(1 for _ in records.of(Added))
+
+
+@functools.cache
+def group(number):
+    """Some scenarios at a time: a fleet mostly waits."""
     async def main():
-        size = dict(servers=6, seconds=SECONDS, rate=120.0, loss=0.0, faults=tuple(SCENARIOS[scenario]), move_s=1.0,
-                    members={"basic": 6, "plus": 2}, shape=Shape(cores=8, work=0.005))
-        rules = stated(Options(**size), scenario)
-        records = Records()
-        verdict, _, sent = await run_fleet(Options(**size, plans=rules), records=records)
-        assert verdict.kept, verdict.lines()
-        assert sent > 500 and verdict.over["plus"] > -36.0 and sum(1 for _ in records.of(Added)) > 40
-        served = sum(f.served for f in verdict.figures.values())
-        assert served > 60, verdict.lines()
+        names = list(SCENARIOS)[number * AT_A_TIME:(number + 1) * AT_A_TIME]
+        return dict(zip(names, await asyncio.gather(*(played(n) for n in names)), strict=True))
 
-    asyncio.run(asyncio.wait_for(main(), 60))
+    return asyncio.run(asyncio.wait_for(main(), 60))
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_members_that_move_every_second_stay_within_the_stated_errors(scenario):
+    verdict, sent, added = group(list(SCENARIOS).index(scenario) // AT_A_TIME)[scenario]
+    assert verdict.kept, verdict.lines()
+    assert sent > 500 and verdict.over["plus"] > -36.0 and added > 40
+    assert sum(f.served for f in verdict.figures.values()) > 60, verdict.lines()
 
 
 def test_five_thousand_members_fall_back_and_come_back_over_sockets():
--- /dev/null
+++ b/tests/state/test_program.py
@@ -0,0 +1,82 @@
+"""The program with a state folder: what a member has used survives SIGKILL."""
+
+from __future__ import annotations
+
+import sqlite3
+import subprocess
+import sys
+
+import pytest
+
+from roadspur.state.records import read_member
+from standins.counter import Counter
+from tests.sockets import Peer, call, ok, run, until
+from tests.test_program import SETTINGS, TERMS, Program, known
+
+SLOW = {**SETTINGS, "plans": [{"name": "basic", "rate": 0.001, "storeSize": 8.0, "pays": 1.0}],
+        "extra": {**SETTINGS["extra"], "counterTimeout": 0.05}}
+
+
+def with_state(tmp_path, backend, counter):
+    program = Program(tmp_path, counter=counter.address, known=known(backend.port), settings=SLOW)
+    (tmp_path / "state.toml").write_text(f'folder = "{tmp_path}/state"\ncommit_ms = 5\n')
+    program.args = ("--state", str(tmp_path / "state.toml"))
+    return program
+
+
+def committed(tmp_path):
+    """Units of each member that are kept as in no count yet."""
+    db = sqlite3.connect(f"file:{tmp_path}/state/state.db?mode=ro", uri=True)
+    try:
+        return [read_member(body).pending for (body,) in db.execute("SELECT body FROM member")]
+    finally:
+        db.close()
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_killed_ingress_knows_its_members_again_while_the_counter_is_silent(tmp_path, kept):
+    async def main():
+        backend, counter = await Peer.start(ok(b"fine")), Counter()
+        await counter.start()
+        counter.silence(True)
+        program = with_state(tmp_path, backend, counter)
+        if not kept:
+            program.args = ()
+        client = await program.start()
+        try:
+            statuses = [(await client.ask(call(f"a{n}", X_Call_Terms=TERMS)))[0] for n in range(3)]
+            assert statuses == [200, 200, 429]  # two times four of eight units
+            if kept:
+                await until(lambda: committed(tmp_path) == [8.0])  # the last commit is behind the last answer
+            await program.end()
+            client = await program.start()
+            status = (await client.ask(call("again", X_Call_Terms=TERMS)))[0]
+            assert status == (429 if kept else 200)
+        finally:
+            await program.end()
+            counter.silence(False)
+            await counter.stop()
+    run(main())
+
+
+def test_a_start_that_cannot_have_its_folder_is_one_line_and_exit_code_2(tmp_path):
+    async def main():
+        backend, counter = await Peer.start(ok(b"fine")), Counter()
+        await counter.start()
+        program = with_state(tmp_path, backend, counter)
+        await program.start()
+        try:
+            second = subprocess.run([sys.executable, "-m", "roadspur", *program.args], capture_output=True, text=True,
+                                    env={"PROXY_CONFIG": str(program.path)}, timeout=60)
+            assert second.returncode == 2 and second.stderr.count("\n") == 1
+            assert "another process holds it" in second.stderr
+        finally:
+            await program.end()
+            await counter.stop()
+    run(main())
+
+
+def test_nothing_of_it_is_imported_where_no_folder_is_given():
+    code = ("import sys, roadspur.__main__, roadspur.net.daemon\n"
+            "assert not {'sqlite3', 'msgspec', 'roadspur.state'} & set(sys.modules)\n")
+    subprocess.run([sys.executable, "-c", code], check=True, timeout=60)
--- /dev/null
+++ b/tests/state/test_state.py
@@ -0,0 +1,380 @@
+"""What is kept is there again after a kill, and what cannot be trusted is left out."""
+
+from __future__ import annotations
+
+import shutil
+import sqlite3
+import subprocess
+import sys
+import threading
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roadspur.state.keeper import Keeper
+from roadspur.state.options import StateOptions, read_options
+from roadspur.state.records import BadRecord, Life, Member, pack, read_life, read_member
+from roadspur.state.recovery import recover
+from roadspur.state.store import FILE, BadState, Store
+from roadspur.state.writer import Writer
+from tests.ledger.world import BASIC, PLUS, World
+from tests.ledger.world import settings as told
+
+PLANS = {p.name: p for p in (BASIC, PLUS)}
+NUMBER = st.floats(-1e6, 1e6)
+
+
+def member(key=7, **more):
+    fields = dict(key=key, plan="plus", rate=16.0, burst=36.0, level=3.0, at=100.0, window=44, told=5.0, pending=2.5,
+                  mine=40, theirs={1: 12})
+    return Member(**{**fields, **more})
+
+
+# Records.
+
+@settings(max_examples=200, derandomize=True, deadline=None, database=None)
+@given(st.builds(Member, key=st.integers(0, 2 ** 33), plan=st.text(max_size=20), rate=NUMBER, burst=NUMBER,
+                 level=NUMBER, at=NUMBER, window=st.integers(-1, 2 ** 40), told=NUMBER, pending=NUMBER,
+                 mine=st.integers(0, 2 ** 50),
+                 theirs=st.dictionaries(st.integers(0, 254), st.integers(0, 65535), max_size=5)), st.data())
+def test_a_record_comes_back_and_one_with_a_flipped_bit_does_not(record, data):
+    whole = pack(record)
+    assert read_member(whole) == record
+    at, bit = data.draw(st.integers(0, len(whole) - 1)), data.draw(st.integers(0, 7))
+    spoilt = bytearray(whole)
+    spoilt[at] ^= 1 << bit
+    with pytest.raises(BadRecord):
+        read_member(bytes(spoilt))
+    with pytest.raises(BadRecord):
+        read_member(whole[:data.draw(st.integers(0, len(whole) - 1))])
+
+
+def test_one_version_back_and_forward_can_be_read():
+    fields = msgspec.to_builtins(member())
+    assert isinstance(fields, list)
+
+    def packed(values):
+        import zlib
+        body = msgspec.msgpack.encode(values)
+        return zlib.crc32(body).to_bytes(4) + body
+
+    assert read_member(packed(fields[:11])) == member()  # without the fields that came later
+    assert read_member(packed([*fields, "from", {"the": "future"}])) == member()
+    for values in ([], fields[:5], ["x", *fields[1:]], {"key": 7}):
+        with pytest.raises(BadRecord):
+            read_member(packed(values))
+    with pytest.raises(BadRecord):
+        read_life(pack(member()))
+
+
+# The folder.
+
+def test_members_and_lives_are_there_again(tmp_path):
+    store = Store(tmp_path / "a", "n0")
+    first = store.begin("n0", 100.0)
+    store.commit([(7, pack(member())), (8, pack(member(8))), (9, pack(member(9)))])
+    store.commit([(8, None)])
+    store.close()
+    store.close()
+    store = Store(tmp_path / "a", "n0")
+    assert {m.key for m in store.members()} == {7, 9} and not store.twin
+    second = store.begin("n0", 40.0)  # its clock was put back
+    assert second.number == first.number + 1 and second.began > first.began
+    store.close()
+
+
+def test_a_folder_in_use_another_ingress_s_a_later_format_or_no_folder_is_refused(tmp_path):
+    store = Store(tmp_path / "a", "n0")
+    with pytest.raises(BadState, match="a: another process holds it"):
+        Store(tmp_path / "a", "n0")
+    store.begin("n0", 1.0)
+    store.close()
+    with pytest.raises(BadState, match="it is of ingress 'n0', this is 'n1'"):
+        Store(tmp_path / "a", "n1")
+    db = sqlite3.connect(tmp_path / "a" / FILE)
+    db.execute("INSERT INTO life VALUES (99, ?)", (pack(Life("n0", 99, 1.0, 1, 2)),))
+    db.commit()
+    db.close()
+    with pytest.raises(BadState, match="format 2"):
+        Store(tmp_path / "a", "n0")
+    (tmp_path / "file").write_text("x")
+    with pytest.raises(BadState, match="file"):
+        Store(tmp_path / "file", "n0")
+    with pytest.raises(BadState, match="sync: expected one of"):
+        Store(tmp_path / "b", "n0", sync="sometimes")
+    (tmp_path / "c").mkdir()
+    (tmp_path / "c" / FILE).write_bytes(b"no database at all" * 500)
+    with pytest.raises(BadState, match="state.db: "):
+        Store(tmp_path / "c", "n0")
+
+
+def test_a_copied_folder_is_noticed(tmp_path):
+    store = Store(tmp_path / "a", "n0")
+    store.begin("n0", 1.0)
+    store.close()
+    shutil.copytree(tmp_path / "a", tmp_path / "b")
+    copy = Store(tmp_path / "b", "n0")
+    assert copy.twin
+    copy.begin("n0", 2.0)
+    copy.close()
+    assert not Store(tmp_path / "b", "n0").twin  # and is its own from then on
+
+
+@pytest.mark.parametrize("cut", [1, 100, 4096, 20_000])
+def test_a_torn_tail_costs_what_it_held_and_nothing_before(tmp_path, cut):
+    store = Store(tmp_path / "a", "n0")
+    store.begin("n0", 1.0)
+    for n in range(20):
+        store.commit([(n, pack(member(n)))])
+    log = tmp_path / "a" / (FILE + "-wal")
+    whole = log.read_bytes()
+    shutil.copytree(tmp_path / "a", tmp_path / "b")  # as a machine that stops leaves it
+    (tmp_path / "b" / (FILE + "-wal")).write_bytes(whole[:-cut])
+    store.close()
+    torn = Store(tmp_path / "b", "n0")
+    keys = [m.key for m in torn.members()]
+    assert keys == list(range(len(keys))) and len(keys) >= 19 - cut // 4096 and torn.spoilt == 0
+    torn.close()
+
+
+def test_a_spoilt_record_costs_itself_only(tmp_path):
+    store = Store(tmp_path / "a", "n0")
+    store.begin("n0", 1.0)
+    store.commit([(n, pack(member(n))) for n in range(5)] + [(5, b""), (6, pack(member())[:-1])])
+    assert [m.key for m in store.members()] == [0, 1, 2, 3, 4] and store.spoilt == 2
+    store.close()
+
+
+KILLED = """
+import sys
+from roadspur.state.records import Member, pack
+from roadspur.state.store import Store
+store = Store(sys.argv[1], "n0", sync=sys.argv[2])
+store.begin("n0", 1.0)
+n = 0
+while True:
+    store.commit([(k, pack(Member(k, "plus", 16.0, 36.0, float(n), 0.0, 0, 0.0, 0.0, n))) for k in range(50)])
+    print(n, flush=True)
+    n += 1
+"""
+
+
+@pytest.mark.parametrize("sync", ["off", "normal", "full"])
+def test_what_was_committed_survives_a_kill_and_a_commit_is_whole_or_not_there(tmp_path, sync):
+    for life in range(3):
+        program = subprocess.Popen([sys.executable, "-c", KILLED, str(tmp_path / "a"), sync], stdout=subprocess.PIPE,
+                                   text=True)
+        for _ in range(10 + 7 * life):
+            last = int(program.stdout.readline())
+        program.kill()
+        last = max([last, *(int(line) for line in program.stdout.read().splitlines() if line.isdigit())])
+        program.wait()
+        store = Store(tmp_path / "a", "n0")
+        found = [m.mine for m in store.members()]
+        assert len(found) == 50 and len(set(found)) == 1 and found[0] >= last
+        store.close()
+
+
+# The writer.
+
+class Slow:
+    """A disk that commits when it is let, and fails when told."""
+
+    def __init__(self):
+        self.let, self.began, self.fail = threading.Event(), threading.Event(), 0
+        self.batches = []
+
+    def commit(self, bodies):
+        batch = dict(bodies)
+        self.began.set()
+        assert self.let.wait(10.0)
+        if self.fail:
+            self.fail -= 1
+            raise sqlite3.OperationalError("database or disk is full")
+        self.batches.append(batch)
+
+
+def test_a_disk_that_hangs_holds_nobody_up_and_the_latest_record_goes_out():
+    disk, now = Slow(), [0.0]
+    writer = Writer(disk, every=0.0, most=3, clock=lambda: now[0])
+    assert writer.put(1, b"a") and disk.began.wait(10.0)
+    assert writer.put(1, b"b") and writer.put(1, b"c") and writer.put(2, b"d") and writer.put(3, None)
+    assert not writer.put(4, b"e") and writer.turned_away == 1  # bounded
+    now[0] = 5.0
+    assert writer.behind() == 5.0 and not disk.batches
+    disk.let.set()
+    assert writer.close(10.0) and writer.behind() == 0.0
+    assert disk.batches == [{1: b"a"}, {1: b"c", 2: b"d", 3: None}]
+
+
+def test_what_a_full_disk_did_not_take_is_tried_again_behind_what_came_since():
+    disk = Slow()
+    disk.fail = 2
+    writer = Writer(disk, every=0.0)
+    writer.put(1, b"a")
+    writer.put(2, b"b")
+    assert disk.began.wait(10.0)
+    writer.put(1, b"newer")
+    disk.let.set()
+    assert writer.close(10.0) and writer.failures == 2
+    kept = {}
+    for batch in disk.batches:
+        kept |= batch
+    assert kept == {1: b"newer", 2: b"b"}
+
+
+def test_a_folder_that_has_reached_its_bound_says_so_and_keeps_what_it_has(tmp_path):
+    store = Store(tmp_path / "a", "n0", most_mb=0.2)
+    store.begin("n0", 1.0)
+    store.commit([(n, pack(member(n))) for n in range(100)])
+    with pytest.raises(sqlite3.Error, match="full"):
+        store.commit([(n, pack(member(n, theirs=dict.fromkeys(range(200), 1)))) for n in range(100, 5000)])
+    assert sum(1 for _ in store.members()) == 100
+    store.commit([(1, None)])  # and goes on
+    store.close()
+
+
+# Recovery.
+
+def saved(now=110.0, twin=False, kept=60.0, **more):
+    return recover(now, [member(**more)], PLANS, kept, twin)
+
+
+def test_a_record_is_put_back_as_it_was():
+    found = saved().members[0]
+    assert (found.level, found.at, found.window) == (3.0, 100.0, 44)
+    assert (found.told, found.pending, found.mine) == (5.0, 2.5, 40)
+    assert found.theirs == {1: 12} and not saved().left_out
+
+
+@pytest.mark.parametrize("more,why", [
+    (dict(plan="gold"), "plan is gone"), (dict(level=float("nan")), "not a number"),
+    (dict(at=float("inf")), "not a number"), (dict(burst=0.0), "not a number"),
+    (dict(at=1.0, pending=0.0), "long full")])
+def test_what_says_nothing_is_left_out_and_counted(more, why):
+    found = saved(**more)
+    assert not found.members and found.left_out == {why: 1}
+
+
+def test_a_clock_that_was_put_back_lets_nothing_refill_and_trusts_no_window():
+    found = saved(now=100.0 - 3600).members[0]
+    assert found.at == 100.0 - 3600 and found.level == 3.0 and found.window == -1 and found.heard_in == -1
+
+
+def test_a_day_later_only_what_was_not_written_back_is_left():
+    assert saved(now=100.0 + 86400).members[0].pending == 2.5
+    assert not saved(now=100.0 + 86400, pending=0.0).members
+
+
+def test_a_copy_writes_nothing_back_and_another_plan_keeps_what_was_used():
+    assert saved(twin=True).members[0].pending == 0.0
+    other = recover(110.0, [member(plan="basic", rate=2.0, burst=8.0, level=1.0)], PLANS, 60.0).members[0]
+    assert other.level == BASIC.burst - 7.0 and other.window == -1
+
+
+def beyond_after_restarts(keep, seed, kills=12):
+    """A member that asks for far more than it may, at an ingress that is killed again and again in an outage."""
+    w = World(seed, 2)
+    w.counters[0].silent = True
+    for g in w.gateways:
+        g.restore(w.now, [])
+    book = {}
+    for _ in range(kills):
+        w.traffic(0.5, 40.0, lambda at: 0, "basic")
+        book |= {m.key: m for m in w.gateways[0].saved(1000)}
+        w.kill(0)
+        w.run(0.1)
+        w.restart(0)
+        w.gateways[0].restore(w.now, book.values() if keep else [])
+    return w.beyond("basic")[0]
+
+
+def test_an_ingress_that_remembers_lets_nothing_in_twice():
+    without = max(beyond_after_restarts(False, seed) for seed in range(5))
+    kept = max(beyond_after_restarts(True, seed) for seed in range(5))
+    assert kept <= 4.0 < without, (kept, without)
+
+
+def test_what_peers_let_in_meanwhile_is_made_up_for_by_their_next_telling():
+    w = World(3, 2)
+    w.counters[0].silent = True
+    for g in w.gateways:
+        g.restore(w.now, [])
+    for n in (0, 1):
+        w.ask(n, 0, "basic")
+    w.run(0.5)
+    book = w.gateways[0].saved(10)
+    w.kill(0)
+    for _ in range(4):
+        w.ask(1, 0, "basic", 2.0)
+        w.run(0.1)
+    w.restart(0)
+    w.gateways[0].restore(w.now, book)
+    w.ask(1, 0, "basic")  # a telling
+    w.run(0.3)
+    rooms = [g.room(w.now, 0, "basic") for g in w.gateways]
+    assert rooms[0] == pytest.approx(rooms[1], abs=0.3)
+
+
+def test_only_changes_are_handed_over_in_portions():
+    w = World(4, 2)
+    gateway = w.gateways[0]
+    assert gateway.saved(10) == []  # nothing is followed where nothing is kept
+    gateway.restore(w.now, [])
+    for m in range(5):
+        w.ask(0, m)
+    assert len(gateway.saved(3)) == 3 and len(gateway.saved(3)) == 2
+    w.run(1.0)
+    w.ask(0, 2)
+    assert [m.key for m in gateway.saved(10) if m.key == 2] == [2]
+
+
+class Later:
+    def __init__(self):
+        self.due = []
+
+    def call_later(self, delay, callback):
+        self.due.append((delay, callback))
+        return self
+
+    def cancel(self):
+        self.due.clear()
+
+
+def test_a_keeper_keeps_and_puts_back(tmp_path):
+    def keeper(name="n0"):
+        return Keeper(StateOptions(str(tmp_path / "a"), commit_ms=5), name, told(0), 60.0)
+
+    w, later = World(5, 2), Later()
+    one = keeper()
+    life, found = one.begin(w.gateways[0], w.now, later)
+    assert life.number == 1 and not found.members
+    for m in range(700):
+        w.ask(0, m, units=2.0)
+    w.run(0.05)
+    delay, portion = later.due.pop()
+    portion()
+    assert delay == 0.005 and later.due[-1][0] == 0.0  # more waits: at once, after the loop's turn
+    assert one.close()
+    w.restart(0)
+    two = keeper()
+    life, found = two.begin(w.gateways[0], w.now, later)
+    assert life.number == 2 and len(found.members) == 700
+    assert w.gateways[0].room(w.now, 3, "plus") < PLUS.burst
+    assert two.close()
+
+
+@pytest.mark.parametrize("text,error", [
+    ("", "folder"), ("folder = 3\n", "folder"), ('folder = "x"\nsnyc = "off"\n', "snyc"),
+    ('folder = "x"\nsync = "now"\n', "sync"), ('folder = "x"\ncommit_ms = 1\n', "commit_ms"),
+    ("folder = ", "Invalid"), ("\xff", "")])
+def test_the_operators_file_is_checked_in_one_line(tmp_path, text, error):
+    path = tmp_path / "state.toml"
+    path.write_bytes(text.encode("latin-1"))
+    with pytest.raises(ValueError, match="state.toml: ") as raised:
+        read_options(str(path))
+    assert error in str(raised.value) and "\n" not in str(raised.value)
+    with pytest.raises(ValueError, match="none.toml"):
+        read_options(str(tmp_path / "none.toml"))
