--- a/standins/auditor.py
+++ b/standins/auditor.py
@@ -208,8 +208,10 @@
 
 def _faults(ordered: list[Record], asked: dict[str, Asked], rules: Rules) -> Iterable[Breach]:
     for r in ordered:
-        if isinstance(r, Answered) and r.id in asked and (
-                (r.status == 500 and not rules.passed_on) or (rules.calm and r.status > 500 and r.status not in REFUSALS)):
+        if not isinstance(r, Answered) or r.id not in asked:
+            continue
+        failed = rules.calm and r.status > 500 and r.status not in REFUSALS
+        if failed or (r.status == 500 and not rules.passed_on):
             yield Breach("fault", r.at, f"{r.id} at {asked[r.id].ingress}: status {r.status}")
 
 
