--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -148,10 +148,15 @@
     async def main() -> Outcome:
         return await asyncio.wait_for(play(case), limit)
 
-    try:
-        return asyncio.run(main())
-    except TimeoutError as error:
-        return Outcome(f"the fleet did not end within {limit:.0f} s, or an ingress does not come up: {error}", "ends")
+    why = ""
+    for _ in range(4):
+        try:
+            return asyncio.run(main())
+        except TimeoutError as error:
+            why = str(error)
+        if "could not bind" not in why:  # else another fleet took a port between its choice and its use
+            break
+    return Outcome(f"the fleet did not end within {limit:.0f} s, or an ingress does not come up: {why}", "ends")
 
 
 def smaller(case: Case) -> list[Case]:
