Requests are weighed by the work that their told units foretell, not by their number

A probe of 9,471 answers shows why: an answer to 6 told units takes 5 to 6 times as long as one to 1 (62 to 325 ms, 87 to 526 ms by class), while choice, limit, latency and the sign of silence counted requests. Excluded: the backends' own speeds (learned ratios 0.8 to 1.3).

policy/work.py learns, per class, the line of answer time over told units (forgetting); a request's expected work is a multiple of its class's mean, 1 where units say nothing. Choice, the limit on attempts out, latencies, and owed answers go by it.

--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -40,7 +40,8 @@
         c = self.sharing.meet(now, r.customer, plan)
         c.width, c.first = max(1, r.width), r.first
         self.sharing.forgive(now, c)
-        f = self.attempts.flights[r.id] = Flight(r, cls, c, now)
+        f = self.attempts.flights[r.id] = Flight(
+            r, cls, c, now, self.fleet.work[cls.name].of(r.units))
         if plan.rate <= 0 or not self.s.counter:
             return self.local(now, f)
         health, known = self.sharing.health(now, c), c.room(now) - c.flying
--- a/roadspur/policy/attempts.py
+++ b/roadspur/policy/attempts.py
@@ -21,8 +21,9 @@
 class Flight:
     """A request that is owed one final answer."""
 
-    def __init__(self, req: io.Request, cls: io.ClassSettings, customer: Customer, now: float) -> None:
-        self.req, self.cls, self.customer = req, cls, customer
+    def __init__(self, req: io.Request, cls: io.ClassSettings, customer: Customer, now: float,
+                 work: float = 1.0) -> None:
+        self.req, self.cls, self.customer, self.work = req, cls, customer, work
         self.aim = now + min(cls.objective, req.expires_in)  # nothing is sent once its client is gone
         self.attempts, self.sent, self.charge = 0, 0.0, req.units
         self.thin = req.units * customer.width > customer.plan.burst  # an even share is under one request
@@ -62,7 +63,7 @@
         """Whether a request that has to be held cannot make its aim."""
         ahead = 1 + bisect.bisect_right(self.queue, -f.value, key=lambda g: -g.value)
         wait = ahead * self.fleet.latency[f.cls.name] / self.fleet.slots
-        return now + wait + self.fleet.base[f.cls.name] > f.aim
+        return now + wait + self.fleet.base[f.cls.name] * f.work > f.aim
 
     def send(self, now: float, f: Flight) -> None:
         """Start an attempt, or hold the request if a slot should come free in time for its aim."""
@@ -73,10 +74,7 @@
             return bisect.insort_right(self.queue, f, key=lambda g: -g.value)
         f.attempts += 1
         f.sent = now
-        best.out[f.req.id] = (now, f.cls.name, f.req.plan)
-        self.fleet.out += 1
-        if self.fleet.cold(now, best) < 1.0:
-            best.tokens -= 1.0
+        self.fleet.sent(now, best, f)
         self.acts.append(io.Attempt(f.req.id, best.entry.backend))
 
     def dispatch(self, now: float) -> None:
@@ -99,21 +97,21 @@
         """Each beat: find silent backends by the answers they owe, and see to what is held."""
         self.armed = False
         for b in [x for x in self.fleet.backends.values() if x.out]:
-            owed = sum((now - max(sent, b.answered)) / self.fleet.latency[name]
-                       for sent, name, _ in b.out.values())
+            owed = sum((now - max(o.sent, b.answered)) / (self.fleet.latency[o.cls] * o.work)
+                       for o in b.out.values())
             if owed < SILENT_X * max(1.0, b.ratio):
                 continue
             self.fleet.eject(now, b, "silent")
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.flights.get(name)
-                old = f is not None and now - f.sent > 2 * self.fleet.latency[f.cls.name]
+                old = f is not None and now - f.sent > 2 * self.fleet.latency[f.cls.name] * f.work
                 if f is not None and old and self.s.may_cancel and self.may_send(now, f, f.ran_at or f.sent):
                     self.acts.append(io.CancelAttempt(name, f.attempts - 1))
         self.review(now)
 
     def may_send(self, now: float, f: Flight, ran_at: float | None) -> bool:
         """Whether one more attempt is allowed; if one may have run, by class and window too."""
-        if f.attempts >= self.s.max_attempts or now + self.fleet.base[f.cls.name] > f.aim:
+        if f.attempts >= self.s.max_attempts or now + self.fleet.base[f.cls.name] * f.work > f.aim:
             return False
         return ran_at is None or f.cls.effect is io.Effect.SAFE or (
             f.cls.effect is io.Effect.KEYED and now < ran_at + f.cls.window - BEAT_S)
@@ -121,11 +119,7 @@
     def ended(self, now: float, e: io.AttemptEnded) -> None:
         """An attempt ended: learn from it, then serve, try again or give the final answer."""
         b, f = self.fleet.backends.get(e.backend), self.flights.get(e.request)
-        if b is not None:
-            _, name, plan = b.out.pop(e.request, (now, "", ""))
-            if name:
-                self.fleet.out -= 1
-                self.fleet.judge(now, b, e, name, plan)
+        self.fleet.ended(now, e)
         if f is None:
             return
         if e.outcome not in NEVER_RAN and f.ran_at is None and b is not None:
--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -8,9 +8,10 @@
 
 import math
 import random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from roadspur import interface as io
+from roadspur.policy.work import WorkOfClass
 
 BAD_SHARE = 0.5   # error share at which a backend is ejected
 EJECT_S = 3.0     # rest of an ejected backend, before each trial attempt
@@ -32,16 +33,28 @@
 
     req: io.Request
     cls: io.ClassSettings
+    work: float
     bad: set[str]
     ran_on: io.BackendEntry | None
 
 
+class Out(NamedTuple):
+    """An attempt that is out: its class and plan, told units, expected work."""
+
+    sent: float
+    cls: str
+    plan: str
+    units: float
+    work: float
+
+
 class Backend:
     """A server as seen from the ingress's own traffic."""
 
     def __init__(self, entry: io.BackendEntry, now: float, phase: float) -> None:
         self.entry, self.usable = entry, False
-        self.out: dict[str, tuple[float, str, str]] = {}  # own attempts out: sent when, class, plan
+        self.out: dict[str, Out] = {}  # own attempts out
+        self.work = 0.0  # of those, all together
         self.answered = now
         self.ratio, self.errors, self.resting, self.trial = 1.0, 0.0, 0.0, False
         self.tokens, self.tokens_at = phase, now  # a small part never comes to one without
@@ -57,6 +70,8 @@
         self.backends: dict[str, Backend] = {}
         self.latency = {c.name: c.objective * AIM_PART for c in settings.classes}  # usual time of an answer
         self.base = dict(self.latency)  # and what it was when nothing was pressed
+        self.work = {c.name: WorkOfClass() for c in settings.classes}
+        self.load = 0.0
         self.out, self.slots = 0, 0.0  # own attempts out, how many may be
         self.press, self.judged, self.paused = 1.0, now, 0.0  # latency over base, when; rest below one slot
         # Share of attempts of a class or plan that were turned away.
@@ -66,7 +81,7 @@
 
     def free(self, now: float) -> bool:
         """Whether the concurrency limit allows one more attempt."""
-        return self.out < max(1.0, self.slots) and now >= self.paused
+        return self.load < max(1.0, self.slots) and now >= self.paused
 
     def cold(self, now: float, b: Backend) -> float:
         """Share of its capacity that a backend is sure to have since its start (slow start)."""
@@ -96,7 +111,7 @@
                 b.tokens_at = now
                 if b.tokens < 1.0:
                     continue
-            cost = (len(b.out) + 1) * b.ratio * (1 + 4 * b.errors)
+            cost = (b.work + f.work) * b.ratio * (1 + 4 * b.errors)
             for key, usual in keys:
                 if key in b.shy:
                     last, at = b.shy[key]
@@ -107,18 +122,38 @@
                 best, least = b, cost
         return best
 
-    def judge(self, now: float, b: Backend, e: io.AttemptEnded, name: str, plan: str) -> None:
-        """Latency, errors and concurrency limit of one backend."""
+    def sent(self, now: float, b: Backend, f: Routed) -> None:
+        """An attempt goes out."""
+        b.out[f.req.id] = Out(now, f.cls.name, f.req.plan, f.req.units, f.work)
+        b.work += f.work
+        self.out += 1
+        self.load += f.work
+        if self.cold(now, b) < 1.0:
+            b.tokens -= 1.0
+
+    def ended(self, now: float, e: io.AttemptEnded) -> None:
+        """An attempt has its outcome."""
+        b = self.backends.get(e.backend)
+        out = b.out.pop(e.request, None) if b is not None else None
+        if b is not None and out is not None:
+            b.work = b.work - out.work if b.out else 0.0
+            self.out -= 1
+            self.load = self.load - out.work if self.out else 0.0
+            self.judge(now, b, e, out)
+
+    def judge(self, now: float, b: Backend, e: io.AttemptEnded, out: Out) -> None:
+        """Latency, errors and concurrency limit of one backend; times as of a request of its class's mean work."""
+        name, plan, took = out.cls, out.plan, e.elapsed / out.work
         b.answered = now if e.outcome in ANSWERS else b.answered  # a time-out is no sign of life, nor a fault
-        if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and e.elapsed > self.latency[name]):
-            times = min(e.elapsed / self.base[name], TAIL)  # a few very costly requests are no jam
+        if e.outcome is io.Outcome.OK or (e.outcome is io.Outcome.TIMEOUT and took > self.latency[name]):
+            times = min(took / self.base[name], TAIL)  # a few very costly requests are no jam
             b.ratio += 0.1 * (times - b.ratio)
             step = min(EASE_S, max(EASE, EASE_S * (now - self.judged)))  # few answers: each says more
             self.judged = now
             self.press += min(0.4, 5 * step) * (times - self.press)
             if self.press > PRESSED:  # all hold too much there: one slot a backend may be too many
                 self.slots = max(FLOOR * self.usable / self.sharers, self.slots * (1 - step))
-            elif self.out + 2 > self.slots:
+            elif self.load + 2 > self.slots:
                 self.slots += min(self.slots, 1 / self.slots)
             if self.slots < 1:  # less than one attempt out on average: a rest after each
                 self.paused = now + min(1.0, e.elapsed) * (1 / self.slots - 1)
@@ -131,7 +166,8 @@
             self.rate = self.rate * math.exp((self.rate_at - now) / RATE_S) + 1 / RATE_S / max(1, self.usable)
             self.rate_at = now
             b.errors, b.trial = 0.8 * b.errors, False
-            self.latency[name] += 0.05 * (e.elapsed - self.latency[name])
+            self.work[name].learn(out.units, e.elapsed)
+            self.latency[name] += 0.05 * (took - self.latency[name])
             usual = self.base[name] + (0.01 if self.press < PRESSED else 0.0005) * (
                 self.latency[name] - self.base[name])
             self.base[name] = min(usual, AIM_PART * self.classes[name].objective)  # a jam is never the norm
@@ -158,7 +194,8 @@
             known = self.backends.get(entry.backend)
             if known is None or entry.born != known.entry.born:  # new, or its process is
                 self.backends[entry.backend] = Backend(entry, now, self.rng.random())
-                self.backends[entry.backend].out = known.out if known else {}
+                if known is not None:
+                    self.backends[entry.backend].out, self.backends[entry.backend].work = known.out, known.work
                 known = self.backends[entry.backend]
             known.entry, known.usable = entry, entry.phase is io.Phase.RUNNING
         if e.kind is not io.ListKind.CHANGE:
--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,85 @@
+"""Expected work of requests: learned from told units, used where requests are weighed against one another."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from roadspur import interface as io
+from roadspur.policy.work import FIRST, LEAST, MOST, WorkOfClass
+from tests.helpers import Ingress, only, some
+
+
+def learned(time_of, units=(1.0, 2.0, 6.0), answers=300, seed=3):
+    """A class whose answers took `time_of(units)` seconds, with the spread of real ones."""
+    rng, work = random.Random(seed), WorkOfClass()
+    for _ in range(answers):
+        u = rng.choice(units)
+        work.learn(u, time_of(u) * rng.uniform(0.5, 1.5))
+    return work
+
+
+def test_work_in_proportion_to_units_is_learned():
+    work = learned(lambda u: 0.05 * u)
+    assert 3.0 < work.of(6.0) / work.of(1.0) < 8.0
+    assert work.of(1.0) < 1 < work.of(6.0)
+
+
+def test_units_that_say_nothing_leave_all_requests_alike():
+    work = learned(lambda u: 0.1, answers=3000)
+    assert work.of(6.0) == pytest.approx(1.0, abs=0.25) and work.of(1.0) == pytest.approx(1.0, abs=0.25)
+
+
+def test_longer_answers_to_smaller_requests_do_not_turn_the_order():
+    assert learned(lambda u: 1 / u).of(6.0) == 1.0
+
+
+def test_nothing_is_concluded_from_a_few_answers_or_from_one_size():
+    work = learned(lambda u: 0.05 * u, answers=FIRST - 1)
+    assert work.of(6.0) == 1.0
+    assert learned(lambda u: 0.1, units=(2.0,)).of(6.0) == 1.0
+
+
+def test_it_stays_within_bounds_and_follows_a_change():
+    work = learned(lambda u: 0.001 if u < 6 else 1.0)
+    assert work.of(1e9) == MOST and work.of(0.0) >= LEAST
+    for _ in range(400):
+        work.learn(1.0, 0.1)
+        work.learn(6.0, 0.1)
+    assert work.of(6.0) == pytest.approx(1.0, abs=0.05)
+
+
+def trained(backends=2, **more):
+    """An ingress that has seen answers in proportion to units."""
+    g = Ingress(backends=backends, plans=(io.PlanSettings("basic", rate=1e6, burst=1e6),), **more)
+    for n in range(4 * FIRST):
+        units = 1.0 + 5 * (n % 2)
+        g.end(only(g.ask("read", units=units), io.Attempt), elapsed=0.05 * units)
+    return g
+
+
+def test_a_backend_with_one_large_request_is_passed_over_for_one_with_two_small_ones():
+    g = trained()
+    large = only(g.ask("read", units=6.0), io.Attempt)
+    small = [only(g.ask("read", units=1.0), io.Attempt) for _ in range(3)]
+    assert all(a.backend != large.backend for a in small)
+
+
+def test_a_large_request_does_not_make_its_backend_count_as_silent():
+    g = trained()
+    large = only(g.ask("read", units=6.0), io.Attempt)
+    g.beat(8 * 0.05 * 3.5 - 0.2)  # longer than eight answers to a small request
+    assert not [a for a in g.log if isinstance(a, io.Log) and "silent" in a.text]
+    g.beat(4.0)
+    assert [a for a in g.log if isinstance(a, io.Log) and f"{large.backend}: silent" in a.text]
+
+
+def test_work_out_goes_back_to_nothing_whatever_the_ends():
+    g = trained(backends=3)
+    outs = [only(g.ask("once", units=1.0 + n % 6), io.Attempt) for n in range(5)]
+    for a, outcome in zip(outs, io.Outcome, strict=False):
+        for again in some(g.end(a, outcome, done=outcome is not io.Outcome.FULL), io.Attempt):
+            g.end(again, n=1)
+    assert g.gw.fleet.out == 0 and g.gw.fleet.load == 0.0
+    assert all(b.work == 0.0 and not b.out for b in g.gw.fleet.backends.values())
