--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -25,7 +25,8 @@
 TAIL = 4.0        # times the unpressed latency, beyond which a longer answer says no more
 PRESSED = 1.8     # times the unpressed latency, where the concurrency limit shrinks
 KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
-COLD_SAFETY = 0.5  # of the stated cold budget that is used, as the warm rate is only an estimate
+COLD_SAFETY = 0.8  # of the stated cold budget that is used, as the warm rate is only an estimate
+COLD_MOST = 2.0   # times what a cold backend is sure to do, beyond which it is only slow, allowed or not
 TIE, RATE_S = 0.02, 5.0  # chance that breaks ties, span of the rate of answers
 FAULTS = (io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.CONNECT_FAILED)
 ANSWERS = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.FULL)
@@ -112,7 +113,7 @@
                     f.cls.group is io.Group.CELL and e.cell != keyed.cell)):
                 continue
             if e.born > 0 and (ramp := self.cold(now, b)) < 1.0:
-                gain = self.rate * ramp * self.s.fall_multiple * COLD_SAFETY
+                gain = self.rate * ramp * min(COLD_SAFETY * self.s.fall_multiple, COLD_MOST)
                 b.tokens = min(1.5, b.tokens + gain * (now - b.tokens_at))
                 b.tokens_at = now
                 if b.tokens < 1.0:
@@ -136,7 +137,7 @@
         if not b.aside:
             self.load += f.work
         if self.cold(now, b) < 1.0:
-            b.tokens -= 1.0
+            b.tokens -= f.work
 
     def ended(self, now: float, e: io.AttemptEnded) -> None:
         """An attempt has its outcome."""
