A second deployment among the stand-ins: an unsafe dear class, halls that are lost, requests cut at their first byte

The stand-ins played one only. standins/deployments.py holds two (make run DEPLOYMENT=billing); new faults hall.lose (servers, ingresses and, in the first hall, what the counter knew) and match.cuts (a reset as a request's first byte comes). The soak draws both. A deliberate fault of the soak named a line that was gone; a test now holds them all to the sources.

--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,14 @@
 SEED ?= 1
 MINUTES ?= 5
 FAULTS ?=
+DEPLOYMENT ?= matching
 export PIP_DISABLE_PIP_VERSION_CHECK = 1
 
 .PHONY: run test soak check clean
 
 run: $(VENV)/.run  ## a fleet on loopback: make run SECONDS=20 FAULTS=examples/faults/backends.toml
 	$(VENV)/bin/python -m standins fleet --seconds $(SECONDS) --rate $(RATE) --port $(PORT) --seed $(SEED) \
+		--deployment $(DEPLOYMENT) \
 		$(if $(FAULTS),--faults $(FAULTS))
 
 test: $(VENV)/.dev  ## the tests, as CI runs them
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -47,7 +47,7 @@
           "            self.earlier.add(peer)\n            return False\n"),
     Wrong("an idle allowance sweeps itself", "ledger/escrow.py", "found.turn(now)  # touched", "pass  # touched"),
     Wrong("a reset attempt counts as never written", "net/upstream.py",
-          "exchange.written = True\n        self.transport", "self.transport"),
+          "            exchange.written = True\n            self.transport", "            self.transport"),
     Wrong("a request that cannot be read is answered 500", "net/server.py",
           "return Early(400, str(error))", "return Early(500, str(error))"),
     Wrong("a total need only begin like a number", "services/counter.py", "TOTAL.fullmatch", "TOTAL.match"),
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -16,8 +16,9 @@
 from roadspur.settings import nested_settings
 from soak.case import Case, Outcome
 from standins.auditor import PlanRule
+from standins.deployments import DEPLOYMENTS
 from standins.faults import ACTIONS, Fault
-from standins.fleet import Fleet, Options, settings
+from standins.fleet import HALLS, Fleet, Options, settings
 from standins.match import Shape
 from standins.records import Answered, Records
 
@@ -25,8 +26,10 @@
 JOINT_S = 2.0        # restarts of ingresses within it may be of all at once
 VALUES = {"counter.lose": (0.05, 0.4), "counter.spoil": (0.05, 0.4), "counter.delay": (0.005, 0.2),
           "counter.forget": (0.02, 0.5), "counter.late": (0.1, 0.3), "match.slow": (2.0, 8.0),
-          "match.errors": (0.1, 1.0), "match.resets": (0.05, 0.5), "relay.loss": (0.01, 0.3), "relay.delay": (0.0, 0.5)}
-OFTEN = ("match.errors", "match.resets", "match.drain", "ingress.kill", "counter.silence")  # where rules are at stake
+          "match.errors": (0.1, 1.0), "match.resets": (0.05, 0.5), "match.cuts": (0.05, 0.5),
+          "relay.loss": (0.01, 0.3), "relay.delay": (0.0, 0.5)}
+OFTEN = ("match.errors", "match.resets", "match.cuts", "match.drain", "ingress.kill", "hall.lose",
+         "counter.silence")  # where rules are at stake
 GROWTH_MB = 40.0     # of memory over a run, beyond which a process counts as one that grows without end
 MEMORY = re.compile(r"VmRSS:\s+(\d+) kB")
 
@@ -39,7 +42,7 @@
     for _ in range(rng.randint(2, 12)):
         do = rng.choice(list(ACTIONS)) if rng.random() < 0.6 else rng.choice(OFTEN)
         action = ACTIONS[do]
-        many = servers if do.startswith("match.") else ingresses
+        many = servers if do.startswith("match.") else HALLS if do.startswith("hall.") else ingresses
         low, high = VALUES.get(do, (0.0, 0.0))
         faults.append([round(rng.uniform(0.0, seconds * 0.8), 2), do, rng.randrange(many) if action.target else 0,
                        round(rng.uniform(0.2, seconds * 0.6), 2) if action.ends else 0.0,
@@ -47,7 +50,7 @@
     return Case("fleet", seed, {
         "ingresses": ingresses, "servers": servers, "seconds": seconds, "rate": round(rng.uniform(60.0, 200.0), 1),
         "basic": rng.randint(2, 60), "plus": rng.randint(1, 10), "move": rng.choice([0.0, 0.7, 2.0]),
-        "faults": sorted(faults)})
+        "faults": sorted(faults), "deployment": rng.choice(list(DEPLOYMENTS))})
 
 
 def options_of(case: Case) -> Options:
@@ -55,9 +58,11 @@
     s = case.size
     faults = tuple(Fault(float(at), str(do), int(target), float(lasts), float(value))
                    for at, do, target, lasts, value in s["faults"])
+    deployment = DEPLOYMENTS[s.get("deployment", "matching")]
+    few, many = list(deployment.plans)[-1], list(deployment.plans)[0]
     plain = Options(ingresses=s["ingresses"], servers=s["servers"], seconds=s["seconds"], rate=s["rate"],
-                    seed=case.seed % 2 ** 31, loss=0.0, members={"basic": s["basic"], "plus": s["plus"]},
-                    faults=faults, move_s=s["move"], shape=Shape(cores=8, work=0.005))
+                    seed=case.seed % 2 ** 31, loss=0.0, members={many: s["basic"], few: s["plus"]},
+                    faults=faults, move_s=s["move"], shape=Shape(cores=8, work=0.005), deployment=deployment)
     return Options(**{name: getattr(plain, name) for name in Options.__dataclass_fields__} | {
         "plans": rules(plain)})
 
@@ -68,7 +73,7 @@
     loss = max((f.value for f in o.faults if f.do == "relay.loss"), default=0.0)
     delay = sum(f.value for f in o.faults if f.do == "relay.delay") + LATE_S
     cut = any(f.do == "relay.isolate" for f in o.faults)
-    lives = [f for f in o.faults if f.do.startswith("ingress.")]
+    lives = restarts(o)
     assumed = Assumed(min(0.9, loss), delay, outage=o.seconds + 2.0)
     out = {}
     for plan in told.plans:
@@ -81,6 +86,15 @@
     return out
 
 
+def restarts(o: Options) -> list[Fault]:
+    """Each beginning of an ingress anew, with its number as the target."""
+    lives = [f for f in o.faults if f.do.startswith("ingress.")]
+    for f in o.faults:
+        if f.do == "hall.lose":
+            lives += [Fault(f.at + f.lasts, "ingress.kill", n) for n in range(f.target, o.ingresses, HALLS)]
+    return sorted(lives)
+
+
 def joint(lives: list[Fault], ingresses: int) -> int:
     """How often all ingresses may have been down together: every one of them restarted within a short time."""
     count, recent = 0, dict[int, float]()
@@ -101,7 +115,7 @@
             verdict = await fleet.run()
             after = memory(fleet)
             ended = [i.number for i in fleet.ingresses if i.process is None or i.process.returncode not in (None, 0)]
-            touched = {f.target for f in fleet.o.faults if f.do.startswith("ingress.")}
+            touched = {f.target for f in restarts(fleet.o)}
             sent = fleet.front.sent if fleet.front else 0
             logs = {i.number: i.log.read_text(errors="replace") for i in fleet.ingresses}
     for number in ended:
@@ -175,7 +189,7 @@
     targets = [f[2] for f in faults if f[1].startswith("match.")]
     if s["servers"] > max(targets, default=0) + 4:
         out.append(case.but(servers=max(4, max(targets, default=0) + 1)))
-    targets = [f[2] for f in faults if not f[1].startswith("match.")]
+    targets = [f[2] for f in faults if not f[1].startswith(("match.", "hall."))]
     if s["ingresses"] > max(3, max(targets, default=0) + 1):
         out.append(case.but(ingresses=max(3, max(targets, default=0) + 1)))
     if s["basic"] + s["plus"] > 4:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -14,9 +14,10 @@
 
 from standins.auditor import Rules, audit
 from standins.counter import Counter
+from standins.deployments import DEPLOYMENTS
 from standins.discovery import Discovery
 from standins.faults import ACTIONS, BadScript, read_script
-from standins.fleet import CLASSES, HOST, PLANS, Fleet, Options, run_fleet
+from standins.fleet import HOST, Fleet, Options, run_fleet
 from standins.http import Service
 from standins.match import MatchServer, Shape
 from standins.records import Records, read_records
@@ -37,6 +38,7 @@
     f.add_argument("--seed", type=int, default=1)
     f.add_argument("--port", type=int, default=8080, help="of the first ingress; 0 takes free ones")
     f.add_argument("--move", type=float, default=0.0, help="all members come through the next ingress after so long")
+    f.add_argument("--deployment", choices=DEPLOYMENTS, default="matching", help="classes, plans and limits")
     f.add_argument("--faults", metavar="FILE", help="a fault script")
     f.add_argument("--records", metavar="FILE", help="write what stand-ins recorded, a JSON line each")
     c = sub.add_parser("counter", help="the counter service alone")
@@ -53,6 +55,7 @@
         one.add_argument("--records", metavar="FILE")
     a = sub.add_parser("audit", help="judge a file of records")
     a.add_argument("file")
+    a.add_argument("--deployment", choices=DEPLOYMENTS, default="matching", help="that the records are of")
     return p
 
 
@@ -83,7 +86,7 @@
             return 2
     options = Options(args.ingresses, args.servers, args.seconds, args.rate, args.seed, args.port,
                       faults=tuple(read_script(args.faults)) if args.faults else (),
-                      move_s=args.move)
+                      move_s=args.move, deployment=DEPLOYMENTS[args.deployment])
 
     async def watch(f: Fleet) -> None:
         print(f"{args.ingresses} ingresses, {args.servers} match servers. Try: "
@@ -135,8 +138,10 @@
     try:
         if args.command == "audit":
             lines = Path(args.file).read_text(encoding="utf-8").splitlines()
-            effects = {name: c.effect for name, c in CLASSES.items()}
-            verdict = audit(read_records(lines, args.file), Rules(PLANS, effects))
+            d = DEPLOYMENTS[args.deployment]
+            effects = {name: c.effect for name, c in d.classes.items()}
+            verdict = audit(read_records(lines, args.file), Rules(
+                d.plans, effects, cold_multiple=d.cold_multiple, cold_window=d.cold_window))
             print("\n".join(verdict.lines()))
             return 0 if verdict.kept else 1
         with suppress(KeyboardInterrupt):
--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,48 @@
+"""Deployments that the stand-ins can play: what members ask for, what ingresses are told, what is judged by.
+
+They differ in what an ingress must not take for granted: whether the dear class may be sent again, whether plans have
+ceilings, whether members are told when to come back, how much a cold server bears.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from standins.auditor import PlanRule
+from standins.front import ClassShape
+from standins.match import Shape
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """`members` by plan. A cold server falls over at `cold_multiple` of what it can do, over `cold_window` seconds."""
+
+    name: str
+    classes: Mapping[str, ClassShape]
+    plans: Mapping[str, PlanRule]
+    members: Mapping[str, int]
+    shape: Shape
+    max_attempts: int = 3
+    retry_after: bool = False
+    cold_multiple: float = 4.0
+    cold_window: float = 1.5
+    worth: Mapping[str, float] = field(default_factory=dict)  # by class; 1 where it is not named
+
+
+MATCHING = Deployment(
+    "matching",
+    {"browse": ClassShape("safe", 0.7), "send-message": ClassShape("keyed", 0.25),
+     "charge": ClassShape("unsafe", 0.05)},
+    {"basic": PlanRule(2.4, 10.0), "plus": PlanRule(16.0, 36.0, 29.0, 65.0)},
+    {"basic": 40, "plus": 8}, Shape(cores=3, work=0.03, cold=0.3, cold_s=5.0))
+
+# The dear class must never run twice and is half of the traffic; no plan has a ceiling.
+BILLING = Deployment(
+    "billing",
+    {"share-read": ClassShape("safe", 0.51), "settle-post": ClassShape("unsafe", 0.49, 4.0)},
+    {"klein": PlanRule(1.6, 7.0), "mittel": PlanRule(5.2, 24.0), "gross": PlanRule(21.0, 42.0)},
+    {"klein": 30, "mittel": 16, "gross": 4}, Shape(cores=2, work=0.03, cold=0.22, cold_s=6.0),
+    max_attempts=5, retry_after=True, cold_multiple=2.0, cold_window=3.0, worth={"share-read": 3.0, "settle-post": 9.0})
+
+DEPLOYMENTS = {d.name: d for d in (MATCHING, BILLING)}
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -3,7 +3,7 @@
     [[fault]]
     at = 2.0             # seconds after the traffic begins
     do = "match.silence"  # one of ACTIONS
-    target = 3           # number of the server or ingress, where the action takes one
+    target = 3           # number of the server, ingress or hall, where the action takes one
     for = 1.5            # seconds until it ends, where the action has an end
     value = 0.2          # share or seconds, where the action takes one
 """
@@ -36,7 +36,8 @@
     "match.kill": Action(target=True, ends=True), "match.drain": Action(target=True, ends=True),
     "match.silence": Action(target=True, ends=True), "match.slow": Action(True, True, True),
     "match.errors": Action(True, True, True), "match.resets": Action(True, True, True),
-    "match.close_idle": Action(target=True),
+    "match.cuts": Action(True, True, True), "match.close_idle": Action(target=True),
+    "hall.lose": Action(target=True, ends=True),
     "discovery.silence": Action(ends=True), "relay.loss": Action(ends=True, value=True),
     "relay.delay": Action(ends=True, value=True), "relay.isolate": Action(target=True, ends=True),
     "ingress.kill": Action(target=True), "ingress.restart": Action(target=True),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,9 +19,10 @@
 
 from standins.auditor import PlanRule, Rules, Verdict, audit
 from standins.counter import Counter
+from standins.deployments import MATCHING, Deployment
 from standins.discovery import Discovery
 from standins.faults import BadScript, Fault, play
-from standins.front import ClassShape, Front, Traffic
+from standins.front import Front, Traffic
 from standins.match import Keys, MatchServer, Shape
 from standins.records import Crashed, Records
 from standins.relay import Relay
@@ -29,15 +30,16 @@
 HOST = "127.0.0.1"
 READY_S = 20.0
 STOP_S = 10.0
-CLASSES = {"browse": ClassShape("safe", 0.7), "send-message": ClassShape("keyed", 0.25),
-           "charge": ClassShape("unsafe", 0.05)}
 SEMANTICS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
-PLANS = {"basic": PlanRule(2.4, 10.0), "plus": PlanRule(16.0, 36.0, 29.0, 65.0)}
+HALLS = 2  # servers and ingresses of odd numbers stand in another than those of even ones
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """The size and the length of a run. `port` is the first ingress's; 0 takes free ones."""
+    """The size and the length of a run. `port` is the first ingress's; 0 takes free ones.
+
+    What is left out is the deployment's own.
+    """
 
     ingresses: int = 3
     servers: int = 10
@@ -45,28 +47,35 @@
     rate: float = 120.0
     seed: int = 1
     port: int = 0
-    members: dict[str, int] = field(default_factory=lambda: {"basic": 40, "plus": 8})
+    members: Mapping[str, int] = field(default_factory=dict)
     faults: tuple[Fault, ...] = ()
-    shape: Shape = Shape(cores=3, work=0.03, cold=0.3, cold_s=5.0)
+    shape: Shape = None  # type: ignore[assignment]  # set below
     loss: float = 0.01
     delay: float = 0.01
     move_s: float = 0.0
-    plans: Mapping[str, PlanRule] = field(default_factory=lambda: PLANS)
+    plans: Mapping[str, PlanRule] = field(default_factory=dict)
+    deployment: Deployment = MATCHING
+
+    def __post_init__(self) -> None:
+        for name in ("members", "shape", "plans"):
+            if not getattr(self, name):
+                object.__setattr__(self, name, getattr(self.deployment, name))
 
 
 def settings(o: Options, me: int) -> dict[str, Any]:
     """What an ingress is told, in the words of its configuration."""
+    d = o.deployment
     classes = [{"name": name, "semantics": SEMANTICS[c.effect], "objective": c.budget, "hardLimit": c.budget,
-                "credit": 1.0, "group": "all", "window": 15.0} for name, c in CLASSES.items()]
+                "credit": d.worth.get(name, 1.0), "group": "all", "window": 15.0} for name, c in d.classes.items()]
     plans = [{"name": name, "rate": p.rate, "storeSize": p.burst, "capRate": p.ceiling_rate,
               "neverOverDepth": p.ceiling_burst, "pays": 1.0} for name, p in o.plans.items()]
     return {"balancers": o.ingresses, "me": me, "zone": "z0", "step": 0.004, "classes": classes,
             "plans": plans,
             "extra": {"counter": True, "counterTimeout": 0.08, "maxUnits": 4, "truedUp": False,
                       "peerInPerS": 100.0},
-            "limits": {"maxAttempts": 3, "cancel": True, "peers": True, "connIdle": 15.0, "mayProbe": True,
-                       "connectTimeout": 0.5, "maxRetryAfter": 1.0},
-            "invariants": {"drainGrace": 1.0, "fallMultiple": 4.0, "tipAfter": 1.5,
+            "limits": {"maxAttempts": d.max_attempts, "retryAfter": d.retry_after, "cancel": True, "peers": True,
+                       "connIdle": 15.0, "mayProbe": True, "connectTimeout": 0.5, "maxRetryAfter": 1.0},
+            "invariants": {"drainGrace": 1.0, "fallMultiple": d.cold_multiple, "tipAfter": d.cold_window,
                            "startCapacity": o.shape.cold, "cold": o.shape.cold_s}}
 
 
@@ -167,7 +176,8 @@
     def check(self, faults: Sequence[Fault]) -> None:
         """BadScript where a fault's target is not there."""
         for f in faults:
-            many = self.o.servers if f.do.startswith("match.") else self.o.ingresses
+            many = (self.o.servers if f.do.startswith("match.") else HALLS if f.do.startswith("hall.")
+                    else self.o.ingresses)
             if f.target >= many:
                 raise BadScript(f"{f.do}: target: expected a number below {many}, got {f.target}")
 
@@ -206,7 +216,7 @@
             await self.ingresses[n].start()
         for ingress in self.ingresses:
             await ingress.ready()
-        traffic = Traffic(o.seconds, o.rate, o.members, CLASSES, seed=o.seed, spread=o.ingresses,
+        traffic = Traffic(o.seconds, o.rate, o.members, o.deployment.classes, seed=o.seed, spread=o.ingresses,
                           move_s=o.move_s)
         self.front = Front([(HOST, p) for p in ports], traffic, self.records)
 
@@ -223,8 +233,10 @@
                     task.cancel()
                     with suppress(asyncio.CancelledError):
                         await task
-        effects = {name: c.effect for name, c in CLASSES.items()}
-        return audit(self.records.all, Rules(self.o.plans, effects, calm=not self.o.faults))
+        d = self.o.deployment
+        effects = {name: c.effect for name, c in d.classes.items()}
+        return audit(self.records.all, Rules(self.o.plans, effects, calm=not self.o.faults,
+                                             cold_multiple=d.cold_multiple, cold_window=d.cold_window))
 
     async def stop(self) -> None:
         """End all that was started, the ingresses in order."""
@@ -239,7 +251,7 @@
     def list(self, number: int, status: str = "SERVING") -> None:
         """Put a server on the list, as discovery tells it."""
         s = self.servers[number]
-        self.discovery.put(s.name, s.address, status, f"z{number % 2}", number, s.born)
+        self.discovery.put(s.name, s.address, status, f"z{number % HALLS}", number, s.born)
 
     # Faults.
 
@@ -259,6 +271,8 @@
                 setattr(self.relay, what, f.value if on else getattr(self.o, what))
         elif where == "ingress":
             return self.ingress_fault(what, f.target)
+        elif where == "hall":
+            return self.lose_hall(f.target) if on else self.regain_hall(f.target)
         return None
 
     def counter_fault(self, what: str, f: Fault, on: bool) -> None:
@@ -300,15 +314,39 @@
             s.error_share = f.value if on else 0.0
         elif what == "resets":
             s.reset_share = f.value if on else 0.0
+        elif what == "cuts":
+            s.cut_share = f.value if on else 0.0
         else:
             s.close_idle()
         return None
 
+    async def lose_hall(self, hall: int) -> None:
+        """All that stands in a hall ends at once: servers, ingresses, and in the first one what the counter knew."""
+        ingresses = self.ingresses[hall::HALLS]
+        for ingress in ingresses:
+            self.records.add(Crashed(time.time(), str(ingress.number)))
+        await asyncio.gather(*(i.end(signal.SIGKILL) for i in ingresses),
+                             *(s.stop() for s in self.servers[hall::HALLS]))
+        for ingress in ingresses:
+            self.records.add(Crashed(time.time(), str(ingress.number)))
+        if hall == 0:
+            self.counter.restart_from_zero()
+
+    async def regain_hall(self, hall: int) -> None:
+        """It is back, cold and with nothing known."""
+        for number in range(hall, len(self.servers), HALLS):
+            await self.revive(number)
+        for ingress in self.ingresses[hall::HALLS]:
+            if ingress.process is None or ingress.process.returncode is not None:
+                await ingress.start()
+
     async def kill(self, number: int) -> None:
         await self.servers[number].stop()
 
     async def revive(self, number: int) -> None:
-        """The same server starts anew, cold."""
+        """The same server starts anew, cold; one that runs goes on."""
+        if self.servers[number].server is not None:
+            return
         await self.servers[number].start(self.servers[number].port)
         self.list(number)
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -29,10 +29,13 @@
         return int(self.line.split(" ")[1])
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """The next whole message. IncompleteReadError at the end, ValueError for what is no message."""
+async def read_message(reader: asyncio.StreamReader, first: bytes = b"") -> Message:
+    """The next whole message. IncompleteReadError at the end, ValueError for what is no message.
+
+    `first`: bytes of it that have been read already.
+    """
     try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        head = (first + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except asyncio.LimitOverrunError as error:
         raise ValueError("the head is too long") from error
     line, *rest = head[:-4].split("\r\n")
@@ -94,6 +97,10 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def next(self, connection: Connection) -> Message:
+        """The next request on a connection."""
+        return await read_message(connection.reader)
+
     async def handle(self, message: Message, connection: Connection) -> bytes | None:
         """The answer, or None where nothing more comes on this connection."""
         raise NotImplementedError
@@ -106,7 +113,7 @@
         self.connections.add(connection)
         self.opened += 1
         try:
-            while (reply := await self.handle(await read_message(reader), connection)) is not None:
+            while (reply := await self.handle(await self.next(connection), connection)) is not None:
                 writer.write(reply)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
--- a/standins/match.py
+++ b/standins/match.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from standins.http import Connection, Message, Service, answer
+from standins.http import Connection, Message, Service, answer, read_message
 from standins.records import Began, Ran, Records, Up
 
 KEY_WINDOW_S = 15.0
@@ -64,6 +64,8 @@
         self.slow = 1.0  # times the usual work
         self.error_share = self.shape.error_share
         self.reset_share = 0.0  # of requests whose connection is reset after they ran
+        self.cut_share = 0.0  # of requests whose connection is reset as their first byte comes
+        self.cuts = random.Random(f"{seed} {name} cuts")
         self.awake = asyncio.Event()
         self.awake.set()
 
@@ -88,6 +90,13 @@
         grown = (self.clock() - self.born) / s.cold_s if s.cold_s > 0 else 1.0
         return min(1.0, s.cold + (1 - s.cold) * grown)
 
+    async def next(self, connection: Connection) -> Message:
+        first = await connection.reader.readexactly(1)
+        if self.cuts.random() < self.cut_share:
+            connection.reset()
+            raise ConnectionResetError
+        return await read_message(connection.reader, first)
+
     async def handle(self, message: Message, connection: Connection) -> bytes | None:
         path = message.target.partition("?")[0]
         if path in ("/healthz", "/load"):
--- /dev/null
+++ b/tests/standins/test_deployments.py
@@ -0,0 +1,63 @@
+"""The second deployment's shape on real processes: what must never run twice, no ceilings, halls that are lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from benchmarks.soak_faults import FAULTS, ROOT
+from roadspur.settings import nested_settings
+from standins.deployments import BILLING, DEPLOYMENTS
+from standins.faults import Fault
+from standins.fleet import Options, run_fleet, settings
+from standins.match import Shape
+from standins.records import Answered, Asked, Records
+
+SHAPE = Shape(cores=8, work=0.005, cold=0.22, cold_s=2.0)
+
+
+def play(faults, seconds=5.0, **more):
+    """A billing fleet; its verdict, and the share of each class that was served from a time on."""
+    records = Records()
+    options = Options(ingresses=2, servers=6, seconds=seconds, rate=120.0, loss=0.0, deployment=BILLING, shape=SHAPE,
+                      members={"mittel": 40, "gross": 60}, faults=tuple(faults), **more)
+    verdict, _, _ = asyncio.run(asyncio.wait_for(run_fleet(options, records=records), 60))
+
+    def served(cls, since=0.0, until=1e9):
+        start = next(records.of(Asked)).at
+        names = {a.id for a in records.of(Asked) if a.cls == cls and since <= a.at - start < until}
+        found = Counter(a.status for a in records.of(Answered) if a.id in names)
+        return found[200] / max(1, sum(found.values()))
+
+    return verdict, served, records
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_what_ingresses_are_told_can_be_read(name):
+    told, _ = nested_settings(settings(Options(deployment=DEPLOYMENTS[name]), 0))
+    assert {c.name for c in told.classes} == set(DEPLOYMENTS[name].classes)
+    assert told.max_attempts == DEPLOYMENTS[name].max_attempts
+
+
+def test_connections_that_break_as_requests_come_cost_the_unsafe_class_next_to_nothing():
+    """A third of all requests meet a reset at their first byte, on every server: nothing of them has run."""
+    verdict, served, _ = play([Fault(0.0, "match.cuts", n, 10.0, 0.33) for n in range(6)])
+    assert verdict.kept, verdict.lines()
+    assert served("settle-post", since=0.5) > 0.9, verdict.lines()
+
+
+def test_a_lost_hall_breaks_no_rule_and_service_is_back_with_it():
+    """Half of the servers, one of two ingresses and what the counter knew; cold when they are back."""
+    verdict, served, records = play([Fault(1.0, "hall.lose", 0, 1.5)], seconds=6.0)
+    assert verdict.kept, verdict.lines()
+    assert served("settle-post", 1.2, 2.4) > 0.5  # the other ingress and its servers go on
+    assert served("settle-post", since=4.5) > 0.9 and served("share-read", since=4.5) > 0.9, verdict.lines()
+    told = [a.retry_after for a in records.of(Answered) if a.status in (429, 503)]
+    assert not told or max(told) > 0
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.name)
+def test_the_lines_that_deliberate_faults_change_are_there(fault):
+    assert fault.right in (ROOT / "roadspur" / fault.file).read_text()
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from standins.deployments import MATCHING
 from standins.faults import ACTIONS, BadScript, Fault, play, read_script
-from standins.fleet import CLASSES, Fleet, Options, run_fleet
+from standins.fleet import Fleet, Options, run_fleet
 from standins.front import Traffic, draw
 from standins.records import Crashed, Ran, Records
 from tests.sockets import run
@@ -65,11 +66,11 @@
 
 
 def test_traffic_is_the_same_for_a_seed_and_spreads_over_ingresses():
-    traffic = Traffic(5.0, 200.0, {"basic": 5, "plus": 2}, CLASSES, seed=4)
+    traffic = Traffic(5.0, 200.0, {"basic": 5, "plus": 2}, MATCHING.classes, seed=4)
     plans = draw(traffic, 3)
-    assert plans == draw(traffic, 3) and plans != draw(Traffic(5.0, 200.0, {"basic": 5}, CLASSES, seed=5), 3)
+    assert plans == draw(traffic, 3) and plans != draw(Traffic(5.0, 200.0, {"basic": 5}, MATCHING.classes, seed=5), 3)
     assert 800 < len(plans) < 1200 and {p.ingress for p in plans} == {0, 1, 2}
-    assert {(p.plan, p.cls) for p in plans} == {(p, c) for p in ("basic", "plus") for c in CLASSES}
+    assert {(p.plan, p.cls) for p in plans} == {(p, c) for p in ("basic", "plus") for c in MATCHING.classes}
 
 
 @pytest.mark.parametrize("script", [p.stem for p in SCRIPTS])
