An ingress that ends keeps its door and its connections for as long as somebody comes

At fault: Server.leave. Now (net/farewell.py, pure) all goes on until nobody has come for 0.3 s, or until a third of a second before a kill is allowed; requests get the time that is left. What was taken before is answered, however long it takes.

--- a/roadspur/net/daemon.py
+++ b/roadspur/net/daemon.py
@@ -14,6 +14,7 @@
 from roadspur.ledger.placement import Placement
 from roadspur.net.config import Config
 from roadspur.net.discovery import Discovery
+from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress
 from roadspur.net.server import Server
 from roadspur.net.upstream import Upstream
@@ -86,9 +87,10 @@
         log.info("%s has read its configuration anew", self.config.name)
 
     async def stop(self, notice: Awaitable[object]) -> None:
-        """Go on accepting until `notice` is over, finish what is held, then close everything."""
+        """Go on until `notice` is over and nobody comes any more, finish what is held, then close everything."""
         log.info("%s stops: %d requests held", self.config.name, len(self.ingress.held))
-        await self.server.leave(notice)
+        longest = max(c.deadline for c in self.config.settings.classes)
+        await self.server.leave(notice, Farewell(self.loop.time(), longest))
         self.ingress.driver.leave()
         await asyncio.sleep(min(LAST_WORDS_S, self.config.settings.counter_timeout / 2))
         self.ingress.driver.leave()  # again: a datagram may be lost, or overtaken by this one
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -13,6 +13,7 @@
 import httptools
 
 from roadspur.core.request import BadRequest, NoSuchPath, RequestReader, customer_of
+from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress
 from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
 
@@ -167,6 +168,12 @@
             return Early(404, str(error))
         except BadRequest as error:
             return Early(400, str(error))
+        if self.server.farewell is not None:
+            self.server.farewell.came(self.loop.time())
+            left = self.server.farewell.left(self.loop.time())
+            if left <= 0:
+                return Early(503, "this ingress ends")
+            request = request._replace(expires_in=min(request.expires_in, left))
         start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), self.url)]
         start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
         return Call(request, b"".join(start), bytes(self.body), self.server.ingress.driver.scheduler.time())
@@ -265,6 +272,7 @@
         self.connections: set[ClientConnection] = set()
         self.order = itertools.count()  # who was heard last; the loop's clock is too coarse to tell
         self.stopping = self.leaving = False
+        self.farewell: Farewell | None = None
         self.listener: asyncio.Server | None = None
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
@@ -282,6 +290,8 @@
         Where none is idle, the new one is told so: ended without an answer, its request would be lost.
         """
         self.connections.add(connection)
+        if self.farewell is not None:
+            self.farewell.came(self.loop.time())
         if len(self.connections) > self.most:
             for other in sorted(self.connections, key=lambda c: (c.used, c.heard)):
                 if other is not connection and other.idle():
@@ -295,10 +305,17 @@
             connection.sweep(now)
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
-    async def leave(self, notice: Awaitable[object]) -> None:
-        """Go on accepting until the notice is over, then take nothing new and wait for what is held."""
-        self.stopping = True
+    async def leave(self, notice: Awaitable[object], farewell: Farewell | None = None) -> None:
+        """Go on as ever until the notice is over and `farewell` closes the door; then take nothing new and wait for
+        what is held.
+
+        Connections are kept until then: whoever is in front may go on dealing requests to this ingress, and can open
+        no new ones. What was taken is answered, however long it takes: only a kill excuses the rest.
+        """
+        self.stopping, self.farewell = True, farewell
         await notice
+        while farewell is not None and farewell.open(self.loop.time()):
+            await asyncio.sleep(0.02)
         self.leaving = True
         if self.listener is not None:
             self.listener.close()
--- /dev/null
+++ b/tests/test_farewell.py
@@ -0,0 +1,97 @@
+"""A planned end: the door stays open for as long as somebody comes, and everything is answered before the kill."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from roadspur import interface as io
+from roadspur.net.farewell import LAST_S, LONGEST_S, MORE_S, QUIET_S, SHORT_S, Farewell
+from tests.sockets import Client, Peer, Rig, call, in_turn, ok, run, until
+
+WHOLE = LONGEST_S + MORE_S  # after which an ingress may be killed
+
+
+@pytest.mark.parametrize("longest,end", [(1.0, 1.0 + MORE_S - LAST_S), (7.5, WHOLE - LAST_S)])
+def test_it_ends_before_it_may_be_killed(longest, end):
+    bye, now = Farewell(100.0, longest), 100.0
+    while bye.open(now):
+        bye.came(now)
+        now += 0.01
+    assert now - 100.0 == pytest.approx(end - SHORT_S, abs=0.02) and bye.left(100.0 + end) == 0.0
+
+
+def test_it_ends_as_soon_as_nobody_comes():
+    bye = Farewell(100.0, 7.5)
+    bye.came(100.4)
+    assert bye.open(100.4 + QUIET_S - 0.01) and not bye.open(100.4 + QUIET_S + 0.01)
+
+
+def test_what_is_left_for_a_request_shrinks_to_nothing():
+    bye = Farewell(100.0, 7.5)
+    assert bye.left(100.0) == pytest.approx(WHOLE - LAST_S)
+    assert bye.left(bye.end - SHORT_S - 0.01) > 0 == bye.left(bye.end - SHORT_S)
+
+
+def test_kept_connections_go_on_being_served_until_nobody_asks_any_more():
+    """Whoever is in front cannot open new ones; closing these would leave its requests with nowhere to go."""
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else [])
+        client = await rig.start(b0=backend.port)
+        assert (await client.ask(call("r0")))[0] == 200
+        bye = Farewell(asyncio.get_running_loop().time(), 7.5)
+        leaving = asyncio.create_task(rig.server.leave(asyncio.sleep(0.0), bye))
+        await until(lambda: rig.server.stopping)
+        late = await Client.connect(rig.port)
+        for n in range(1, 6):
+            for one in (client, late):
+                status, headers, _ = await one.ask(call(f"r{n}{one is late}"))
+                assert status == 200 and headers.get("connection") != "close"
+            await asyncio.sleep(QUIET_S / 4)
+        assert not leaving.done()
+        await leaving
+        assert await client.reader.read() == b"" and await late.reader.read() == b""
+    run(main())
+
+
+def test_a_request_gets_the_time_that_is_left_and_then_is_turned_away():
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else [])
+        client = await rig.start(b0=backend.port)
+        loop = asyncio.get_running_loop()
+        rig.server.farewell = Farewell(loop.time() - WHOLE + LAST_S + 1.0, 7.5)
+        assert (await client.ask(call("r1", budget="6000m")))[0] == 200
+        asked = [e for e in rig.script.events if isinstance(e, io.Request)]
+        assert 0.5 < asked[0].expires_in <= 1.0
+        rig.server.farewell = Farewell(loop.time() - WHOLE, 7.5)
+        status, headers, _ = await client.ask(call("r2"))
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert len([e for e in rig.script.events if isinstance(e, io.Request)]) == 1
+    run(main())
+
+
+def test_what_was_taken_before_is_answered_though_the_door_is_closed():
+    async def main():
+        go = asyncio.Event()
+
+        async def act(_):
+            await go.wait()
+            return ok()
+
+        backend = await Peer(act).listen()
+        rig = Rig(in_turn("b0"))
+        client = await rig.start(b0=backend.port)
+        client.writer.write(call("r1", budget="6000m"))
+        await until(lambda: backend.seen)
+        leaving = asyncio.create_task(rig.server.leave(
+            asyncio.sleep(0.0), Farewell(asyncio.get_running_loop().time() - WHOLE, 7.5)))
+        await until(lambda: rig.server.leaving)
+        assert not leaving.done()
+        go.set()
+        status, headers, _ = await client.answer()
+        assert status == 200 and headers["connection"] == "close"
+        await leaving
+    run(main())
