A look at the health of an ingress that is not ready ends its connection

At fault: ClientConnection.on_message_complete kept what was answered 503. Now a 503 that no decision is needed for closes, and looks at health do not keep an ingress that ends.

--- a/roadspur/net/farewell.py
+++ b/roadspur/net/farewell.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-QUIET_S = 0.3     # without a request or a connection, after which nobody comes any more
+QUIET_S = 0.3     # without a request, after which nobody comes any more; looks at /healthz are none
 LONGEST_S = 3.0   # that requests are given at a planned end, however long their class allows
 MORE_S = 0.7      # beyond that, before an ingress is killed
 LAST_S = 0.35     # kept of it: for last words and for a busy moment
@@ -25,7 +25,7 @@
         self.last = told
 
     def came(self, now: float) -> None:
-        """Somebody has connected, or a request has come."""
+        """A request has come."""
         self.last = now
 
     def open(self, now: float) -> bool:
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -154,7 +154,9 @@
         if isinstance(item, Early) and item.status in (400, 404):  # who repeats it has to connect anew
             self.fault(item.status, item.why)
         else:
-            self.enqueue(item, self.parser.should_keep_alive() and not self.crowded)
+            # Whoever asks again and again whether this ingress is ready must not push out those that it serves.
+            waits = isinstance(item, Early) and item.status == 503
+            self.enqueue(item, self.parser.should_keep_alive() and not self.crowded and not waits)
 
     def read(self) -> Call | Early:
         """The request that has come, or the answer to one that is none of ours."""
@@ -290,8 +292,6 @@
         Where none is idle, the new one is told so: ended without an answer, its request would be lost.
         """
         self.connections.add(connection)
-        if self.farewell is not None:
-            self.farewell.came(self.loop.time())
         if len(self.connections) > self.most:
             for other in sorted(self.connections, key=lambda c: (c.used, c.heard)):
                 if other is not connection and other.idle():
--- a/tests/test_farewell.py
+++ b/tests/test_farewell.py
@@ -95,3 +95,22 @@
         assert status == 200 and headers["connection"] == "close"
         await leaving
     run(main())
+
+
+def test_looks_at_its_health_neither_keep_it_nor_push_out_those_that_it_serves():
+    async def main():
+        backend = await Peer.start(ok())
+        rig = Rig(lambda e: [io.Attempt(e.id, "b0")] if isinstance(e, io.Request) else [])
+        client = await rig.start(b0=backend.port)
+        rig.server.most = 3
+        assert (await client.ask(call("r0")))[0] == 200
+        bye = Farewell(asyncio.get_running_loop().time(), 7.5)
+        leaving = asyncio.create_task(rig.server.leave(asyncio.sleep(0.0), bye))
+        await until(lambda: rig.server.stopping)
+        for _ in range(8):
+            look = await Client.connect(rig.port)
+            status, headers, _ = await look.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (status, headers["connection"]) == (503, "close")
+        assert (await client.ask(call("r1")))[0] == 200
+        await leaving
+    run(main())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -216,9 +216,12 @@
         rig = Rig(in_turn("b0"))
         client = await rig.start()
         health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
-        assert (await client.ask(health))[0] == 503
+        status, headers, _ = await client.ask(health)
+        assert (status, headers["connection"]) == (503, "close")
         rig.ingress.listed(listing(entry("b0", backend.port)))
-        assert (await client.ask(health))[0] == 200
+        client = await Client.connect(rig.port)
+        for _ in range(2):
+            assert (await client.ask(health))[0] == 200
     run(main())
 
 
