Read again: a flag that could not hold, a test's peer written twice, one reading of the clock

An exchange that goes out again does so on a new connection, which is never a used one, so its own flag for that said nothing; a test's backend stood twice; a request read the clock twice while an ingress ends; a backend that begins anew was looked up four times. Behaviour and assertions are unchanged.

--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -92,8 +92,7 @@
                 units = read_number(answer.headers.get(b"x-cost-units", b""))
             on_end(Ended(outcome, answer, units, self.load(answer) if self.settings.load_in_answers else {}))
 
-        return Sent(self.upstream, Exchange(
-            backend, message, may_send, ended, guarded=True))
+        return Sent(self.upstream, Exchange(backend, message, may_send, ended, guarded=True))
 
     def probe(self, backend: str) -> None:
         """Ask a backend for its load; the answer may be a 503."""
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -171,8 +171,9 @@
         except BadRequest as error:
             return Early(400, str(error))
         if self.server.farewell is not None:
-            self.server.farewell.came(self.loop.time())
-            left = self.server.farewell.left(self.loop.time())
+            now = self.loop.time()
+            self.server.farewell.came(now)
+            left = self.server.farewell.left(now)
             if left <= 0:
                 return Early(503, "this ingress ends")
             request = request._replace(expires_in=min(request.expires_in, left))
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -43,7 +43,6 @@
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # whole: from here on it may have run
         self.guarded = guarded  # its last byte waits until the connection has shown that it stands
-        self.reopened = False  # a kept connection has ended before its last byte
         self.ended = False
         self.heard = 0  # what the pool had heard at the start
 
@@ -172,8 +171,8 @@
         self.pool.guard.broke(self.pool.loop.time())
         if exchange.written:
             exchange.end(io.Outcome.RESET)
-        elif used and not exchange.reopened and not exchange.ended:
-            exchange.connection, exchange.reopened = None, True  # never whole: no attempt yet, and says nothing of it
+        elif used:  # never whole: no attempt yet; a new connection follows, for which this does not hold again
+            exchange.connection = None
             self.pool.reopen(exchange)
         else:
             exchange.end(io.Outcome.CONNECT_FAILED)
--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -224,11 +224,10 @@
         for entry in e.entries:
             known = self.backends.get(entry.backend)
             if known is None or entry.born != known.entry.born:  # new, or its process is
-                self.backends[entry.backend] = Backend(entry, now, self.rng.random())
+                new = self.backends[entry.backend] = Backend(entry, now, self.rng.random())
                 if known is not None:
-                    self.backends[entry.backend].out, self.backends[entry.backend].work = known.out, known.work
-                    self.backends[entry.backend].aside = known.aside
-                known = self.backends[entry.backend]
+                    new.out, new.work, new.aside = known.out, known.work, known.aside
+                known = new
             known.entry, known.usable = entry, entry.phase is io.Phase.RUNNING
         if e.kind is not io.ListKind.CHANGE:
             for name in self.backends.keys() - {entry.backend for entry in e.entries}:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -61,20 +61,22 @@
     rig.upstream.guard.broke(rig.upstream.loop.time())
 
 
+async def first_breaks(peer, number, reader, writer):
+    """The first connection is reset at its second request's first byte; others answer."""
+    if number == 1:
+        await read_message(reader)
+        peer.whole += 1
+        writer.write(ok(b"run 1"))
+        await reader.read(1)
+        writer.transport.abort()
+    else:
+        await peer.answer(reader, writer)
+
+
 def test_an_unsafe_request_on_a_kept_connection_that_breaks_early_goes_out_on_a_new_one():
     """The backend resets its first connection at the second request's first bytes: nothing has run."""
-    async def act(peer, number, reader, writer):
-        if number == 1:
-            await read_message(reader)
-            peer.whole += 1
-            writer.write(ok(b"run 1"))
-            await reader.read(1)
-            writer.transport.abort()
-        else:
-            await peer.answer(reader, writer)
-
     async def main():
-        backend = await Faulty(act).start()
+        backend = await Faulty(first_breaks).start()
         rig = Rig(in_turn("b0", "b0"))
         client = await rig.start(b0=backend.port)
         assert (await client.ask(call("r1", cls="once")))[2] == b"run 1"
@@ -86,17 +88,8 @@
 
 
 def test_without_the_guard_the_same_break_is_a_reset_and_makes_it_wary():
-    async def act(peer, number, reader, writer):
-        if number == 1:
-            await read_message(reader)
-            writer.write(ok())
-            await reader.read(1)
-            writer.transport.abort()
-        else:
-            await peer.answer(reader, writer)
-
     async def main():
-        backend = await Faulty(act).start()
+        backend = await Faulty(first_breaks).start()
         rig = Rig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         await client.ask(call("r1", cls="once"))
