Soak: a killed ingress's try is not its successor's repeat; failures are cut down in a worker

The auditor now allows one repeat for each try withdrawn from an ingress that was killed under it, and nothing else. Meanwhile all workers waited while the failure was cut down in the main process; that goes to a worker now.

--- a/soak/runner.py
+++ b/soak/runner.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from multiprocessing import get_context
 from pathlib import Path
+from typing import Any
 
 from soak import fleets, inputs, suites
 from soak.case import Case, Outcome
@@ -74,6 +75,7 @@
         self.folder, self.go_on, self.say, self.shrinks = folder, go_on, say, shrinks
         self.report = Report(seed)
         self.grow = 1.0
+        self.cutting: dict[Future[Any], tuple[Path, int]] = {}  # cases that are being cut down
 
     def draw(self, fleets_out: int) -> Case | None:
         """The next case; None where only fleets are asked for and enough of them are out."""
@@ -90,22 +92,25 @@
     def run(self) -> Report:
         """Until the time is up, or the first failure. What is out by then is waited for."""
         end = time.monotonic() + 60 * self.minutes
-        out: dict[Future[tuple[Outcome, float]], Case] = {}
+        out: dict[Future[Any], Case] = {}
         said = 0.0
         with ProcessPoolExecutor(self.workers, mp_context=get_context("spawn")) as pool:
             while True:
                 now = time.monotonic()
                 more = now < end and (self.go_on or not self.report.found)
-                while more and len(out) < self.workers:
+                while more and len(out) + len(self.cutting) < self.workers:
                     case = self.draw(sum(c.kind == "fleet" for c in out.values()))
                     if case is None:
                         break
                     out[pool.submit(play, case)] = case
-                if not out:
+                if not out and not self.cutting:
                     break
-                done, _ = wait(out, timeout=1.0, return_when=FIRST_COMPLETED)
+                done, _ = wait([*out, *self.cutting], timeout=1.0, return_when=FIRST_COMPLETED)
                 for future in done:
-                    self.take(out.pop(future), future)
+                    if future in self.cutting:
+                        self.keep(*self.cutting.pop(future), future)
+                    else:
+                        self.take(out.pop(future), future, pool)
                 if now - said > 10.0:
                     said = now
                     left = f"{max(0.0, end - now):.0f} s left"
@@ -114,8 +119,8 @@
                 self.grow = min(20.0, 1.0 + sum(self.report.cases.values()) / 50)  # growing counts
         return self.report
 
-    def take(self, case: Case, future: Future[tuple[Outcome, float]]) -> None:
-        """Count a case that has ended; what failed is cut down and kept."""
+    def take(self, case: Case, future: Future[Any], pool: ProcessPoolExecutor) -> None:
+        """Count a case that has ended; what failed is kept, and cut down while others go on."""
         try:
             outcome, took = future.result()
         except Exception as error:  # the worker died
@@ -128,10 +133,20 @@
             return
         path = self.folder / f"{case.kind}-{case.seed}.json"
         case.write(path, outcome.why)  # before it is cut down: that may be ended
+        r.found.append((path, outcome.why))
         self.say(f"found: {path}: {outcome.why.strip().splitlines()[0][:300]}; cutting it down")
-        least, why = cut(case, outcome, self.shrinks)
-        if why.why:
-            least.write(path, why.why)
-        else:
+        if outcome.part != "worker":
+            self.cutting[pool.submit(cut, case, outcome, self.shrinks)] = (path, len(r.found) - 1)
+
+    def keep(self, path: Path, number: int, future: Future[Any]) -> None:
+        """The smallest case that fails alike takes the place of the one that was drawn."""
+        try:
+            least, why = future.result()
+        except Exception as error:  # the worker died: the case stays as it was
+            self.say(f"{path}: not cut down: {type(error).__name__}: {error}")
+            return
+        if not why.why:
             self.say("it does not come again: kept as it was")
-        r.found.append((path, why.why or outcome.why))
+            return
+        least.write(path, why.why)
+        self.report.found[number] = (path, why.why)
--- a/tests/standins/test_auditor.py
+++ b/tests/standins/test_auditor.py
@@ -91,6 +91,17 @@
     assert any(f"rule {rule:8} BROKEN 1" in line for line in verdict.lines())
 
 
+@pytest.mark.parametrize("crashed,kept", [("0", True), ("1", False)])
+def test_what_ran_for_an_ingress_that_was_killed_is_not_the_next_ones_repeat(crashed, kept):
+    """The front sends a try again whose ingress died under it; one that withdrew from a live ingress is none of that."""
+    first = [asked(20.0, "x", "once"), Began(20.1, "x", "s2", "", 0.1), Crashed(20.12, crashed), Withdrawn(20.2, "x", "0")]
+    again = [asked(20.2, "x", "once", ingress="2"), Ran(20.25, "x", "s2", ""), Began(20.3, "x", "s3", "", 0.1),
+             Ran(20.4, "x", "s3", ""), answered(20.5, "x")]
+    assert ("twice" not in {b.rule for b in audit(first + again, RULES).breaches}) is kept
+    more = [*first, *again[:-1], Began(20.45, "x", "s4", "", 0.1), answered(20.5, "x")]  # once only
+    assert "twice" in {b.rule for b in audit(more, RULES).breaches}
+
+
 def test_a_calm_run_has_no_failures_and_starves_nobody():
     calm = replace(RULES, calm=True)
     assert audit([asked(20.0, "x"), answered(20.1, "x", 502)], RULES).kept
