Soak: the tests under moved clocks; an outage, a pause and an outage over sockets

Two hard cases of the soak were open: the whole suite under a moved clock, and a member's second outage at the socket. The member's case runs a daemon on a clock by hand.

--- a/soak/case.py
+++ b/soak/case.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-KINDS = ("fleet", "bytes", "suite")
+KINDS = ("fleet", "bytes", "suite", "moment")
 
 
 class BadCase(Exception):
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from soak import fleets, inputs, suites
+from soak import fleets, inputs, moments, suites
 from soak.case import Case, Outcome
 from soak.shrink import shrink
 
@@ -47,7 +47,8 @@
     began = time.monotonic()
     logging.disable(logging.CRITICAL)  # spoilt input is logged, by the thousand here
     try:
-        outcome = {"fleet": fleets.run, "bytes": inputs.run, "suite": suites.run}[case.kind](case)
+        outcome = {"fleet": fleets.run, "bytes": inputs.run, "suite": suites.run,
+                   "moment": moments.run}[case.kind](case)
     except Exception as error:
         outcome = Outcome(f"{type(error).__name__}: {error}", "soak")
     finally:
@@ -62,7 +63,7 @@
     if case.kind == "bytes":
         least = inputs.smallest(case, outcome)
         return least, play(least)[0]
-    smaller = fleets.smaller if case.kind == "fleet" else suites.smaller
+    smaller = {"fleet": fleets.smaller, "suite": suites.smaller, "moment": moments.smaller}[case.kind]
     return shrink(case, outcome, smaller, lambda c: play(c)[0], tries)
 
 
@@ -87,6 +88,8 @@
             return fleets.draw(seed)
         if kind == "bytes":
             return inputs.draw(seed, int(1500 * self.grow))
+        if kind == "moment":
+            return moments.draw(seed)
         return suites.draw(seed, self.grow)
 
     def run(self) -> Report:
--- /dev/null
+++ b/tests/ledger/test_outages.py
@@ -0,0 +1,43 @@
+"""One member through an outage, a pause and another outage, over sockets, on a clock of the test's own."""
+
+from __future__ import annotations
+
+import pytest
+
+from standins.counter import Counter
+from tests.sockets import Client, Peer, call, datagram_homes, ok, run
+from tests.test_program import SETTINGS, in_process
+
+SHARED = {**SETTINGS, "balancers": 3, "extra": {**SETTINGS["extra"], "counterTimeout": 0.05},
+          "limits": {**SETTINGS["limits"], "peers": True}}
+KEPT_S = 24.0  # three epochs of 2 x 8 / 2 s, after which a ledger forgets an allowance
+
+
+@pytest.mark.parametrize("pause", [1.0, KEPT_S - 0.1, KEPT_S + 0.1, 3 * KEPT_S])
+def test_an_outage_a_pause_and_an_outage(pause):
+    async def main():
+        clock, backend, counter = [1000.0], await Peer.start(ok(b"fine")), Counter()
+        await counter.start()
+        here, *others = datagram_homes(3)
+        async with in_process(backend, counter, lambda: clock[0], settings=SHARED, peer_listen=here,
+                              peers=[here, *others]) as (daemon, port):
+            client = await Client.connect(port)
+
+            async def ask(name, member):
+                terms = "units=1,spread=3,first=0"
+                return (await client.ask(call(name, path=f"/api/{member:016x}", X_Call_Terms=terms)))[0]
+
+            counter.silence(True)
+            assert [await ask(f"a{n}", n) for n in range(3)] == [200] * 3
+            counter.silence(False)
+            clock[0] += 0.1
+            assert await ask("b", 9) == 200  # answered again: the outage is over
+            clock[0] += pause
+            counter.silence(True)
+            assert [await ask(f"c{n}", n % 3) for n in range(6)] == [200] * 6  # a burst of 8 / 3 for each
+            assert await ask("d", 0) in (200, 503)  # beyond its share: refused, and no fault
+            held = daemon.gateway.sharing.escrow.allowances
+            assert {c for _, c in held} <= {0, 1, 2, 9} and len(held) >= 3
+        counter.silence(False)
+        await counter.stop()
+    run(main())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from soak import fleets, inputs, readers, suites
+from soak import fleets, inputs, moments, readers, suites
 from soak.__main__ import main
 from soak.case import KINDS, BadCase, Case, Outcome, read_case
 from soak.mutate import Corpus, cut_down, mutated
@@ -153,6 +153,22 @@
     assert suites.run(good.but(test="tests/no_such_test.py")).why
 
 
+def test_a_test_that_hangs_on_the_hour_is_found_and_one_that_does_not_is_not(tmp_path):
+    path = tmp_path / "test_hour.py"
+    path.write_text("import subprocess, sys, time\nfrom pathlib import Path\n"
+                    "def test_hour():\n"
+                    "    child = subprocess.check_output([sys.executable, '-c', 'import time; print(time.time())'])\n"
+                    "    now = Path(__file__).with_name('now'); now.touch()\n"
+                    "    assert abs(now.stat().st_mtime - float(child)) < 60\n"
+                    "    assert abs(time.time() - time.time_ns() / 1e9) < 60\n")
+    case = Case("moment", 1, {"test": str(path), "moved": 7200.0})
+    found = moments.run(case)
+    assert "test_hour" in found.why and found.part == str(path)
+    assert [moments.run(c) for c in moments.smaller(case)] == [Outcome()]
+    drawn = [moments.draw(n).size for n in range(300)]
+    assert {d["test"] for d in drawn} == set(moments.files()) and max(d["moved"] for d in drawn) > 80_000
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"kind": "fleet"}', '{"kind": "x", "seed": 1}',
                                   '{"kind": "bytes", "seed": 1.5}', '{"kind": "bytes", "seed": 1, "size": 3}'])
 def test_a_file_that_is_no_case_is_named(tmp_path, text, capsys):
@@ -162,4 +178,4 @@
         read_case(path)
     assert main(["--replay", str(path)]) == 2 and capsys.readouterr().err.count("\n") == 1
     assert main(["--workers", "0"]) == 2
-    assert set(KINDS) == {"fleet", "bytes", "suite"}
+    assert set(KINDS) == {"fleet", "bytes", "suite", "moment"}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -75,13 +75,13 @@
 
 
 @contextlib.asynccontextmanager
-async def in_process(backend, counter, clock):
+async def in_process(backend, counter, clock, keeper=None, **more):
     """The program's daemon in this process, on a clock of the test's; gives it and its port."""
     port = closed_port()
     config = read_config_text({
         "name": "n0", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{closed_port()}", "seed": "8c1f",
-        "counter": f"{HOST}:{counter.port}", "known": known(backend.port), "settings": SETTINGS})
-    daemon = Daemon(config, clock)
+        "counter": f"{HOST}:{counter.port}", "known": known(backend.port), "settings": SETTINGS, **more})
+    daemon = Daemon(config, clock, keeper=keeper and keeper(config))
     await daemon.start()
     try:
         yield daemon, port
