Rooms of shares outlive a kill by notes that are never passed; a settled share held too much

A killed ingress began from empty, and a fleet killed at once got a burst anew each time. Now an allowance can note how much room it leaves alone (ledger/reserve.py): at most half of what is there, written down before it counts, and never touched while a note that may be on disk promises it. A pressed random test of kills, lost and landed notes found a fault that was there before: a share that settles more than burst over rate seconds after the life began was given all that its rate had brought meanwhile, 7.6 units over one store of 30.

--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple, Protocol, Union
@@ -360,6 +360,20 @@
     excess: float = 0.0
 
 
+class SavedRoom(NamedTuple):
+    """What one ingress leaves alone of a member's allowance for its next life (`ledger.reserve`).
+
+    `plan`: its number in the settings; `room` in units at Unix time `at`, -inf where it was forgotten.
+    """
+
+    plan: int
+    customer: int
+    first: int
+    width: int
+    room: float
+    at: float
+
+
 class Escrow(Protocol):
     """What holds members to an ingress's own share of their allowance; `roadspur.ledger` is one.
 
@@ -394,6 +408,15 @@
     def leaving(self, now: float) -> list[tuple[int, bytes]]:
         """The last words of an ingress that ends in order, to whom."""
 
+    def keep(self, notes: Iterable[SavedRoom], active: float | None) -> None:
+        """Keep rooms from now on; `notes` of an earlier life that was at work at `active`, None without one."""
+
+    def saved(self, now: float, most: int) -> list[SavedRoom]:
+        """Notes to be written to disk, of allowances that have changed."""
+
+    def landed(self, keys: Iterable[tuple[int, int]]) -> None:
+        """The last notes of these (plan, customer) are on disk."""
+
 
 class CounterOf(Protocol):
     """Where several counters share the names: which of them holds one, by its number. Pure."""
--- a/roadspur/ledger/beginning.py
+++ b/roadspur/ledger/beginning.py
@@ -48,6 +48,7 @@
         self.clean: dict[int, float] = {}  # when a peer told this life that nothing had gone between us; inf: some had
         self.flow_until: dict[int, float] = {}  # end of the last epoch in which shares went between us
         self.known = False              # a peer knew an earlier life of this ingress
+        self.remembered = False         # its own folder knows one, of an epoch that is not over
         self.greeted = -math.inf
 
     def meet(self, now: float, peer: int, life: int) -> bool | None:
@@ -115,5 +116,5 @@
 
     def young(self, members: Iterable[int]) -> bool:
         """Whether this ingress and the others of a set began together, as far as anybody in it knows."""
-        return (not self.known and self.origin >= self.life - JOINT_MS
+        return (not self.known and not self.remembered and self.origin >= self.life - JOINT_MS
                 and all(peer in self.clean for peer in members if peer != self.me))
--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -18,6 +18,8 @@
 gives away; it holds the rest, as the books of its peers have it, once it is settled with each of the set: by their
 greetings where no shares went between them, else by an answer for this allowance. Its room fills from its beginning
 only, since its earlier life may have spent all; a set that begins together has `fresh` units between them besides.
+Where rooms are kept on disk (`keep`), it fills from what a note of the earlier life restores (`reserve`), and `fresh`
+is only for whom the folder knows no earlier life.
 
 Assumed: one clock. Clocks apart by s seconds add s x rate to the second bound. Cost: constant a request.
 """
@@ -27,10 +29,13 @@
 import math
 import struct
 from collections import OrderedDict
+from collections.abc import Iterable
 from itertools import islice
 from typing import NamedTuple
 
+from roadspur import interface as io
 from roadspur.ledger.beginning import HELLO_MARK, Lives
+from roadspur.ledger.reserve import Reserve
 
 WHOLE = 1 << 12   # parts of a share
 GRAIN = 64        # parts of a unit, in which rooms are given
@@ -67,11 +72,14 @@
     """One ingress's part of one member's allowance. Times in seconds of the one clock, room in units."""
 
     __slots__ = ("terms", "set", "next_set", "me", "lives", "epoch", "open", "owed", "gone", "share", "room", "at",
-                 "given", "taken", "wanted", "used", "length")
+                 "given", "taken", "wanted", "used", "length", "reserve")
 
     def __init__(self, terms: Terms, members: tuple[int, ...], me: int, now: float, lives: Lives,
-                 spent: float) -> None:
-        """`spent`: units known to be gone of the whole allowance."""
+                 spent: float, kept: float | None = None) -> None:
+        """`spent`: units known to be gone of the whole allowance.
+
+        `kept`: room that a note of an earlier life restores at this life's beginning; None without a note.
+        """
         self.terms, self.set, self.next_set, self.me, self.at = terms, members, members, me, now
         self.lives, self.length = lives, epoch_length(terms)
         self.epoch = int(now // self.length)
@@ -81,10 +89,12 @@
         self.given: dict[int, tuple[int, int]] = {}
         self.taken: dict[int, tuple[int, int]] = {}
         self.wanted = self.used = now - 2 * self.length
+        self.reserve: Reserve | None = None  # where rooms are kept on disk
         first_whole = int(lives.began // self.length) + 1
         if not terms.strict:
             self.share = self.even()
-            self.room = self.part() * (terms.rate * max(0.0, now - lives.began) + terms.fresh * (not lives.known))
+            fresh = terms.fresh * (not lives.known and kept is None)
+            self.room = self.part() * (terms.rate * max(0.0, now - lives.began) + fresh)
         elif self.epoch < first_whole:
             self.open = {peer for peer in members if peer != me}
             self.share = self.floor() if self.me in members else 0
@@ -96,7 +106,7 @@
             sure = all(lives.settled(peer, first_whole * self.length) for peer in members if peer != me)
             since = lives.began if sure else first_whole * self.length
             self.room = self.part() * (terms.rate * (now - since) + (terms.fresh if lives.young(members) else 0.0))
-        self.room = min(self.room, self.part() * max(0.0, terms.burst - spent), self.cap())
+        self.room = min(self.room + (kept or 0.0), self.part() * max(0.0, terms.burst - spent), self.cap())
 
     def settle(self) -> None:
         """Look whom this ingress has become settled with; settled with all, it holds its share."""
@@ -106,7 +116,9 @@
         own = self.even() - self.floor()
         self.share = min(WHOLE, self.share + max(0, own + self.owed))
         # What was given to it may have filled a peer's room until then: only what it always had fills from the first.
-        self.room += max(0, own - self.gone) / WHOLE * self.terms.rate * max(0.0, self.at - self.lives.began)
+        # A part that has been full since holds no more than its part of the burst.
+        since = max(0.0, self.at - self.lives.began)
+        self.room += max(0, own - self.gone) / WHOLE * min(self.terms.burst, self.terms.rate * since)
         if self.lives.young(self.set):
             self.room += self.part() * self.terms.fresh
         self.room = min(self.room, self.cap())
@@ -150,11 +162,23 @@
         """Let in if there is room."""
         self.turn(now)
         self.used = now
-        if self.room < units:
+        if self.loose(now) < units:
             return False
         self.room -= units
         return True
 
+    def loose(self, now: float) -> float:
+        """Room that no note on disk leaves to another life. A quota without a ceiling is not held to notes."""
+        return self.room - self.reserve.floor(now) if self.reserve is not None and self.terms.strict else self.room
+
+    def note(self, now: float) -> float:
+        """What is to be kept of the room from now on; it is spoken for until a lower note has landed."""
+        self.turn(now)
+        if self.reserve is None:
+            sure = self.floor() / WHOLE
+            self.reserve = Reserve(sure * self.terms.rate, sure * self.terms.burst, self.terms.ahead)
+        return self.reserve.note(now, self.room if self.me in self.set else 0.0)
+
     def spend(self, now: float, units: float) -> None:
         """What was let in on another's word counts here too; not without end."""
         self.turn(now)
@@ -181,7 +205,8 @@
         own = self.even() - self.floor() - out - (told[0] - taken)
         wish = spare if leaving else max(spare // 2, taken - told[0])
         share = max(0, min(0xffff - told[0], wish, spare, own))
-        room = max(0.0, min(self.room if idle else self.room / 2, wanted))
+        loose = self.loose(now)
+        room = max(0.0, min(loose if idle else loose / 2, wanted))
         grains = min(0xffff - told[1], int(room * GRAIN))
         if share or grains:
             self.share -= share
@@ -246,6 +271,63 @@
         self.allowances = OrderedDict[tuple[int, int], Allowance]()
         self.kept = 3 * longest
         self.wants: dict[tuple[int, int], float] = {}
+        self.changed: dict[tuple[int, int], None] | None = None  # since they were last noted; None: nothing is kept
+        self.notes: dict[tuple[int, int], io.SavedRoom] = {}  # of the earlier life, not asked for yet
+        self.forgotten: dict[tuple[int, int], Reserve] = {}  # whose notes may still be on disk
+
+    def keep(self, notes: Iterable[io.SavedRoom], active: float | None) -> None:
+        """Keep rooms from now on, and begin with those of an earlier life. Before anything is asked.
+
+        `active`: until when that life may have been at work, None where there was none.
+        """
+        self.changed = {}
+        longest = self.kept / 3
+        if active is None or active <= self.lives.began - longest:
+            return  # every epoch that it was in is over
+        self.lives.remembered = True
+        self.notes = {(n.plan, n.customer): n for n in notes if n.plan < len(self.plans)}
+
+    def remembered(self, key: tuple[int, int], terms: Terms, members: tuple[int, ...]) -> float | None:
+        """The room that an earlier life's note restores at this one's beginning; of another set's nothing."""
+        note = self.notes.pop(key, None)
+        if note is None:
+            return None
+        if members != tuple((note.first + n) % self.instances for n in range(note.width)) or self.me not in members:
+            return 0.0
+        sure = max(1, int(KEEP * (WHOLE // len(members)))) / WHOLE
+        reserve = Reserve(sure * terms.rate, sure * terms.burst, terms.ahead)
+        return reserve.restored((note.room, note.at), self.lives.began)
+
+    def touched(self, key: tuple[int, int]) -> None:
+        """Its room has changed: a new note is due, where notes are kept."""
+        if self.changed is not None:
+            self.changed[key] = None
+
+    def saved(self, now: float, most: int) -> list[io.SavedRoom]:
+        """Notes of allowances that have changed, `most` at once, each one at a time: until `landed`, no other."""
+        out: list[io.SavedRoom] = []
+        waiting: list[tuple[int, int]] = []
+        for key in list(islice(self.changed or (), most)):
+            del self.changed[key]  # type: ignore[union-attr]  # not empty
+            a = self.allowances.get(key)
+            if a is None:
+                out.append(io.SavedRoom(*key, 0, 1, 0.0, -math.inf))
+            elif a.reserve is not None and a.reserve.written is not None:
+                waiting.append(key)
+            else:
+                out.append(io.SavedRoom(*key, a.next_set[0], len(a.next_set), a.note(now), a.at))
+        for key in waiting:
+            self.touched(key)
+        return out
+
+    def landed(self, keys: Iterable[tuple[int, int]]) -> None:
+        """The notes that were last given of these are on disk."""
+        for key in keys:
+            a = self.allowances.get(key)
+            if a is None:
+                self.forgotten.pop(key, None)
+            elif a.reserve is not None:
+                a.reserve.landed()
 
     def of(self, now: float, plan: int, customer: int, first: int, width: int, spent: float) -> Allowance | None:
         """A member's allowance, None where its plan has none. Another set than before counts from the next epoch."""
@@ -255,12 +337,18 @@
         members = tuple((first + n) % self.instances for n in range(width))
         found = self.allowances.get((plan, customer))
         if found is None:
-            found = self.allowances[plan, customer] = Allowance(terms, members, self.me, now, self.lives, spent)
+            kept = self.remembered((plan, customer), terms, members) if self.notes else None
+            found = self.allowances[plan, customer] = Allowance(terms, members, self.me, now, self.lives, spent, kept)
+            found.reserve = self.forgotten.pop((plan, customer), None)
         found.next_set = members
         found.turn(now)  # touched before what is old is swept: it must not sweep itself
         self.allowances.move_to_end((plan, customer))
         while next(iter(self.allowances.values())).at < now - self.kept:
-            self.allowances.popitem(last=False)
+            key, idle = self.allowances.popitem(last=False)
+            if idle.reserve is not None:
+                self.forgotten[key] = idle.reserve
+                self.touched(key)
+        self.touched((plan, customer))
         return found
 
     def take(self, now: float, plan: int, customer: int, first: int, width: int, units: float, spent: float) -> bool:
@@ -282,6 +370,7 @@
         a = self.allowances.get((plan, customer))
         if a is not None:
             a.spend(now, units)
+            self.touched((plan, customer))
 
     def head(self, mark: bytes) -> bytes:
         return mark + self.lives.life.to_bytes(HEAD - 1)
@@ -374,6 +463,7 @@
                 continue
             heir = heirs[key[1] % len(heirs)]
             told = a.give(now, heir, leaving=True)
+            self.touched(key)
             if told is not None:
                 rows[heir].append(self.row(key, *told))
         out = []
