The state folder keeps rooms, learned speeds, ejections and the last list of servers

A killed ingress knew its members again and nothing else: a fleet killed together in an outage had its ceilings anew each time, and a start without discovery had no servers. The folder now holds rooms that were left alone, what was learned of backends (aged by rules of their own) and the list; units on their way to the count at the kill are in doubt, and the next total of the window tells.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -40,7 +40,7 @@
                 w = World(1, 2)
                 keeper = Keeper(StateOptions(folder, sync), "n0", told(0), 1e9)
                 gateway = w.gateways[0]
-                keeper.begin(gateway, w.now, Never())
+                keeper.begin(gateway, lambda: 5000.0, Never())
                 for m in range(members):
                     gateway.sharing.admit(w.now, gateway.sharing.meet(w.now, m, gateway.sharing.plans["plus"]), 2.0)
                 began, pauses = time.perf_counter(), list[float]()
@@ -56,7 +56,7 @@
                 pauses.sort()
                 at = time.perf_counter()
                 again = Keeper(StateOptions(folder, sync), "n0", told(0), 1e9)
-                _, found = again.begin(World(2, 2).gateways[0], w.now, Never())
+                _, found = again.begin(World(2, 2).gateways[0], lambda: 5000.0, Never())
                 ready = time.perf_counter() - at
                 assert len(found.members) == members
                 again.close()
--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -49,10 +49,12 @@
         from roadspur.state.store import BadState
     except ImportError as error:
         raise BadConfiguration(f"--state needs the extra 'state': {error}") from error
+    from roadspur.assembly import room_terms
     from roadspur.policy.sharing import kept_for
 
     try:
-        return Keeper(read_options(path), config.name, config.settings, kept_for(config.settings))
+        return Keeper(read_options(path), config.name, config.settings, kept_for(config.settings),
+                      room_terms(config.settings))
     except (ValueError, BadState) as error:
         raise BadConfiguration(str(error)) from error
 
--- a/roadspur/assembly.py
+++ b/roadspur/assembly.py
@@ -23,6 +23,12 @@
     return Terms(plan.rate, plan.burst, most, fresh_room(plan), strict=False, ahead=most)
 
 
+def room_terms(settings: io.Settings) -> dict[str, tuple[float, float]]:
+    """Rate and burst of what rooms are noted of, by plan: under others a note says nothing."""
+    found = {p.name: terms_of(p, settings.max_units) for p in settings.plans}
+    return {name: (terms.rate, terms.burst) for name, terms in found.items() if terms is not None}
+
+
 def make_ledger(settings: io.Settings, now: float) -> Ledger | None:
     """Escrowed shares of ceilings, and of quotas where there is none; None where ingresses cannot tell each other.
 
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -358,6 +358,42 @@
     heard: float = 0.0
     heard_in: int = -1
     excess: float = 0.0
+    doubt: float = 0.0  # of `pending`: added to the count of the window `doubted`, or not
+    doubted: int = -1
+
+
+class LearnedClass(NamedTuple):
+    """Usual time of a class's answers in seconds, and as it was when nothing was pressed; its line over units."""
+
+    latency: float
+    base: float
+    seen: int = 0
+    units: float = 0.0
+    time: float = 0.0
+    spread: float = 0.0
+    both: float = 0.0
+
+
+class LearnedBackend(NamedTuple):
+    """What an ingress knows of one backend's process, that was born at `born`."""
+
+    born: float
+    ratio: float
+    errors: float
+    proof: float
+    resting: float
+    trial: bool
+
+
+class Learned(NamedTuple):
+    """What an ingress had learned of its backends by a time: speeds, ejections, how many attempts may be out."""
+
+    at: float
+    slots: float
+    usable: int
+    rate: float
+    classes: dict[str, LearnedClass]
+    backends: dict[str, LearnedBackend]
 
 
 class SavedRoom(NamedTuple):
@@ -414,6 +450,9 @@
     def saved(self, now: float, most: int) -> list[SavedRoom]:
         """Notes to be written to disk, of allowances that have changed."""
 
+    def lost(self, key: tuple[int, int]) -> None:
+        """The last note of this (plan, customer) will never be on disk."""
+
     def landed(self, keys: Iterable[tuple[int, int]]) -> None:
         """The last notes of these (plan, customer) are on disk."""
 
--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -320,6 +320,13 @@
             self.touched(key)
         return out
 
+    def lost(self, key: tuple[int, int]) -> None:
+        """The note that was last given of it could not be handed over; another one will be due."""
+        a = self.allowances.get(key)
+        if a is not None and a.reserve is not None:
+            a.reserve.lost()
+        self.touched(key)
+
     def landed(self, keys: Iterable[tuple[int, int]]) -> None:
         """The notes that were last given of these are on disk."""
         for key in keys:
--- a/roadspur/ledger/reserve.py
+++ b/roadspur/ledger/reserve.py
@@ -47,6 +47,10 @@
         self.written = (v, now)
         return v
 
+    def lost(self) -> None:
+        """The last note was not handed over: it will never be on disk."""
+        self.written = None
+
     def landed(self) -> None:
         """The last note is on disk; the one before it is not any more."""
         if self.written is not None:
--- a/roadspur/net/daemon.py
+++ b/roadspur/net/daemon.py
@@ -9,21 +9,23 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from roadspur import interface as io
 from roadspur.assembly import make_gateway
 from roadspur.core.ports import Scheduler
 from roadspur.ledger.placement import Placement
 from roadspur.net.config import Config
-from roadspur.net.discovery import Discovery
+from roadspur.net.discovery import Discovery, Listing
 from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress
 from roadspur.net.server import Server
-from roadspur.net.upstream import Upstream
+from roadspur.net.upstream import Endpoint, Upstream
 from roadspur.services.counter import Counter
 from roadspur.services.counters import Counters
 from roadspur.services.peers import Peers
 
 if TYPE_CHECKING:  # imported only where a state folder is given
     from roadspur.state.keeper import Keeper
+    from roadspur.state.records import Listed, Place
 
 log = logging.getLogger("roadspur")
 
@@ -48,6 +50,7 @@
                                scheduler)
         self.server = Server(loop, self.ingress, self.share)
         self.discovery: Discovery | None = None
+        self.version = config.known.version if config.known else 0  # of the list of backends
         self.counter: Counter | Counters | None = None
         self.peers: Peers | None = None
 
@@ -55,7 +58,8 @@
         """Open everything, clients' door last. OSError where an address cannot be had."""
         config, ingress, driver = self.config, self.ingress, self.ingress.driver
         if self.keeper is not None:
-            self.keeper.begin(self.gateway, self.clock(), self.loop)
+            self.keeper.places = self.places
+            self.keeper.begin(self.gateway, self.clock, self.loop)
         if self.placement is not None:
             driver.counter = self.counter = Counters(self.loop, self.placement, config.settings.counter_timeout,
                                                      ingress.submit, driver.scheduler.time)
@@ -67,14 +71,31 @@
             peers = Peers(config.peers, config.peers_all, config.settings.me, ingress.submit)
             await self.loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             driver.peers = self.peers = peers
-        if config.known is not None:
+        kept = self.keeper.list if self.keeper is not None else None
+        if kept is not None and (config.known is None or kept.version > config.known.version):
+            ingress.listed(listing_of(kept), saved=True)
+        elif config.known is not None:
             ingress.listed(config.known, saved=True)
         self.discovery = Discovery(self.loop, config.discovery,
-                                   config.known.version if config.known else 0, ingress.listed)
+                                   config.known.version if config.known else 0, self.listed)
         await self.server.listen(*config.listen)
         log.info("%s serves on %s:%d", config.name, *config.listen)
         gc.freeze()  # what start-up made is never garbage
 
+    def listed(self, listing: Listing) -> None:
+        """Discovery's word: its version goes with the list that is kept."""
+        self.ingress.listed(listing)
+        self.version = listing.version
+
+    def places(self) -> tuple[int, tuple[Place, ...]]:
+        """The list of backends as it stands, to be kept."""
+        from roadspur.state.records import Place
+
+        entries = [b.entry for b in self.gateway.fleet.backends.values() if b.entry.backend in self.upstream.pools]
+        return self.version, tuple(
+            Place(e.backend, e.phase.value, e.weight, e.kind, e.cell, e.born, e.zone,
+                  *self.upstream.pools[e.backend].endpoint.address) for e in entries)
+
     def reload(self, new: Config, placement: Placement | None = None) -> None:
         """Follow discovery and the counter to where the file says now; all else takes a restart."""
         if self.discovery is not None:
@@ -109,3 +130,10 @@
         self.upstream.close()
         if self.keeper is not None:
             self.keeper.close()
+
+
+def listing_of(kept: Listed) -> Listing:
+    """A kept list of backends, as discovery would have told it."""
+    return Listing(kept.version, True, tuple(
+        (io.BackendEntry(p.name, io.Phase(p.phase), p.weight, p.kind, p.cell, p.born, p.zone),
+         Endpoint((p.host, p.port), p.born)) for p in kept.places))
--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -85,6 +85,8 @@
         self.shy = dict.fromkeys((*self.classes, *(p.name for p in settings.plans)), 0.0)
         self.sharers = 1 if settings.own_backends else settings.instances  # who send to these backends
         self.usable, self.rate, self.rate_at = 0, 0.0, now  # attempts a second to one warm backend
+        self.each = SLOTS / self.sharers  # slots a backend to begin with
+        self.past: dict[str, io.LearnedBackend] = {}  # of an earlier life, for backends that the list has yet to name
 
     def free(self, now: float) -> bool:
         """Whether the concurrency limit allows one more attempt."""
@@ -227,6 +229,9 @@
                 new = self.backends[entry.backend] = Backend(entry, now, self.rng.random())
                 if known is not None:
                     new.out, new.work, new.aside = known.out, known.work, known.aside
+                past = self.past.pop(entry.backend, None)
+                if past is not None and past.born == entry.born:
+                    new.ratio, new.errors, new.proof, new.resting, new.trial = past[1:]
                 known = new
             known.entry, known.usable = entry, entry.phase is io.Phase.RUNNING
         if e.kind is not io.ListKind.CHANGE:
@@ -235,4 +240,24 @@
         self.backends = {n: b for n, b in self.backends.items()  # gone, and nothing of ours out there
                          if b.out or b.entry.phase is not io.Phase.DELETED}
         self.usable = sum(b.usable for b in self.backends.values())
-        self.slots = self.slots or max(2.0, SLOTS * self.usable / self.sharers)
+        self.slots = self.slots or max(2.0, self.each * self.usable)
+
+    def learned(self, now: float) -> io.Learned:
+        """What another life of this ingress can go on from. Costs a look at each backend."""
+        classes = {n: io.LearnedClass(self.latency[n], self.base[n], w.seen, w.units, w.time, w.spread, w.both)
+                   for n, w in self.work.items()}
+        return io.Learned(now, self.slots, self.usable, self.rate, classes, {
+            n: io.LearnedBackend(b.entry.born, b.ratio, b.errors, b.proof, b.resting, b.trial)
+            for n, b in self.backends.items() if b.usable})
+
+    def relearn(self, now: float, past: io.Learned) -> None:
+        """Go on from there. Before any list."""
+        for name, c in past.classes.items():
+            if name in self.work:
+                self.latency[name] = c.latency
+                self.base[name] = min(c.base, AIM_PART * self.classes[name].objective)
+                w = self.work[name]
+                w.seen, w.units, w.time, w.spread, w.both = c[2:]
+        self.past, self.rate, self.rate_at = dict(past.backends), past.rate, now
+        if past.slots > 0 and past.usable > 0:
+            self.each = past.slots / past.usable
--- a/roadspur/policy/gateway.py
+++ b/roadspur/policy/gateway.py
@@ -41,7 +41,7 @@
         self.fleet = Fleet(settings, rng, self.acts, now)
         self.attempts = Attempts(settings, self.fleet, self.sharing, self.acts)
         self.admission = Admission(settings, rng, self.sharing, self.fleet, self.attempts, self.acts)
-        self.begun = False
+        self.begun, self.escrow = False, self.sharing.escrow
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.admission.request, io.CounterReply: self.admission.counted,
             io.AttemptEnded: self.attempts.ended, io.ListUpdate: self.fleet.listed,
@@ -79,9 +79,11 @@
             return min(c.room(now), c.carried(now)) - c.flying  # as the next total will find it
         return c.room(now) - c.flying
 
-    def restore(self, now: float, members: Iterable[io.SavedMember]) -> None:
+    def restore(self, now: float, members: Iterable[io.SavedMember], learned: io.Learned | None = None) -> None:
         """Put back what an earlier life knew, and follow what changes from now on. Before any event."""
         self.sharing.changed = {}
+        if learned is not None:
+            self.fleet.relearn(now, learned)
         for m in members:
             self.sharing.meet(now, m.key, self.sharing.plans[m.plan]).restore(m)
 
--- a/roadspur/policy/store.py
+++ b/roadspur/policy/store.py
@@ -73,9 +73,10 @@
     def saved(self) -> io.SavedMember:
         """What of it can be put back in another life; what is on its way to the count may not have come."""
         window = self.window if self.known else -1
+        doubt = (self.doubt if self.doubted == self.named else 0.0) + self.owing
         return io.SavedMember(self.key, self.plan.name, self.level, self.at, window, self.told,
                               self.pending + self.owing, self.mine, dict(self.theirs), self.heard, self.heard_in,
-                              self.excess)
+                              self.excess, doubt, self.named)
 
     def restore(self, s: io.SavedMember) -> None:
         """Put back what another life knew: a peer's level does not stand in for it any more."""
@@ -83,6 +84,7 @@
         self.mine = self.mine_told = s.mine
         self.theirs, self.vouched = dict(s.theirs), True
         self.heard, self.heard_in, self.excess, self.excess_at = s.heard, s.heard_in, s.excess, self.born
+        self.doubt, self.doubted = s.doubt, s.doubted  # the next total may tell
 
     def use(self, now: float, units: float) -> None:
         """Units were let in."""
--- a/roadspur/state/keeper.py
+++ b/roadspur/state/keeper.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from roadspur import interface as io
 from roadspur.state.options import StateOptions
-from roadspur.state.records import Life, Member, pack
-from roadspur.state.recovery import Recovered, recover
-from roadspur.state.store import Store
+from roadspur.state.records import Life, Listed, Member, Place, Room, pack
+from roadspur.state.recovery import Recovered, active_until, recover, still_learned, still_listed, still_there
+from roadspur.state.store import LEARNED, LISTED, Store
 from roadspur.state.writer import Writer
 
 log = logging.getLogger(__name__)
 
 PORTION = 300  # members packed at a time: about 2 ms of the loop
+FACTS_S = 2.0  # between looks at what was learned of backends, and at the list
 CLOSE_S = 2.0  # for the last commit
 
 
@@ -29,10 +31,22 @@
     def call_later(self, delay: float, callback: Callable[[], None]) -> Timer: ...
 
 
+class Known(Protocol):
+    """What the keeper asks of the decisions on backends."""
+
+    def learned(self, now: float) -> io.Learned: ...
+
+
 class Decisions(Protocol):
     """What the keeper asks of the decision module."""
 
-    def restore(self, now: float, members: list[io.SavedMember]) -> None: ...
+    @property
+    def escrow(self) -> io.Escrow | None: ...
+
+    @property
+    def fleet(self) -> Known: ...
+
+    def restore(self, now: float, members: Iterable[io.SavedMember], learned: io.Learned | None) -> None: ...
 
     def saved(self, most: int) -> list[io.SavedMember]: ...
 
@@ -40,42 +54,91 @@
 class Keeper:
     """The state of the ingress `name`. BadState where its folder cannot be used."""
 
-    def __init__(self, options: StateOptions, name: str, settings: io.Settings, kept: float) -> None:
-        """`kept`: seconds after which the decisions forget a quiet member."""
-        self.options, self.name, self.kept = options, name, kept
+    def __init__(self, options: StateOptions, name: str, settings: io.Settings, kept: float,
+                 terms: dict[str, tuple[float, float]] | None = None) -> None:
+        """`kept`: seconds after which the decisions forget a quiet member; `terms`: rate and burst that rooms are of,
+        by plan."""
+        self.options, self.name, self.kept, self.terms = options, name, kept, terms or {}
         self.plans = {p.name: p for p in settings.plans}
+        self.names = list(self.plans)
         self.store = Store(options.folder, name, options.sync, options.most_mb)
         self.gateway: Decisions | None = None
         self.writer: Writer | None = None
         self.timer: Timer | None = None
-
-    def begin(self, gateway: Decisions, now: float, later: Later) -> tuple[Life, Recovered]:
-        """Put back what was kept, note that this life begins, and keep what changes from now on."""
-        found = recover(now, self.store.members(), self.plans, self.kept, self.store.twin)
-        gateway.restore(now, found.members)
-        life = self.store.begin(self.name, now)
-        if self.store.twin:
-            log.warning("state: %s is a copy: what its original had not written back is left out", self.store.folder)
-        log.info("state: life %d, %d members put back, %d records spoilt%s", life.number, len(found.members),
-                 self.store.spoilt, "".join(f", {n} {why}" for why, n in found.left_out.items()))
-        self.gateway, self.later = gateway, later
-        self.writer = Writer(self.store, self.options.commit_ms / 1000)
+        self.list: Listed | None = None  # the last one of an earlier life
+        self.places: Callable[[], tuple[int, tuple[Place, ...]]] | None = None  # the present list, where it is kept
+        self.notes = deque[tuple[int, list[tuple[int, int]]]]()  # rooms on their way: records to be on disk by then
+        self.facts_at = 0.0
+
+    def begin(self, gateway: Decisions, clock: Callable[[], float], later: Later) -> tuple[Life, Recovered]:
+        """Put back what was kept, note that this life begins, and keep what changes from now on.
+
+        `clock` gives Unix time in seconds.
+        """
+        now, store = clock(), self.store
+        found = recover(now, store.members(), self.plans, self.kept, store.twin)
+        gateway.restore(now, found.members, still_learned(now, store.learned()))
+        rooms = still_there(store.rooms(), self.plans, self.terms, store.twin)
+        if gateway.escrow is not None:
+            gateway.escrow.keep(rooms, active_until(now, store.before))
+        self.list = still_listed(now, store.listed())
+        life = store.begin(self.name, now)
+        if store.twin:
+            log.warning("state: %s is a copy: what its original had not written back is left out", store.folder)
+        log.info("state: life %d, %d members put back, %d rooms, %d records spoilt%s", life.number, len(found.members),
+                 len(rooms), store.spoilt, "".join(f", {n} {why}" for why, n in found.left_out.items()))
+        self.gateway, self.clock, self.later = gateway, clock, later
+        self.writer = Writer(store, self.options.commit_ms / 1000)
         self.timer = later.call_later(self.options.commit_ms / 1000, self.portion)
         return life, found
 
     def portion(self) -> None:
         """Hand over what has changed; what is left follows at once, after the loop has had its turn."""
         members = self.hand_over(PORTION)
-        wait = 0.0 if members == PORTION else self.options.commit_ms / 1000
+        wait = 0.0 if members >= PORTION else self.options.commit_ms / 1000
         self.timer = self.later.call_later(wait, self.portion)
 
     def hand_over(self, most: int) -> int:
+        """Members, rooms and, now and then, facts; how many records there were."""
         assert self.gateway is not None and self.writer is not None
         members = self.gateway.saved(most)
         for m in members:
             plan = self.plans[m.plan]
-            self.writer.put(m.key, pack(Member(m.key, m.plan, plan.rate, plan.burst, *m[2:])))
-        return len(members)
+            self.writer.put(("member", m.key), pack(Member(m.key, m.plan, plan.rate, plan.burst, *m[2:])))
+        count = len(members) + self.rooms(most)
+        now = self.clock()
+        if not 0 <= now - self.facts_at < FACTS_S:
+            self.facts_at = now
+            self.facts(now)
+        return count
+
+    def rooms(self, most: int) -> int:
+        """Tell the escrow which notes are on disk, and hand over those that are due."""
+        assert self.gateway is not None and self.writer is not None
+        escrow, writer = self.gateway.escrow, self.writer
+        if escrow is None:
+            return 0
+        while self.notes and self.notes[0][0] <= writer.committed:
+            escrow.landed(self.notes.popleft()[1])
+        keys: list[tuple[int, int]] = []
+        for r in escrow.saved(self.clock(), most):
+            name = self.names[r.plan]
+            rate, burst = self.terms.get(name, (0.0, 0.0))
+            body = pack(Room(name, r.customer, r.first, r.width, rate, burst, r.room, r.at)) if r.at > 0 else None
+            if writer.put(("room", r.customer << 7 | r.plan), body):
+                keys.append((r.plan, r.customer))
+            else:
+                escrow.lost((r.plan, r.customer))
+        if keys:
+            self.notes.append((writer.handed, keys))
+        return len(keys)
+
+    def facts(self, now: float) -> None:
+        """What was learned of backends, and the list of them."""
+        assert self.gateway is not None and self.writer is not None
+        self.writer.put(LEARNED, pack(self.gateway.fleet.learned(now)))
+        if self.places is not None:
+            self.writer.put(LISTED, pack(Listed(now, *self.places())))
 
     def close(self) -> bool:
         """Keep all that has changed and let the folder go. False where the disk did not take it in time."""
@@ -87,6 +150,8 @@
                 pass
             done = self.writer.close(CLOSE_S)
             if not done:
-                log.error("state: %d members were not committed", len(self.writer.waiting))
+                log.error("state: %d records were not committed", len(self.writer.waiting))
+            else:
+                self.store.end(self.clock())
         self.store.close()
         return done
--- a/roadspur/state/store.py
+++ b/roadspur/state/store.py
@@ -12,14 +12,33 @@
 import fcntl
 import os
 import sqlite3
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
-
-from roadspur.state.records import FORMAT, BadRecord, Life, Member, pack, read_life, read_member
+from typing import Literal, TypeVar
+
+from roadspur import interface as io
+from roadspur.state.records import (
+    FORMAT,
+    BadRecord,
+    Life,
+    Listed,
+    Member,
+    Room,
+    pack,
+    read_learned,
+    read_life,
+    read_listed,
+    read_member,
+    read_room,
+)
 
 SYNCS = ("off", "normal", "full")
 PAGE = 4096
 FILE, LOCK = "state.db", "lock"
+Slot = tuple[Literal["member", "room", "fact"], int]  # table and key of a record
+LEARNED: Slot = ("fact", 1)
+LISTED: Slot = ("fact", 2)
+T = TypeVar("T")
 
 
 class BadState(Exception):
@@ -59,8 +78,10 @@
         self.db.execute(f"PRAGMA synchronous={sync}")
         self.db.execute(f"PRAGMA max_page_count={max(16, int(most_mb * 1024 * 1024 / PAGE))}")
         self.db.execute("CREATE TABLE IF NOT EXISTS life (number INTEGER PRIMARY KEY, body BLOB)")
-        self.db.execute("CREATE TABLE IF NOT EXISTS member (key INTEGER PRIMARY KEY, body BLOB)")
+        for table in ("member", "room", "fact"):
+            self.db.execute(f"CREATE TABLE IF NOT EXISTS {table} (key INTEGER PRIMARY KEY, body BLOB)")
         self.spoilt = 0  # records that could not be read
+        self.life: Life | None = None  # that has begun here
         self.before = self._last_life()
         if self.before is not None and self.before.format > FORMAT:
             raise BadState(f"{path}: format {self.before.format}, this program reads up to {FORMAT}")
@@ -79,31 +100,59 @@
         return None
 
     def begin(self, name: str, now: float) -> Life:
-        """Note that a life begins: by number and by time after all before, whatever the clock says."""
+        """Note that a life begins: by number and by time after all before, whatever the clock says.
+
+        Its predecessor's rooms go in the same commit: this life may spend them, and none after it may count on them.
+        """
         last = self.before
         number = (last.number if last else 0) + self.spoilt + 1
         life = Life(name, number, max(now, last.began + 0.001 if last else now), self.inode)
-        self.db.execute("INSERT OR REPLACE INTO life VALUES (?, ?)", (number, pack(life)))
-        self.db.execute("DELETE FROM life WHERE number < ?", (number - 8,))
+        self._all_or_nothing([("INSERT OR REPLACE INTO life VALUES (?, ?)", (number, pack(life))),
+                              ("DELETE FROM life WHERE number < ?", (number - 8,)), ("DELETE FROM room", ())])
+        self.life = life
         return life
 
-    def members(self) -> Iterator[Member]:
-        """All that can be read; the rest is counted in `spoilt`."""
-        for (body,) in self.db.execute("SELECT body FROM member"):
+    def end(self, now: float) -> None:
+        """Note that the life has ended in order, with all of its changes committed."""
+        life = self.life
+        if life is not None:
+            ended = Life(life.name, life.number, life.began, life.inode, life.format, max(now, life.began))
+            self._all_or_nothing([("INSERT OR REPLACE INTO life VALUES (?, ?)", (life.number, pack(ended)))])
+
+    def _readable(self, table: str, read: Callable[[bytes], T]) -> Iterator[T]:
+        for (body,) in self.db.execute(f"SELECT body FROM {table}"):
             try:
-                yield read_member(body)
+                yield read(body)
             except BadRecord:
                 self.spoilt += 1
 
-    def commit(self, bodies: Iterable[tuple[int, bytes | None]]) -> None:
+    def members(self) -> Iterator[Member]:
+        """All that can be read; the rest is counted in `spoilt`."""
+        return self._readable("member", read_member)
+
+    def rooms(self) -> Iterator[Room]:
+        """All that can be read; the rest is counted in `spoilt`. Before `begin`."""
+        return self._readable("room", read_room)
+
+    def learned(self) -> io.Learned | None:
+        """What an earlier life had learned; None where there is nothing to be read."""
+        return next(self._readable(f"fact WHERE key = {LEARNED[1]}", read_learned), None)
+
+    def listed(self) -> Listed | None:
+        """The last list of servers; None where there is nothing to be read."""
+        return next(self._readable(f"fact WHERE key = {LISTED[1]}", read_listed), None)
+
+    def commit(self, bodies: Iterable[tuple[Slot, bytes | None]]) -> None:
         """Write records, or delete those of None, all or nothing. sqlite3.Error where the disk will not take them."""
+        self._all_or_nothing(
+            (f"DELETE FROM {table} WHERE key = ?", (key,)) if body is None else
+            (f"INSERT OR REPLACE INTO {table} VALUES (?, ?)", (key, body)) for (table, key), body in bodies)
+
+    def _all_or_nothing(self, steps: Iterable[tuple[str, tuple[object, ...]]]) -> None:
         self.db.execute("BEGIN IMMEDIATE")
         try:
-            for key, body in bodies:
-                if body is None:
-                    self.db.execute("DELETE FROM member WHERE key = ?", (key,))
-                else:
-                    self.db.execute("INSERT OR REPLACE INTO member VALUES (?, ?)", (key, body))
+            for statement, values in steps:
+                self.db.execute(statement, values)
             self.db.execute("COMMIT")
         except BaseException:
             if self.db.in_transaction:
--- a/roadspur/state/writer.py
+++ b/roadspur/state/writer.py
@@ -1,7 +1,7 @@
 """Commits what changed from a thread of its own, in groups: the event loop hands over and never waits.
 
-Guaranteed: what was handed over is committed, in the order of commits, the latest record of a member only; what a
-commit that failed held is tried again, behind what came since. Bounded: `most` members wait at a time; beyond that a
+Guaranteed: what was handed over is committed, in the order of commits, the latest record of a slot only; what a
+commit that failed held is tried again, behind what came since. Bounded: `most` records wait at a time; beyond that a
 further one is turned away and counted, and its next change brings it again.
 """
 
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from roadspur.state.store import Slot
+
 log = logging.getLogger(__name__)
 
 RETRY_S = (0.1, 5.0)  # between tries of a commit that failed: at first, and at most
@@ -22,7 +24,7 @@
 class Commits(Protocol):
     """What the writer writes to."""
 
-    def commit(self, bodies: Iterable[tuple[int, bytes | None]]) -> None: ...
+    def commit(self, bodies: Iterable[tuple[Slot, bytes | None]]) -> None: ...
 
 
 class Writer:
@@ -31,21 +33,23 @@
     def __init__(self, store: Commits, every: float = 0.05, most: int = 200_000,
                  clock: Callable[[], float] = time.monotonic) -> None:
         self.store, self.every, self.most, self.clock = store, every, most, clock
-        self.waiting: dict[int, bytes | None] = {}
+        self.waiting: dict[Slot, bytes | None] = {}
         self.commits = self.failures = self.turned_away = 0
+        self.handed = self.committed = 0  # records handed over so far; how many of the first of them are on disk
         self.since: float | None = None  # when the oldest change that is not committed was handed over
         self.busy = self.stopped = False
         self.changed = threading.Condition()
         self.thread = threading.Thread(target=self._run, name="state", daemon=True)
         self.thread.start()
 
-    def put(self, key: int, body: bytes | None) -> bool:
-        """Hand over a member's record, None to forget it. False where too many wait. Costs a lock and an entry."""
+    def put(self, key: Slot, body: bytes | None) -> bool:
+        """Hand over a record, None to forget it. False where too many wait. Costs a lock and an entry."""
         with self.changed:
             if key not in self.waiting and len(self.waiting) >= self.most:
                 self.turned_away += 1
                 return False
             self.waiting[key] = body
+            self.handed += 1
             if self.since is None:
                 self.since = self.clock()
                 self.changed.notify_all()
@@ -80,6 +84,7 @@
             time.sleep(self.every)  # others join the group
             with self.changed:
                 batch, self.waiting, self.busy = self.waiting, {}, True
+                up_to = self.handed
                 began, self.since = self.since, None
             try:
                 self.store.commit(batch.items())
@@ -90,6 +95,7 @@
                 self.busy = False
                 if failed is None:
                     self.commits += 1
+                    self.committed = up_to
                 else:
                     self.failures += 1
                     self.waiting = {**batch, **self.waiting}
--- a/tests/ledger/world.py
+++ b/tests/ledger/world.py
@@ -97,7 +97,7 @@
         self.ceilings: dict[tuple[str, int], Store] = {}
         self.asked = self.served = self.fair = self.fair_served = 0
         self.ideal: dict[tuple[str, int], Store] = {}
-        self.units: dict[str, float] = {}
+        self.let = 0.0  # units that came to the servers
         self.requests: dict[str, io.Request] = {}
         self.began: dict[str, float] = {}  # of requests not decided on yet
         self.room_for: set[str] = set()  # requests that came with half of the quota unused, until they are sent on
@@ -145,9 +145,13 @@
         self.life[n] += 1
         self.gateways[n] = make_gateway(settings(n, self.instances), self.rng.getrandbits(32),
                                         self.now + self.skews[n], self.placement)
+        self.remind(n)
         self.give(n, io.ListUpdate(io.ListKind.SAVED, 1, tuple(
             io.BackendEntry(f"b{i}", io.Phase.RUNNING) for i in range(10))))
 
+    def remind(self, n: int) -> None:
+        """An ingress has been made, and nothing has happened to it yet: what it is to know of an earlier life."""
+
     def give(self, n: int, event: io.Event, life: int | None = None) -> None:
         if self.gateways[n] is None or (life is not None and life != self.life[n]):
             return
@@ -216,6 +220,7 @@
     def let_in(self, r: io.Request) -> None:
         p = PLUS if r.plan == "plus" else BASIC
         self.served += 1
+        self.let += r.units
         self.room_for.discard(r.id)
         self.quotas.setdefault((r.plan, r.customer), Store(p.rate, p.burst)).pour(self.now, r.units)
         if p.ceiling_rate:
--- /dev/null
+++ b/tests/state/test_crash_points.py
@@ -0,0 +1,96 @@
+"""Killed between any two steps of its work: charge, send, answer, note and write-back, each point once.
+
+One ingress in scripted time, its records committed right behind each decision (before what it calls for is carried
+out) or right behind what was carried out. What the counter holds in the end is held against what came to the servers.
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from tests.ledger.world import BASIC, World
+
+UNITS = 4.0   # of the largest request
+
+
+class Crashing(World):
+    """One ingress of two that is killed at its step number `at`, and back a tenth of a second later."""
+
+    def __init__(self, at: int, early: bool, keep: bool = True) -> None:
+        self.crash_at, self.early, self.keep = at, early, keep
+        self.steps, self.disk, self.done = itertools.count(), {}, ""
+        super().__init__(5, 2)
+
+    def remind(self, n):
+        if n == 0:
+            self.gateways[0].restore(self.now, self.disk.values() if self.keep else [])
+
+    def commit(self):
+        if self.gateways[0] is not None:
+            self.disk |= {m.key: m for m in self.gateways[0].saved(1000)}
+
+    def give(self, n, event, life=None):
+        if n or self.gateways[n] is None or (life is not None and life != self.life[n]):
+            return super().give(n, event, life)
+        life = self.life[n]
+        actions = self.gateways[n].handle(self.now, event)
+        if self.early:
+            self.commit()
+        for a in [*actions, None]:
+            if next(self.steps) == self.crash_at:
+                self.done = f"{type(event).__name__} -> {type(a).__name__}"
+                self.kill(0)
+                self.at(0.1, lambda: self.restart(0))
+            if life != self.life[n]:
+                return None
+            if a is not None:
+                self.act(n, a)
+        if not self.early:
+            self.commit()
+        return None
+
+
+def played(at, early, keep=True):
+    """An ordinary second, an outage in which the quota is used up, and the counter back: all is written back."""
+    w = Crashing(at, early, keep)
+    for n, (when, units) in enumerate([(0.0, 2.0), (0.1, 4.0), (0.3, 1.0), (0.9, 2.0), (1.0, 4.0), (1.2, 4.0),
+                                       (1.5, 2.0), (2.6, 1.0), (2.9, 4.0), (3.2, 1.0), (3.3, 1.0),
+                                       (6.0, 1.0), (8.0, 2.0)]):
+        w.at(when, lambda u=units, m=n % 2: w.ask(0, m, "basic", u))
+    for when, silent in ((0.8, True), (2.5, False)):
+        w.at(when, lambda silent=silent: setattr(w.counters[0], "silent", silent))
+    w.run(10.0)
+    for _ in range(2):  # a life that was killed as it left leaves its work to the next one
+        if w.gateways[0] is not None:
+            w.leave(0)
+        w.run(1.0)
+    return w, sum(total for total, _ in w.counters[0].counts.values()) - w.let
+
+
+def test_without_a_kill_each_unit_is_in_the_count_once():
+    w, more = played(-1, True)
+    assert more == pytest.approx(0.0) and w.let > 20 and next(w.steps) > 60
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_at_every_point_what_was_let_in_is_counted_once_or_stated(early):
+    """Committed before it is carried out, nothing is ever lost to the count; committed after, one request is at most.
+
+    Too much is counted for one request whose charge was on its way, and for a write-back under way: where the next
+    total of the same window comes, it tells; else, and where the note of it was lost, it is told twice.
+    """
+    points = next(played(-1, early)[0].steps)
+    ends = [played(k, early) for k in range(points)]
+    assert all(w.done for w, _ in ends)
+    assert min(more for _, more in ends) >= (0.0 if early else -UNITS)
+    assert max(more for _, more in ends) <= BASIC.burst
+    twice = [w.done for w, more in ends if more > UNITS]
+    assert len(twice) <= (1 if early else 7), twice
+    assert max(w.beyond("basic")[0] for w, _ in ends) <= (0.0 if early else UNITS)
+
+
+def test_without_a_folder_units_are_lost_to_the_count():
+    ends = [played(k, True, keep=False) for k in range(next(played(-1, True)[0].steps))]
+    assert min(more for _, more in ends) < -2 * UNITS
--- a/tests/state/test_program.py
+++ b/tests/state/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sqlite3
 import subprocess
 import sys
@@ -9,6 +10,7 @@
 import pytest
 
 from roadspur.state.records import read_member
+from roadspur.state.store import LISTED
 from standins.counter import Counter
 from tests.sockets import Peer, call, ok, run, until
 from tests.test_program import SETTINGS, TERMS, Program, known
@@ -33,6 +35,14 @@
         db.close()
 
 
+def read_fact(tmp_path, slot):
+    db = sqlite3.connect(f"file:{tmp_path}/state/state.db?mode=ro", uri=True)
+    try:
+        return next(iter(db.execute("SELECT body FROM fact WHERE key = ?", slot[1:])), None)
+    finally:
+        db.close()
+
+
 @pytest.mark.parametrize("kept", [True, False])
 def test_a_killed_ingress_knows_its_members_again_while_the_counter_is_silent(tmp_path, kept):
     async def main():
@@ -59,6 +69,26 @@
     run(main())
 
 
+def test_after_a_kill_the_last_list_serves_while_discovery_is_gone(tmp_path):
+    async def main():
+        backend, counter = await Peer.start(ok(b"fine")), Counter()
+        await counter.start()
+        program = with_state(tmp_path, backend, counter)
+        client = await program.start()
+        try:
+            assert (await client.ask(call("a", X_Call_Terms=TERMS)))[0] == 200
+            await until(lambda: read_fact(tmp_path, LISTED) is not None)
+            await program.end()
+            program.path.write_text(json.dumps({k: v for k, v in json.loads(program.path.read_text()).items()
+                                                if k != "known"}))
+            client = await program.start()
+            assert (await client.ask(call("b", X_Call_Terms=TERMS)))[0] == 200
+        finally:
+            await program.end()
+            await counter.stop()
+    run(main())
+
+
 def test_a_start_that_cannot_have_its_folder_is_one_line_and_exit_code_2(tmp_path):
     async def main():
         backend, counter = await Peer.start(ok(b"fine")), Counter()
--- a/tests/state/test_state.py
+++ b/tests/state/test_state.py
@@ -13,16 +13,34 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from roadspur import interface as io
+from roadspur.assembly import room_terms
+from roadspur.net.daemon import listing_of
+from roadspur.policy import Gateway
 from roadspur.state.keeper import Keeper
 from roadspur.state.options import StateOptions, read_options
-from roadspur.state.records import BadRecord, Life, Member, pack, read_life, read_member
-from roadspur.state.recovery import recover
+from roadspur.state.records import (
+    BadRecord,
+    Life,
+    Listed,
+    Member,
+    Place,
+    Room,
+    pack,
+    read_learned,
+    read_life,
+    read_listed,
+    read_member,
+)
+from roadspur.state.recovery import active_until, recover, still_learned, still_listed, still_there
 from roadspur.state.store import FILE, BadState, Store
 from roadspur.state.writer import Writer
+from tests.helpers import Ingress, only
 from tests.ledger.world import BASIC, PLUS, World
 from tests.ledger.world import settings as told
 
 PLANS = {p.name: p for p in (BASIC, PLUS)}
+TERMS = room_terms(told(0))
 NUMBER = st.floats(-1e6, 1e6)
 
 
@@ -74,8 +92,8 @@
 def test_members_and_lives_are_there_again(tmp_path):
     store = Store(tmp_path / "a", "n0")
     first = store.begin("n0", 100.0)
-    store.commit([(7, pack(member())), (8, pack(member(8))), (9, pack(member(9)))])
-    store.commit([(8, None)])
+    store.commit([(("member", n), pack(member(n))) for n in (7, 8, 9)])
+    store.commit([(("member", 8), None)])
     store.close()
     store.close()
     store = Store(tmp_path / "a", "n0")
@@ -127,7 +145,7 @@
     store = Store(tmp_path / "a", "n0")
     store.begin("n0", 1.0)
     for n in range(20):
-        store.commit([(n, pack(member(n)))])
+        store.commit([(("member", n), pack(member(n)))])
     log = tmp_path / "a" / (FILE + "-wal")
     whole = log.read_bytes()
     shutil.copytree(tmp_path / "a", tmp_path / "b")  # as a machine that stops leaves it
@@ -142,7 +160,8 @@
 def test_a_spoilt_record_costs_itself_only(tmp_path):
     store = Store(tmp_path / "a", "n0")
     store.begin("n0", 1.0)
-    store.commit([(n, pack(member(n))) for n in range(5)] + [(5, b""), (6, pack(member())[:-1])])
+    store.commit([(("member", n), pack(member(n))) for n in range(5)] + [
+        (("member", 5), b""), (("member", 6), pack(member())[:-1])])
     assert [m.key for m in store.members()] == [0, 1, 2, 3, 4] and store.spoilt == 2
     store.close()
 
@@ -155,7 +174,8 @@
 store.begin("n0", 1.0)
 n = 0
 while True:
-    store.commit([(k, pack(Member(k, "plus", 16.0, 36.0, float(n), 0.0, 0, 0.0, 0.0, n))) for k in range(50)])
+    store.commit([(("member", k), pack(Member(k, "plus", 16.0, 36.0, float(n), 0.0, 0, 0.0, 0.0, n)))
+                  for k in range(50)])
     print(n, flush=True)
     n += 1
 """
@@ -228,11 +248,11 @@
 def test_a_folder_that_has_reached_its_bound_says_so_and_keeps_what_it_has(tmp_path):
     store = Store(tmp_path / "a", "n0", most_mb=0.2)
     store.begin("n0", 1.0)
-    store.commit([(n, pack(member(n))) for n in range(100)])
+    store.commit([(("member", n), pack(member(n))) for n in range(100)])
     with pytest.raises(sqlite3.Error, match="full"):
-        store.commit([(n, pack(member(n, theirs=dict.fromkeys(range(200), 1)))) for n in range(100, 5000)])
+        store.commit([(("member", n), pack(member(n, theirs=dict.fromkeys(range(200), 1)))) for n in range(100, 5000)])
     assert sum(1 for _ in store.members()) == 100
-    store.commit([(1, None)])  # and goes on
+    store.commit([(("member", 1), None)])  # and goes on
     store.close()
 
 
@@ -349,7 +369,7 @@
 
     w, later = World(5, 2), Later()
     one = keeper()
-    life, found = one.begin(w.gateways[0], w.now, later)
+    life, found = one.begin(w.gateways[0], lambda: w.now, later)
     assert life.number == 1 and not found.members
     for m in range(700):
         w.ask(0, m, units=2.0)
@@ -360,12 +380,146 @@
     assert one.close()
     w.restart(0)
     two = keeper()
-    life, found = two.begin(w.gateways[0], w.now, later)
+    life, found = two.begin(w.gateways[0], lambda: w.now, later)
     assert life.number == 2 and len(found.members) == 700
     assert w.gateways[0].room(w.now, 3, "plus") < PLUS.burst
     assert two.close()
 
 
+def outage_with_kills(tmp_path, keeps, seed):
+    """Three ingresses that are killed together three times in an outage, each with a folder or without."""
+    w, keepers = World(seed), {}
+
+    def kept(n, life):
+        keepers[n] = Keeper(StateOptions(str(tmp_path / f"{seed}-{n}"), "off", 5), f"n{n}", told(n), 60.0, TERMS)
+        return keepers[n].begin(w.gateways[n], lambda: w.now, Later())
+
+    def go(seconds):
+        end = w.now + seconds
+        while w.now < end:
+            w.traffic(0.05, 120.0, lambda at: w.rng.randrange(3), "plus")
+            for k in keepers.values():
+                k.hand_over(1000)
+                assert k.writer.flush(10.0)
+
+    w.counters[0].silent = True
+    if keeps:
+        w.remind = lambda n: kept(n, 0)
+        for n in range(3):
+            w.kill(n)
+            w.restart(n)
+    go(1.0)
+    before = w.served
+    for _ in range(3):
+        for n in range(3):
+            w.kill(n)
+            if keeps:
+                keepers[n].writer.close()
+                keepers[n].store.close()  # as a kill leaves it: without the last portion, and no end noted
+        keepers.clear()
+        w.run(0.1)
+        for n in range(3):
+            w.restart(n)
+        go(0.5)
+    for k in keepers.values():
+        k.close()
+    return w.beyond("plus")[1], w.served - before
+
+
+def test_all_killed_together_in_an_outage_get_no_ceiling_anew(tmp_path):
+    with_folders = [outage_with_kills(tmp_path, True, seed) for seed in range(2)]
+    without = [outage_with_kills(tmp_path, False, seed) for seed in range(2)]
+    assert max(over for over, _ in with_folders) <= 0.0 < min(over for over, _ in without), (with_folders, without)
+    assert min(served for _, served in with_folders) > 15, (with_folders, without)  # their rate goes on
+
+
+# Rooms, what was learned, the list.
+
+ROOM = Room("plus", 7, 0, 3, *TERMS["plus"], 2.5, 100.0)
+
+
+@pytest.mark.parametrize("more,twin", [
+    (dict(plan="gold"), False), (dict(rate=28.0), False), (dict(room=-1.0), False), (dict(room=99.0), False),
+    (dict(at=float("nan")), False), (dict(width=0), False), ({}, True)])
+def test_a_room_is_worth_nothing_under_other_terms_or_in_a_copy(more, twin):
+    assert still_there([ROOM], PLANS, TERMS) == [io.SavedRoom(1, 7, 0, 3, 2.5, 100.0)]
+    assert still_there([msgspec.structs.replace(ROOM, **more)], PLANS, TERMS, twin) == []
+
+
+def test_rooms_go_with_the_life_that_noted_them(tmp_path):
+    for number in (1, 2):
+        store = Store(tmp_path / "a", "n0")
+        assert list(store.rooms()) == ([ROOM] if number == 2 else [])
+        store.begin("n0", 100.0)
+        assert list(store.rooms()) == []  # whoever comes next must not count on what this life may spend
+        store.commit([(("room", 7), pack(ROOM)), (("fact", 9), b"?")])
+        store.close()
+
+
+def test_an_end_in_order_is_told_from_a_kill(tmp_path):
+    store = Store(tmp_path / "a", "n0")
+    assert active_until(50.0, store.before) is None
+    store.begin("n0", 100.0)
+    store.close()
+    store = Store(tmp_path / "a", "n0")
+    assert active_until(500.0, store.before) == 500.0  # killed, and nobody knows when
+    store.begin("n0", 200.0)
+    store.end(300.0)
+    store.close()
+    store = Store(tmp_path / "a", "n0")
+    assert active_until(500.0, store.before) == 300.0 and active_until(250.0, store.before) == 250.0
+    store.close()
+
+
+def knowing(now=100.0):
+    """A fleet that has learned: answers take a quarter of what is assumed, b1 is ejected."""
+    i = Ingress(now=now, born=1.0)
+    for _ in range(60):
+        i.end(only(i.ask(), io.Attempt), elapsed=0.08)
+        i.now += 1.0
+    b1 = i.gw.fleet.backends["b1"]
+    b1.proof = 9.0
+    i.gw.fleet.eject(i.now, b1, "failing")
+    return i
+
+
+def again(i, now, born=1.0):
+    other = Ingress(now=now)
+    other.gw = Gateway(other.gw.s, 2, now)
+    other.gw.restore(now, [], still_learned(now, read_learned(pack(i.gw.fleet.learned(i.now)))))
+    other.give(io.ListUpdate(io.ListKind.SAVED, 2, tuple(
+        io.BackendEntry(f"b{n}", io.Phase.RUNNING, born=born) for n in range(4))))
+    return other.gw.fleet
+
+
+def test_speeds_ejections_and_slots_are_known_again_and_age():
+    i = knowing()
+    old, now = i.gw.fleet, i.now
+    name = min(old.backends, key=lambda n: old.backends[n].ratio)
+    ratio = old.backends[name].ratio
+    new = again(i, now + 1.0)
+    assert new.backends[name].ratio == pytest.approx(ratio, rel=0.01) and new.slots == old.slots
+    assert new.backends["b1"].resting == old.backends["b1"].resting and new.backends["b1"].trial
+    assert new.latency["read"] == old.latency["read"] != Ingress().gw.fleet.latency["read"]
+    later = again(i, now + 300.0)
+    assert ratio < later.backends[name].ratio < 1.0 and not later.backends["b1"].trial
+    assert again(i, now + 1.0, born=2.0).backends[name].ratio == 1.0  # another process
+    back = again(i, now - 3600.0)
+    assert back.backends["b1"].resting == 0.0 and back.backends[name].ratio < 1.0
+    assert still_learned(now + 601.0, old.learned(now)) is None
+    assert still_learned(now, old.learned(now)._replace(slots=float("nan"))) is None
+
+
+def test_a_list_stands_in_for_a_minute():
+    listed = Listed(100.0, 7, (Place("b0", "running", 1.0, "std", 3, 1.5, "z0", "127.0.0.1", 80),))
+    assert read_listed(pack(listed)) == listed
+    assert still_listed(160.0, listed) == listed
+    assert still_listed(160.1, listed) is None is still_listed(99.0, listed) and still_listed(1.0, None) is None
+    listing = listing_of(listed)
+    assert listing.version == 7 and listing.whole and listing.entries[0][1].address == ("127.0.0.1", 80)
+    assert listing.entries[0][0] == io.BackendEntry("b0", io.Phase.RUNNING, 1.0, "std", 3, 1.5, "z0")
+
+
 @pytest.mark.parametrize("text,error", [
     ("", "folder"), ("folder = 3\n", "folder"), ('folder = "x"\nsnyc = "off"\n', "snyc"),
     ('folder = "x"\nsync = "now"\n', "sync"), ('folder = "x"\ncommit_ms = 1\n', "commit_ms"),
