One operator's file and one command line: typed sections, layers, state commands, JSON logs

Three files and two hand-made parsers told an operator's wishes, and a typing error was silence. roadspur/operator reads one TOML file (includes, environment, command line) into msgspec structs that their directions own; a key that is unknown, of a wrong type or out of range is one line with file, line and key. roadspur/cli is on click, each command imported when it is used: serve, check, show, init, reference, state show|verify|export, bound. roadspur/log sends lines through structlog from a thread, bounded, with what was dropped counted. The older words go on working. docs/configuration.md is generated, and a test says when it is old.

--- a/roadspur/__main__.py
+++ b/roadspur/__main__.py
@@ -7,7 +7,8 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, NamedTuple
 
 import uvloop
 
@@ -16,7 +17,9 @@
 from roadspur.net.daemon import Daemon
 
 if TYPE_CHECKING:
+    from roadspur.ledger import Placement
     from roadspur.state.keeper import Keeper
+    from roadspur.state.options import StateOptions
 
 log = logging.getLogger("roadspur")
 
@@ -27,6 +30,7 @@
        python -m roadspur --counters FILE   the same, with several counters
        python -m roadspur --state FILE      the same, with a state folder; both may be given
        python -m roadspur bound -h    how far quotas can be passed while the counter fails
+with the extra 'operator' also: serve --operator FILE, check, show, init, reference, state (--help for each)
 """
 
 
@@ -36,40 +40,61 @@
         from roadspur.cli import bound
 
         return bound.main(argv[1:])
-    wanted = argv[0] in ("-h", "--help")
-    print(USAGE, end="", file=sys.stdout if wanted else sys.stderr)
-    return 0 if wanted else 2
+    if argv[0] not in ("-h", "--help"):
+        try:
+            from roadspur.cli.main import main as others
+        except ImportError:
+            print(USAGE, end="", file=sys.stderr)
+            return 2
+        return others(argv)
+    print(USAGE, end="")
+    return 0
 
 
-def keeper_of(config: Config, path: str) -> Keeper:
-    """The state folder that an operator's file names; BadConfiguration says what keeps it from being used."""
-    try:
-        from roadspur.state.keeper import Keeper
-        from roadspur.state.options import read_options
-        from roadspur.state.store import BadState
-    except ImportError as error:
-        raise BadConfiguration(f"--state needs the extra 'state': {error}") from error
+class Extras(NamedTuple):
+    """What an operator adds to the platform's configuration. `counters` reads them anew, at each reload."""
+
+    environ: Mapping[str, str]
+    counters: Callable[[], Placement | None] | None = None
+    state: StateOptions | None = None
+
+
+def keeper_of(config: Config, options: StateOptions) -> Keeper:
+    """The state folder; BadConfiguration says what keeps it from being used."""
     from roadspur.assembly import room_terms
     from roadspur.policy.sharing import kept_for
+    from roadspur.state.keeper import Keeper
+    from roadspur.state.store import BadState
 
     try:
-        return Keeper(read_options(path), config.name, config.settings, kept_for(config.settings),
-                      room_terms(config.settings))
-    except (ValueError, BadState) as error:
+        return Keeper(options, config.name, config.settings, kept_for(config.settings), room_terms(config.settings))
+    except BadState as error:
         raise BadConfiguration(str(error)) from error
 
 
-async def serve(config: Config, counters: str | None = None, state: str | None = None) -> None:
-    """Serve until told to stop, then leave in order. `counters`, `state`: the operator's files."""
+def state_options(path: str) -> StateOptions:
+    """The file that `--state` names; BadConfiguration says what is wrong with it."""
+    try:
+        from roadspur.state.options import read_options
+    except ImportError as error:
+        raise BadConfiguration(f"--state needs the extra 'operator': {error}") from error
+    try:
+        return read_options(path)
+    except ValueError as error:
+        raise BadConfiguration(str(error)) from error
+
+
+async def serve(config: Config, extras: Extras) -> None:
+    """Serve until told to stop, then leave in order."""
     loop = asyncio.get_running_loop()
-    placement = read_counters(counters) if counters else None
-    keeper = keeper_of(config, state) if state else None
+    placement = extras.counters() if extras.counters else None
+    keeper = keeper_of(config, extras.state) if extras.state else None
     daemon, stop = Daemon(config, placement=placement, keeper=keeper), asyncio.Event()
 
     def reload() -> None:
         try:
-            new = read_config(os.environ)
-            again = read_counters(counters) if counters else None
+            new = read_config(extras.environ)
+            again = extras.counters() if extras.counters else None
         except BadConfiguration as error:
             log.error("the configuration stays as it was: %s", error)
             return
@@ -83,24 +108,36 @@
     await daemon.stop(asyncio.sleep(NOTICE_S))
 
 
+def run(extras: Extras, logs: bool = False) -> int:
+    """Serve; what keeps it from starting is one plain line and exit code 2. `logs`: they are set up already."""
+    if not logs:
+        logging.basicConfig(level=logging.INFO, stream=sys.stderr,
+                            format="%(asctime)s %(name)s %(levelname)s %(message)s")
+    try:
+        uvloop.run(serve(read_config(extras.environ), extras))
+    except (BadConfiguration, OSError) as error:
+        print(f"roadspur: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 1
+    return 0
+
+
 def main() -> int:
-    """Run, or one of the commands; what keeps it from starting is one plain line and a non-zero exit."""
+    """Serve as PROXY_CONFIG says, or one of the commands."""
     words, files = sys.argv[1:], dict[str, str]()
     while len(words) >= 2 and words[0] in ("--counters", "--state") and words[0] not in files:
         files[words[0]] = words[1]
         words = words[2:]
     if words:
         return command(words)
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr,
-                        format="%(asctime)s %(name)s %(levelname)s %(message)s")
+    counters = files.get("--counters")
     try:
-        uvloop.run(serve(read_config(os.environ), files.get("--counters"), files.get("--state")))
-    except (BadConfiguration, OSError) as error:
+        state = state_options(files["--state"]) if "--state" in files else None
+    except BadConfiguration as error:
         print(f"roadspur: {error}", file=sys.stderr)
         return 2
-    except KeyboardInterrupt:
-        return 1
-    return 0
+    return run(Extras(os.environ, (lambda: read_counters(counters)) if counters else None, state))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/roadspur/log/options.py
@@ -0,0 +1,20 @@
+"""The section [log] of the operator's file."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+
+class LogOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Lines on standard error.
+
+    form: JSON lines with stable fields (event, level, logger, timestamp), or text
+    level: the least that goes out
+    queue: lines that wait at most while nobody reads; what comes beyond is dropped and counted
+    """
+
+    form: Literal["json", "text"] = "text"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    queue: Annotated[int, msgspec.Meta(ge=16, le=1_000_000)] = 10_000
--- /dev/null
+++ b/roadspur/services/options.py
@@ -0,0 +1,29 @@
+"""The section [counters] of the operator's file."""
+
+from __future__ import annotations
+
+import msgspec
+
+from roadspur.ledger.placement import Placement
+from roadspur.services.wire import read_address
+
+
+class CountersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Counters that share the names.
+
+    addresses: host:port of each, the same at all ingresses; the order does not matter
+    """
+
+    addresses: tuple[str, ...]
+
+    def __post_init__(self) -> None:
+        try:
+            for address in self.addresses:
+                read_address(address)
+            self.placement()
+        except ValueError as error:
+            raise ValueError(f"addresses: {error}") from error
+
+    def placement(self) -> Placement:
+        """Which of them holds a name."""
+        return Placement(list(self.addresses))
--- a/roadspur/state/keeper.py
+++ b/roadspur/state/keeper.py
@@ -61,7 +61,7 @@
         self.options, self.name, self.kept, self.terms = options, name, kept, terms or {}
         self.plans = {p.name: p for p in settings.plans}
         self.names = list(self.plans)
-        self.store = Store(options.folder, name, options.sync, options.most_mb)
+        self.store = Store(options.folder, name, options.sync, options.max_size)
         self.gateway: Decisions | None = None
         self.writer: Writer | None = None
         self.timer: Timer | None = None
@@ -88,14 +88,14 @@
         log.info("state: life %d, %d members put back, %d rooms, %d records spoilt%s", life.number, len(found.members),
                  len(rooms), store.spoilt, "".join(f", {n} {why}" for why, n in found.left_out.items()))
         self.gateway, self.clock, self.later = gateway, clock, later
-        self.writer = Writer(store, self.options.commit_ms / 1000)
-        self.timer = later.call_later(self.options.commit_ms / 1000, self.portion)
+        self.writer = Writer(store, self.options.commit_every)
+        self.timer = later.call_later(self.options.commit_every, self.portion)
         return life, found
 
     def portion(self) -> None:
         """Hand over what has changed; what is left follows at once, after the loop has had its turn."""
         members = self.hand_over(PORTION)
-        wait = 0.0 if members >= PORTION else self.options.commit_ms / 1000
+        wait = 0.0 if members >= PORTION else self.options.commit_every
         self.timer = self.later.call_later(wait, self.portion)
 
     def hand_over(self, most: int) -> int:
--- a/roadspur/state/store.py
+++ b/roadspur/state/store.py
@@ -46,10 +46,13 @@
 
 
 class Store:
-    """`most_mb`: bound of the file; what does not fit is an error of the commit. Not for use by two threads at once."""
+    """`most`: bytes of the file; what does not fit is an error of the commit. Not for use by two threads at once."""
 
-    def __init__(self, folder: str | Path, name: str, sync: str = "normal", most_mb: float = 256.0) -> None:
-        """Open or make the folder of the ingress `name`, and hold it. BadState says what keeps it from being used."""
+    def __init__(self, folder: str | Path, name: str | None, sync: str = "normal", most: float = 256 << 20) -> None:
+        """Open or make the folder of the ingress `name` (None: of any), and hold it.
+
+        BadState says what keeps it from being used.
+        """
         self.folder = Path(folder)
         if sync not in SYNCS:
             raise BadState(f"{folder}: sync: expected one of {', '.join(SYNCS)}, got {sync!r}")
@@ -64,19 +67,26 @@
             os.close(self._lock)
             raise BadState(f"{folder}: another process holds it") from None
         try:
-            self._open(name, sync, most_mb)
+            self._open(name, sync, most)
         except BaseException as error:
             self.close()
             if isinstance(error, sqlite3.Error):
                 raise BadState(f"{self.folder / FILE}: {error}") from error
             raise
 
-    def _open(self, name: str, sync: str, most_mb: float) -> None:
+    @classmethod
+    def existing(cls, folder: str | Path) -> Store:
+        """A folder that is there, to be looked at; BadState where there is none."""
+        if not (Path(folder) / FILE).is_file():
+            raise BadState(f"{folder}: no state folder: {FILE} is not there")
+        return cls(folder, None)
+
+    def _open(self, name: str | None, sync: str, most: float) -> None:
         path = self.folder / FILE
         self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=0.0)
         self.db.execute("PRAGMA journal_mode=WAL")
         self.db.execute(f"PRAGMA synchronous={sync}")
-        self.db.execute(f"PRAGMA max_page_count={max(16, int(most_mb * 1024 * 1024 / PAGE))}")
+        self.db.execute(f"PRAGMA max_page_count={max(16, int(most / PAGE))}")
         self.db.execute("CREATE TABLE IF NOT EXISTS life (number INTEGER PRIMARY KEY, body BLOB)")
         for table in ("member", "room", "fact"):
             self.db.execute(f"CREATE TABLE IF NOT EXISTS {table} (key INTEGER PRIMARY KEY, body BLOB)")
@@ -85,7 +95,7 @@
         self.before = self._last_life()
         if self.before is not None and self.before.format > FORMAT:
             raise BadState(f"{path}: format {self.before.format}, this program reads up to {FORMAT}")
-        if self.before is not None and self.before.name != name:
+        if self.before is not None and name is not None and self.before.name != name:
             raise BadState(f"{path}: it is of ingress {self.before.name!r}, this is {name!r}")
         self.inode = path.stat().st_ino
         # Copied with all that is in it: the one it was copied from may live, and write back the same units.
@@ -142,6 +152,14 @@
         """The last list of servers; None where there is nothing to be read."""
         return next(self._readable(f"fact WHERE key = {LISTED[1]}", read_listed), None)
 
+    def damage(self) -> str:
+        """What the file's own structure is damaged by, in one line; empty where it is whole. Reads all of it."""
+        try:
+            found = "; ".join(row[0] for row in self.db.execute("PRAGMA quick_check(3)"))
+        except sqlite3.DatabaseError as error:
+            return str(error)
+        return "" if found == "ok" else " ".join(found.split())
+
     def commit(self, bodies: Iterable[tuple[Slot, bytes | None]]) -> None:
         """Write records, or delete those of None, all or nothing. sqlite3.Error where the disk will not take them."""
         self._all_or_nothing(
--- a/tests/ledger/test_loopback.py
+++ b/tests/ledger/test_loopback.py
@@ -130,8 +130,8 @@
 
 
 def test_other_words_on_the_command_line_are_answered_with_the_usage():
-    done = subprocess.run([sys.executable, "-m", "roadspur", "serve"], capture_output=True, text=True, timeout=60)
-    assert done.returncode == 2 and "usage" in done.stderr
+    done = subprocess.run([sys.executable, "-m", "roadspur", "sevre"], capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and "No such command 'sevre'" in done.stderr and done.stderr.count("\n") == 1
     done = subprocess.run([sys.executable, "-m", "roadspur", "--help"], capture_output=True, text=True, timeout=60)
     assert done.returncode == 0 and "bound" in done.stdout
 
--- /dev/null
+++ b/tests/operator/test_log.py
@@ -0,0 +1,82 @@
+"""Log lines leave by a thread of their own: nobody waits for a reader that never reads."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import threading
+
+import pytest
+
+from roadspur.log.options import LogOptions
+from roadspur.log.setup import Logs
+
+
+class Stuck(io.StringIO):
+    """Standard error of a program whose reader has stopped reading."""
+
+    def __init__(self):
+        super().__init__()
+        self.go, self.began = threading.Event(), threading.Event()
+
+    def write(self, text):
+        self.began.set()
+        assert self.go.wait(20.0)
+        return super().write(text)
+
+
+@pytest.fixture
+def log():
+    return logging.getLogger("roadspur.test")
+
+
+def test_json_lines_have_stable_fields_and_a_traceback_stays_in_its_line(log):
+    out = io.StringIO()
+    logs = Logs(LogOptions("json", "info"), out)
+    log.debug("not this one")
+    log.info("ejected %s: %s", "b1", "failing")
+    try:
+        raise KeyError("x")
+    except KeyError:
+        log.exception("deciding")
+    logs.close()
+    first, second = [json.loads(line) for line in out.getvalue().splitlines()]
+    assert first["event"] == "ejected b1: failing" and first["level"] == "info" and first["logger"] == "roadspur.test"
+    assert first["timestamp"].endswith("Z") and "KeyError" in second["exception"] and second["level"] == "error"
+
+
+def test_text_lines_hold_event_and_level(log):
+    out = io.StringIO()
+    logs = Logs(LogOptions(), out)
+    log.warning("state: %d wait", 3)
+    logs.close()
+    assert "state: 3 wait" in out.getvalue() and "warning" in out.getvalue()
+
+
+def test_a_reader_that_does_not_read_holds_nobody_up_and_what_was_dropped_is_said(log):
+    out = Stuck()
+    logs = Logs(LogOptions("json", "info", 16), out)
+    log.info("first")
+    assert out.began.wait(20.0)  # the writer hangs; what follows fills the queue
+    for n in range(100):
+        log.info("line %d", n)
+    assert logs.handler.dropped == 100 - 16
+    out.go.set()
+    while not logs.handler.queue.empty():
+        pass
+    log.info("last")
+    logs.close()
+    lines = [json.loads(line)["event"] for line in out.getvalue().splitlines()]
+    assert lines[0] == "first" and lines[16] == "line 15" and lines[-1] == "last (84 lines before it were dropped)"
+
+
+def test_an_end_does_not_wait_for_such_a_reader_either(log, monkeypatch):
+    monkeypatch.setattr("roadspur.log.setup.CLOSE_S", 0.05)
+    out = Stuck()
+    logs = Logs(LogOptions(queue=16), out)
+    log.info("first")
+    assert out.began.wait(20.0)
+    logs.close()
+    assert not out.go.is_set()
+    out.go.set()
--- a/tests/state/test_state.py
+++ b/tests/state/test_state.py
@@ -16,6 +16,7 @@
 from roadspur import interface as io
 from roadspur.assembly import room_terms
 from roadspur.net.daemon import listing_of
+from roadspur.operator.units import Seconds
 from roadspur.policy import Gateway
 from roadspur.state.keeper import Keeper
 from roadspur.state.options import StateOptions, read_options
@@ -246,7 +247,7 @@
 
 
 def test_a_folder_that_has_reached_its_bound_says_so_and_keeps_what_it_has(tmp_path):
-    store = Store(tmp_path / "a", "n0", most_mb=0.2)
+    store = Store(tmp_path / "a", "n0", most=0.2 * (1 << 20))
     store.begin("n0", 1.0)
     store.commit([(("member", n), pack(member(n))) for n in range(100)])
     with pytest.raises(sqlite3.Error, match="full"):
@@ -365,7 +366,7 @@
 
 def test_a_keeper_keeps_and_puts_back(tmp_path):
     def keeper(name="n0"):
-        return Keeper(StateOptions(str(tmp_path / "a"), commit_ms=5), name, told(0), 60.0)
+        return Keeper(StateOptions(str(tmp_path / "a"), commit_every=Seconds(0.005)), name, told(0), 60.0)
 
     w, later = World(5, 2), Later()
     one = keeper()
@@ -391,7 +392,8 @@
     w, keepers = World(seed), {}
 
     def kept(n, life):
-        keepers[n] = Keeper(StateOptions(str(tmp_path / f"{seed}-{n}"), "off", 5), f"n{n}", told(n), 60.0, TERMS)
+        options = StateOptions(str(tmp_path / f"{seed}-{n}"), "off", Seconds(0.005))
+        keepers[n] = Keeper(options, f"n{n}", told(n), 60.0, TERMS)
         return keepers[n].begin(w.gateways[n], lambda: w.now, Later())
 
     def go(seconds):
