A slow disk's back-pressure: what has no room waits with the decisions, and is not lost

With 1,000,000 members changed at once the writer's queue of 200,000 turned records away, and those members were lost until their next change: found by the benchmark's own assertion. The keeper now asks the decisions for no more than the writer takes. Portions are 150.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.state --members 1000 100000
 
-Pause of the loop for one portion of 300 changed members (median, 99.9th percentile), seconds for all of them to be
+Pause of the loop for one portion of 150 changed members (median, 99.9th percentile), seconds for all of them to be
 committed under each sync policy, seconds to be ready again with all of them, and megabytes of the folder.
 """
 
@@ -49,6 +49,8 @@
                     if not keeper.hand_over(PORTION):
                         break
                     pauses.append(time.perf_counter() - at)
+                    if keeper.writer is not None and keeper.writer.room() < 2 * PORTION:
+                        keeper.writer.flush(600.0)  # in service the next portion waits
                 assert keeper.writer is not None
                 keeper.writer.flush(600.0)
                 committed = time.perf_counter() - began
--- a/roadspur/state/keeper.py
+++ b/roadspur/state/keeper.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-PORTION = 300  # members packed at a time: about 2 ms of the loop
+PORTION = 150  # members packed at a time: about a millisecond of the loop
 FACTS_S = 2.0  # between looks at what was learned of backends, and at the list
 CLOSE_S = 2.0  # for the last commit
 
@@ -99,8 +99,12 @@
         self.timer = self.later.call_later(wait, self.portion)
 
     def hand_over(self, most: int) -> int:
-        """Members, rooms and, now and then, facts; how many records there were."""
+        """Members, rooms and, now and then, facts; how many records there were.
+
+        Where the disk is behind, what has changed stays with the decisions until there is room for it.
+        """
         assert self.gateway is not None and self.writer is not None
+        most = min(most, self.writer.room() // 2)  # half for members, half for rooms
         members = self.gateway.saved(most)
         for m in members:
             plan = self.plans[m.plan]
@@ -146,8 +150,9 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.writer is not None:
-            while self.hand_over(PORTION):
-                pass
+            while self.writer.room() >= 2 * PORTION or self.writer.flush(CLOSE_S):
+                if not self.hand_over(PORTION):
+                    break
             done = self.writer.close(CLOSE_S)
             if not done:
                 log.error("state: %d records were not committed", len(self.writer.waiting))
--- a/roadspur/state/writer.py
+++ b/roadspur/state/writer.py
@@ -55,6 +55,11 @@
                 self.changed.notify_all()
             return True
 
+    def room(self) -> int:
+        """Records that may be handed over now without one being turned away."""
+        with self.changed:
+            return max(0, self.most - len(self.waiting))
+
     def behind(self) -> float:
         """Seconds that the oldest change has waited; 0 with none. This is what a kill would lose."""
         with self.changed:
--- a/tests/state/test_state.py
+++ b/tests/state/test_state.py
@@ -550,6 +550,25 @@
     assert listing.entries[0][0] == io.BackendEntry("b0", io.Phase.RUNNING, 1.0, "std", 3, 1.5, "z0")
 
 
+def test_what_a_slow_disk_has_no_room_for_waits_with_the_decisions(tmp_path):
+    w = World(5, 2)
+    keeper = Keeper(StateOptions(str(tmp_path / "a")), "n0", told(0), 60.0)
+    keeper.begin(w.gateways[0], lambda: w.now, Later())
+    disk = Slow()
+    keeper.writer.close()
+    keeper.writer = Writer(disk, every=0.0, most=20)
+    for m in range(50):
+        w.ask(0, m)
+    assert 0 < keeper.hand_over(1000) <= 20 and disk.began.wait(10.0)
+    while keeper.hand_over(1000):
+        pass  # until there is no room any more
+    assert keeper.writer.turned_away == 0 and len(w.gateways[0].sharing.changed) > 0
+    disk.let.set()
+    assert keeper.close()
+    kept = {key for batch in disk.batches for table, key in batch if table == "member"}
+    assert kept == set(range(50))
+
+
 @pytest.mark.parametrize("text,error", [
     ("", "folder"), ("folder = 3\n", "folder"), ('folder = "x"\nsnyc = "off"\n', "snyc"),
     ('folder = "x"\nsync = "now"\n', "sync"), ('folder = "x"\ncommit_ms = 1\n', "commit_ms"),
