--- a/tests/state/test_state.py
+++ b/tests/state/test_state.py
@@ -550,6 +550,29 @@
     assert listing.entries[0][0] == io.BackendEntry("b0", io.Phase.RUNNING, 1.0, "std", 3, 1.5, "z0")
 
 
+def test_a_note_counts_as_on_disk_only_when_it_is(tmp_path):
+    w, disk = World(5), Slow()
+    w.counters[0].silent = True
+    w.run(9.0)  # the ledger has begun, and rooms are full
+    keeper = Keeper(StateOptions(str(tmp_path / "a")), "n0", told(0), 60.0, TERMS)
+    keeper.begin(w.gateways[0], lambda: w.now, Later())
+    keeper.writer.close()
+    keeper.writer = Writer(disk, every=0.0)
+    for _ in range(12):
+        w.ask(0, 7)
+        w.run(0.2)
+    keeper.hand_over(1000)
+    (reserve,) = [a.reserve for a in w.gateways[0].escrow.allowances.values()]
+    assert disk.began.wait(10.0) and reserve.written is not None
+    keeper.hand_over(1000)
+    assert reserve.committed is None and reserve.written is not None  # the disk has not answered
+    disk.let.set()
+    assert keeper.writer.flush(10.0)
+    keeper.hand_over(1000)
+    assert reserve.committed is not None and any(table == "room" for b in disk.batches for table, _ in b)
+    assert keeper.close()
+
+
 def test_what_a_slow_disk_has_no_room_for_waits_with_the_decisions(tmp_path):
     w = World(5, 2)
     keeper = Keeper(StateOptions(str(tmp_path / "a")), "n0", told(0), 60.0)
