One player of the ledger's random steps serves both of its property tests

The test of rooms on disk had written again what the test of shares does with a step. One method serves both; the assertions are as they were.

--- a/tests/ledger/test_escrow.py
+++ b/tests/ledger/test_escrow.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, Phase, given, seed, settings
@@ -89,6 +90,24 @@
         while self.wire:
             self.deliver(0)
 
+    def step(self, kind: str, *args: Any) -> None:
+        """One of `STEP`."""
+        if kind == "wait":
+            self.now += args[0]
+        elif kind == "ask":
+            for _ in range(args[2]):
+                self.ask(args[0], args[1])
+        elif kind == "settle":
+            self.settle()
+        elif kind == "restart":
+            self.restart(args[0])
+        elif self.wire:
+            index = args[0] % len(self.wire)
+            if kind == "lose":
+                self.wire.pop(index)
+            else:
+                self.deliver(index, keep=kind == "copy")
+
 
 STEP = st.one_of(
     st.tuples(st.just("wait"), st.floats(0.0, 8.0)), st.tuples(st.just("wait"), st.floats(0.0, 0.2)),
@@ -105,22 +124,8 @@
 @given(steps=st.lists(STEP, min_size=5, max_size=60))
 def test_a_set_never_lets_in_more_than_one_store_would(terms, steps):
     s = Set(terms)
-    for kind, *args in steps:
-        if kind == "wait":
-            s.now += args[0]
-        elif kind == "ask":
-            for _ in range(args[2]):
-                s.ask(args[0], args[1])
-        elif kind == "settle":
-            s.settle()
-        elif kind == "restart":
-            s.restart(args[0])
-        elif s.wire:
-            index = args[0] % len(s.wire)
-            if kind == "lose":
-                s.wire.pop(index)
-            else:
-                s.deliver(index, keep=kind == "copy")
+    for step in steps:
+        s.step(*step)
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/ledger/test_reserve.py
+++ b/tests/ledger/test_reserve.py
@@ -68,30 +68,17 @@
 def test_kills_at_any_moment_let_in_no_more_than_one_store_would(steps):
     s = Kept()
     for kind, *args in steps:
-        if kind == "wait":
-            s.now += args[0]
-        elif kind == "ask":
-            for _ in range(args[2]):
-                s.ask(args[0], args[1])
-        elif kind == "settle":
-            s.settle()
-        elif kind == "note":
+        if kind == "note":
             s.note(args[0])
         elif kind == "land":
             s.land(args[0])
         elif kind == "crash":
             crash(s, args[0], args[1])
-        elif kind == "restart":
-            crash(s, args[0], 0)
         elif kind == "all":
             for n in range(3):
                 crash(s, n, 1)
-        elif s.wire:
-            index = args[0] % len(s.wire)
-            if kind == "lose":
-                s.wire.pop(index)
-            else:
-                s.deliver(index, keep=kind == "copy")
+        else:
+            s.step(kind, *args)
 
 
 def pressed(s, seconds, step=0.05, units=1.0, keeps=True):
