Read again: what is sure of a set, a set's members and a plain key stand once each

One defect: an end that a full disk does not take ended the program in a traceback; it is logged, and the next life takes this one for killed.

--- a/roadspur/ledger/bound.py
+++ b/roadspur/ledger/bound.py
@@ -95,10 +95,11 @@
     return min(plan.burst, plan.ceiling_burst) if plan.ceiling_rate > 0 else plan.burst
 
 
-def after_restart(plan: io.PlanSettings, seconds: float) -> tuple[float, float]:
+def after_restart(plan: io.PlanSettings, b: Bound, seconds: float) -> tuple[float, float]:
     """Units that a set which restarted together in an outage has let in at most by then, and what a full quota has."""
     rate = plan.ceiling_rate if plan.ceiling_rate > 0 else plan.rate
-    return fresh_room(plan) + rate * seconds, plan.burst + plan.rate * seconds
+    at_once = b.quota_restart if b.ceiling_restart is None else b.ceiling_restart
+    return at_once + rate * seconds, plan.burst + plan.rate * seconds
 
 
 def table(settings: io.Settings, assumed: Assumed) -> list[str]:
@@ -117,12 +118,9 @@
     out += ["", "all of a set restarted together while the counter is silent: units let in at most within 0, 1 and 5 s"]
     for plan in settings.plans:
         if plan.rate > 0:
-            pairs = [after_restart(plan, s) for s in (0.0, 1.0, 5.0)]
-            if assumed.folders and plan.ceiling_rate > 0:
-                pairs = [(bound_of(settings, plan, assumed).quota_restart + plan.ceiling_rate * s, full)
-                         for s, (_, full) in zip((0.0, 1.0, 5.0), pairs, strict=True)]
-            within = ", ".join(f"{have:.1f} (a full quota: {whole:.1f})" for have, whole in pairs)
             b = bound_of(settings, plan, assumed)
+            pairs = [after_restart(plan, b, s) for s in (0.0, 1.0, 5.0)]
+            within = ", ".join(f"{have:.1f} (a full quota: {whole:.1f})" for have, whole in pairs)
             ceiling = "" if b.ceiling_restart is None else f", its ceiling by {b.ceiling_restart:.1f}"
             out.append(f"{plan.name:12} {within}; each time passes the quota by {b.quota_restart:.1f}{ceiling} at most")
     if assumed.folders:
--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -124,7 +124,7 @@
 
     def floor(self) -> int:
         """What is left of the even share whatever was given."""
-        return max(1, int(KEEP * self.even()))
+        return sure_share(len(self.set)) if self.me in self.set else 1
 
     def even(self) -> int:
         return WHOLE // len(self.set) if self.me in self.set else 0
@@ -174,8 +174,7 @@
         """What is to be kept of the room from now on; it is spoken for until a lower note has landed."""
         self.turn(now)
         if self.reserve is None:
-            sure = self.floor() / WHOLE
-            self.reserve = Reserve(sure * self.terms.rate, sure * self.terms.burst, self.terms.ahead)
+            self.reserve = reserve_of(self.terms, len(self.set))
         return self.reserve.note(now, self.room if self.me in self.set else 0.0)
 
     def spend(self, now: float, units: float) -> None:
@@ -252,6 +251,17 @@
         self.settle()
 
 
+def sure_share(width: int) -> int:
+    """Of a set's even share, what nobody gives away."""
+    return max(1, int(KEEP * (WHOLE // width)))
+
+
+def reserve_of(terms: Terms, width: int) -> Reserve:
+    """Of that share, the room that may be noted on disk."""
+    sure = sure_share(width) / WHOLE
+    return Reserve(sure * terms.rate, sure * terms.burst, terms.ahead)
+
+
 def epoch_length(terms: Terms) -> float:
     """Seconds of an epoch: that in which the whole burst fills, twice over; shares find their places again in it."""
     return max(0.5, 2 * terms.burst / terms.rate)
@@ -291,11 +301,13 @@
         note = self.notes.pop(key, None)
         if note is None:
             return None
-        if members != tuple((note.first + n) % self.instances for n in range(note.width)) or self.me not in members:
+        if members != self.members(note.first, note.width) or self.me not in members:
             return 0.0
-        sure = max(1, int(KEEP * (WHOLE // len(members)))) / WHOLE
-        reserve = Reserve(sure * terms.rate, sure * terms.burst, terms.ahead)
-        return reserve.restored((note.room, note.at), self.lives.began)
+        return reserve_of(terms, len(members)).restored((note.room, note.at), self.lives.began)
+
+    def members(self, first: int, width: int) -> tuple[int, ...]:
+        """The ingresses of a set."""
+        return tuple((first + n) % self.instances for n in range(width))
 
     def touched(self, key: tuple[int, int]) -> None:
         """Its room has changed: a new note is due, where notes are kept."""
@@ -306,8 +318,9 @@
         """Notes of allowances that have changed, `most` at once, each one at a time: until `landed`, no other."""
         out: list[io.SavedRoom] = []
         waiting: list[tuple[int, int]] = []
-        for key in list(islice(self.changed or (), most)):
-            del self.changed[key]  # type: ignore[union-attr]  # not empty
+        changed = self.changed if self.changed is not None else {}
+        for key in list(islice(changed, most)):
+            del changed[key]
             a = self.allowances.get(key)
             if a is None:
                 out.append(io.SavedRoom(*key, 0, 1, 0.0, -math.inf))
@@ -340,7 +353,7 @@
         terms = self.plans[plan] if plan < len(self.plans) else None
         if terms is None or not 1 <= width <= self.instances:
             return None
-        members = tuple((first + n) % self.instances for n in range(width))
+        members = self.members(first, width)
         found = self.allowances.get((plan, customer))
         if found is None:
             kept = self.remembered((plan, customer), terms, members) if self.notes else None
--- a/roadspur/net/counters_file.py
+++ b/roadspur/net/counters_file.py
@@ -9,14 +9,10 @@
 
 from roadspur.ledger.placement import Placement
 from roadspur.net.config import BadConfiguration
+from roadspur.operator.layers import plain
 from roadspur.services.wire import read_address
 
 
-def plain(key: str) -> str:
-    """A key as it can stand in one line."""
-    return key if key.isprintable() else repr(key)
-
-
 def read_counters(path: str) -> Placement:
     """The counters of a file; BadConfiguration names file and key."""
     try:
--- a/roadspur/operator/reader.py
+++ b/roadspur/operator/reader.py
@@ -4,7 +4,7 @@
 
 import difflib
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -14,6 +14,7 @@
 from roadspur.operator.sections import SECTIONS
 from roadspur.operator.units import Bytes, Seconds, read_bytes, read_seconds
 
+READ: dict[type, Callable[[object], Any]] = {Seconds: read_seconds, Bytes: read_bytes, Secret: read_secret}
 AT = re.compile(r" - at `\$\.?([^`]*)`$")
 
 
@@ -77,13 +78,7 @@
 
 def with_unit(kind: type, value: object) -> Any:
     """What msgspec does not know itself: durations, sizes and secrets."""
-    if kind is Seconds:
-        return value if isinstance(value, Seconds) else read_seconds(value)
-    if kind is Bytes:
-        return value if isinstance(value, Bytes) else read_bytes(value)
-    if kind is Secret:
-        return read_secret(value)
-    raise NotImplementedError(kind)
+    return READ[kind](value)
 
 
 def first(layers: Layers, section: str) -> str:
--- a/roadspur/operator/secrets.py
+++ b/roadspur/operator/secrets.py
@@ -7,7 +7,6 @@
 
 import os
 import stat
-from collections.abc import Mapping
 
 MOST = 64 * 1024  # bytes
 FORMS = 'expected "file:PATH" or "env:NAME", never the value itself'
@@ -31,13 +30,13 @@
     __str__ = __repr__
 
 
-def read_secret(text: object, environ: Mapping[str, str] | None = None) -> Secret:
+def read_secret(text: object) -> Secret:
     """ValueError says what keeps it from being used; it never holds the value, nor what stood there in its place."""
     kind, colon, name = text.partition(":") if isinstance(text, str) else ("", "", "")
     if not colon or not name or kind not in ("file", "env"):
         raise ValueError(FORMS)
     if kind == "env":
-        value = (os.environ if environ is None else environ).get(name)
+        value = os.environ.get(name)
         if not value:
             raise ValueError(f"{kind}:{name}: not set")
         return Secret(f"env:{name}", value.encode())
--- a/roadspur/state/keeper.py
+++ b/roadspur/state/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import sqlite3
 from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -157,6 +158,15 @@
             if not done:
                 log.error("state: %d records were not committed", len(self.writer.waiting))
             else:
-                self.store.end(self.clock())
+                done = self.ended()
         self.store.close()
         return done
+
+    def ended(self) -> bool:
+        """Note the end in order; without that note the next life takes this one for killed, which is safe."""
+        try:
+            self.store.end(self.clock())
+        except sqlite3.Error as error:
+            log.error("state: the end was not noted: %s", error)
+            return False
+        return True
--- a/roadspur/state/options.py
+++ b/roadspur/state/options.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from roadspur.operator.layers import one_line
 from roadspur.operator.units import Bytes, Seconds
 
 COMMIT = Seconds(0.005), Seconds(10.0)
@@ -53,7 +54,7 @@
     try:
         old = msgspec.toml.decode(Path(path).read_bytes(), type=StateFile)
     except (OSError, ValueError) as error:
-        raise ValueError(f"{path}: {' '.join(str(error).split())}") from error
+        raise ValueError(f"{path}: {one_line(error)}") from error
     except RecursionError as error:
         raise ValueError(f"{path}: nested too deeply") from error
     return StateOptions(old.folder, old.sync, Seconds(old.commit_ms / 1000), Bytes(old.most_mb << 20))
