A large fleet's words go to sets, and members of wide sets have a home

A probe that logged each decision (10,041 refusals): 6,904 of them came from one line, the escrowed share in Admission.local, 4,953 of basic and 1,951 of plus; the counter answers about 240 calls a second for 600 requests, so most are decided without it. Members of basic have sets of 29 to 60 ingresses: a share is under a unit, and Sharing.in_touch can never be true for them; from 20 ingresses on nothing is told at all (tell_every over TELL_MOST_S), so it is false for plus too. Excluded: the counter's health (timeouts only in the first two seconds and now and then), marks of used-up windows (372 of 10,041), lack of slots (0).

Change: roadspur/talk (pure): tellings, wants and greetings go to the sets of the members concerned, paced and merged (Outbox); a member whose set is wider than its burst has one home by hashing, which is asked before a request goes on and charges the count for it (Homes). Only where not everything can be told to everybody within a tick (over 8 ingresses at 100 messages a second); smaller fleets say and decide what they did.

--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -423,8 +423,8 @@
     def spend(self, now: float, plan: int, customer: int, units: float) -> None:
         """Units were let in on another's word."""
 
-    def wanting(self, now: float) -> bytes | None:
-        """A message to all peers, if one is due."""
+    def wanting(self, now: float) -> list[tuple[int | None, bytes]]:
+        """Messages that are due, to whom; None: to all peers."""
 
     def heard(self, now: float, peer: int, payload: bytes) -> list[bytes]:
         """A peer's message; the answers to it, if any."""
@@ -457,6 +457,66 @@
         """The last notes of these (plan, customer) are on disk."""
 
 
+class Asked(NamedTuple):
+    """A peer's question to the home of a member: its number, member, plan's number, set, and units asked for."""
+
+    number: int
+    customer: int
+    plan: int
+    first: int
+    width: int
+    units: float
+
+
+class Talk(Protocol):
+    """Who is told and asked what in a large fleet; `roadspur.talk` is one. Plans by their number, times in seconds."""
+
+    def note(self, now: float, key: int, first: int, width: int, lazy: bool = False) -> None:
+        """Something of a member has changed; `lazy`: it may wait for company."""
+
+    def heard(self, now: float, peer: int, telling: bool) -> None:
+        """A peer has sent a message; `telling`: of use by members that are common to both."""
+
+    def meet(self, now: float, first: int, width: int) -> None:
+        """A member of this set was seen."""
+
+    def busy(self) -> bool:
+        """Whether the next tick has anything to say."""
+
+    def tellings(self, now: float) -> list[tuple[int, list[int]]]:
+        """The tellings that leave now: to whom, of which members."""
+
+    def home(self, now: float, customer: int, first: int, width: int) -> int | None:
+        """The ingress that keeps a member's account; None where none of its candidates answers."""
+
+    def ask(self, now: float, home: int, r: Request, plan: int) -> bytes | None:
+        """A question for a request; None where too many are out."""
+
+    def asked(self, payload: bytes) -> Asked | None:
+        """A question of a peer's, None where it cannot be one."""
+
+    def answer(self, number: int, good: bool, room: float) -> bytes:
+        """The answer to one."""
+
+    def answered(self, peer: int, payload: bytes) -> tuple[str, bool, float] | None:
+        """Whose request a home has decided on, how, and the room that it told; None where nobody waits for it."""
+
+    def overdue(self, now: float) -> list[str]:
+        """Requests whose home has not answered in time."""
+
+    def wait_for(self, now: float) -> float | None:
+        """Seconds until a question is overdue; None where none is out."""
+
+    def settle(self, home: int, customer: int, plan: int, units: float) -> None:
+        """Units more (or less) than a home was asked for."""
+
+    def settlements(self) -> list[tuple[int, bytes]]:
+        """The messages of all that waits to be settled."""
+
+    def settled(self, payload: bytes) -> list[tuple[int, int, float]]:
+        """Members, their plans' numbers, and units, of a peer's settlements."""
+
+
 class CounterOf(Protocol):
     """Where several counters share the names: which of them holds one, by its number. Pure."""
 
--- a/roadspur/ledger/beginning.py
+++ b/roadspur/ledger/beginning.py
@@ -30,14 +30,18 @@
 KNOWN, FLOWS, LEAVING = 1, 2, 4  # an earlier life of yours was known; shares went between us; this life is over
 JOINT_MS = 5000   # after a chain's origin, within which who begins is one of those that began together
 FORGET_S = 10.0   # of silence, after which a life gives way to one that is named earlier: a clock was put back
+AGAIN_S = 0.4     # between two greetings of one peer in a large fleet
 GREET_S = (0.05, 0.25, 1.0)  # between greetings in the first second, until the fifth, and later
 
 
 class Lives:
     """The lives of all ingresses as known to one of them. Times in seconds of the one clock."""
 
-    def __init__(self, instances: int, me: int, began: float, epoch: float) -> None:
-        """`epoch`: seconds of the longest one; after that much time this ingress needs nobody's word."""
+    def __init__(self, instances: int, me: int, began: float, epoch: float, addressed: bool = False) -> None:
+        """`epoch`: seconds of the longest one; after that much time this ingress needs nobody's word.
+
+        `addressed`: of a large fleet only those are greeted whom this ingress is to be settled with (`want`).
+        """
         self.me, self.began, self.until = me, began, began + epoch + 1.0
         self.life = self.origin = max(1, int(began * 1000))
         self.others = [n for n in range(instances) if n != me]
@@ -50,6 +54,9 @@
         self.known = False              # a peer knew an earlier life of this ingress
         self.remembered = False         # its own folder knows one, of an epoch that is not over
         self.greeted = -math.inf
+        self.addressed = addressed
+        self.unmet = set[int]() if addressed else set(self.others)  # to be greeted
+        self.greeted_at: dict[int, float] = {}  # when each was, where they are greeted one by one
 
     def meet(self, now: float, peer: int, life: int) -> bool | None:
         """A message of a life has come. True: a life unheard of; None: one that is over, not to be listened to."""
@@ -86,6 +93,7 @@
         self.origin = min(self.origin, origin)
         if mine == self.life and peer not in self.clean:
             self.clean[peer] = math.inf if flags & FLOWS else now
+            self.unmet.discard(peer)
             self.known |= bool(flags & KNOWN)
         if flags & LEAVING:
             self.left.add(peer)
@@ -97,19 +105,31 @@
         age = now - self.began
         return GREET_S[0] if age < 1 else GREET_S[1] if age < 5 else GREET_S[2]
 
+    def want(self, peers: Iterable[int]) -> None:
+        """This ingress is to be settled with these."""
+        if self.addressed:
+            self.unmet.update(p for p in peers if p != self.me and p not in self.clean)
+
     def greetings(self, now: float) -> list[tuple[int, bytes]]:
         """Greetings that are due, to each peer that has not answered."""
         if now > self.until or now - self.greeted < 0.9 * self.pace(now):
             return []
         self.greeted = now
-        return [(peer, self.hello(now, peer)) for peer in self.others if peer not in self.clean]
+        due = [p for p in self.unmet if not self.addressed or now - self.greeted_at.get(p, -math.inf) >= AGAIN_S]
+        if self.addressed:
+            self.greeted_at.update(dict.fromkeys(due, now))
+        return [(peer, self.hello(now, peer)) for peer in sorted(due)]
 
     def greet_in(self, now: float) -> float | None:
         """Seconds until the next greeting; None where none is due any more."""
-        if now > self.until or len(self.clean) == len(self.others):
+        if now > self.until or not self.unmet:
             return None
         return self.pace(now)
 
+    def known_peers(self) -> list[int]:
+        """Those who may hold anything of this ingress's, or wait for its word."""
+        return [p for p in self.others if not self.addressed or p in self.lives]
+
     def settled(self, peer: int, by: float) -> bool:
         """Whether a peer had told this life by then that no shares had gone between the two."""
         return self.clean.get(peer, math.inf) <= by
--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -89,11 +89,13 @@
         self.taken: dict[int, tuple[int, int]] = {}
         self.wanted = self.used = now - 2 * self.length
         self.reserve: Reserve | None = None  # where rooms are kept on disk
-        first_whole = int(lives.began // self.length) + 1
+        first_whole, wide = int(lives.began // self.length) + 1, not terms.strict and len(members) > terms.burst
         if not terms.strict:
             self.share = self.even()
             fresh = terms.fresh * (not lives.known and kept is None)
             self.room = self.part() * (terms.rate * max(0.0, now - lives.began) + fresh)
+            if wide:  # a share under a unit would let nobody in: a request, once
+                self.room = max(self.room, terms.least)
         elif self.epoch < first_whole:
             self.open = {peer for peer in members if peer != me}
             self.share = self.floor() if self.me in members else 0
@@ -105,7 +107,8 @@
             sure = all(lives.settled(peer, first_whole * self.length) for peer in members if peer != me)
             since = lives.began if sure else first_whole * self.length
             self.room = self.part() * (terms.rate * (now - since) + (terms.fresh if lives.young(members) else 0.0))
-        self.room = min(self.room + (kept or 0.0), self.part() * max(0.0, terms.burst - spent), self.cap())
+        left = terms.burst if wide else self.part() * max(0.0, terms.burst - spent)
+        self.room = min(self.room + (kept or 0.0), left, self.cap())
 
     def settle(self) -> None:
         """Look whom this ingress has become settled with; settled with all, it holds its share."""
@@ -271,12 +274,15 @@
     """All allowances at one ingress. Those long idle are forgotten: by then an epoch has made them even and full."""
 
     def __init__(self, instances: int, me: int, began: float, plans: tuple[Terms | None, ...],
-                 want_every: float = WANT_S) -> None:
-        """`want_every`: seconds at least between two messages of wants; each brings two answers a peer at most."""
-        self.want_every, self.told = want_every, -math.inf
+                 want_every: float = WANT_S, each: float | None = None) -> None:
+        """`want_every`: seconds at least between two messages of wants; each brings two answers a peer at most.
+
+        `each`: of a large fleet, in which wants go to the sets of their members only, seconds for each peer asked.
+        """
+        self.want_every, self.each, self.told = want_every, each, -math.inf
         self.instances, self.me, self.plans = instances, me, plans
         longest = max((epoch_length(t) for t in plans if t is not None), default=1.0)
-        self.lives = Lives(instances, me, began, longest)
+        self.lives = Lives(instances, me, began, longest, each is not None)
         self.allowances = OrderedDict[tuple[int, int], Allowance]()
         self.kept = 3 * longest
         self.wants: dict[tuple[int, int], float] = {}
@@ -359,6 +365,7 @@
             kept = self.remembered((plan, customer), terms, members) if self.notes else None
             found = self.allowances[plan, customer] = Allowance(terms, members, self.me, now, self.lives, spent, kept)
             found.reserve = self.forgotten.pop((plan, customer), None)
+            self.lives.want(found.open)
         found.next_set = members
         found.turn(now)  # touched before what is old is swept: it must not sweep itself
         self.allowances.move_to_end((plan, customer))
@@ -379,7 +386,7 @@
             a.lessen(now, spent)
         good = a.take(now, units)
         short = (0.0 if good else units) + min(a.terms.ahead, a.cap() / 4) - a.room
-        if short > 0 and len(a.set) > 1 and now - a.wanted >= WANT_S:  # also ahead of the next request
+        if short > 0 and 1 < len(a.set) <= a.terms.burst and now - a.wanted >= WANT_S:  # also ahead of the next request
             a.wanted = now
             self.wants[plan, customer] = min(short, 2 * short / (len(a.set) - 1))  # of each peer: some have less
         return good
@@ -394,20 +401,27 @@
     def head(self, mark: bytes) -> bytes:
         return mark + self.lives.life.to_bytes(HEAD - 1)
 
-    def wanting(self, now: float) -> bytes | None:
-        """A message to all peers with what is wanted, each want once; the rest waits for the next one."""
+    def wanting(self, now: float) -> list[tuple[int | None, bytes]]:
+        """Messages with what is wanted, each want once, to all peers or to those of its set; the rest waits."""
         if not self.wants or now - self.told < self.want_every:
-            return None
+            return []
         self.told = now
         # Where this ingress is not settled yet, peers are asked for their books as well.
         mark = ASK_MARK if self.unsettled(next(iter(self.wants))) else WANT_MARK
-        rows: list[bytes] = []
+        rows: dict[int | None, list[bytes]] = {}
+        taken = 0
         for key in list(islice(self.wants, 4 * ROWS)):  # the longest waiting first
-            if len(rows) < ROWS and self.unsettled(key) == (mark == ASK_MARK):
-                units = self.wants.pop(key)
-                if key in self.allowances:
-                    rows.append(self.row(key, 0, max(0, min(0xffff, int(units * GRAIN) + 1))))
-        return self.head(mark) + b"".join(rows) if rows else None
+            if taken < ROWS and self.unsettled(key) == (mark == ASK_MARK):
+                units, a = self.wants.pop(key), self.allowances.get(key)
+                if a is None:
+                    continue
+                row = self.row(key, 0, max(0, min(0xffff, int(units * GRAIN) + 1)))
+                taken += 1
+                for peer in (None,) if self.each is None else [p for p in a.set if p != self.me]:
+                    rows.setdefault(peer, []).append(row)
+        if self.each is not None:
+            self.want_every = max(WANT_S, self.each * len(rows))
+        return [(peer, self.head(mark) + b"".join(lines)) for peer, lines in rows.items()]
 
     def unsettled(self, key: tuple[int, int]) -> bool:
         found = self.allowances.get(key)
@@ -473,7 +487,7 @@
     def leaving(self, now: float) -> list[tuple[int, bytes]]:
         """The last words of an ingress that ends in order: shares of members that were here of late, to a peer of
         their set each; those used last go first, what does not fit is lost until the epoch ends."""
-        rows: dict[int, list[bytes]] = {peer: [] for peer in self.lives.others if not self.over(peer)}
+        rows: dict[int, list[bytes]] = {peer: [] for peer in self.lives.known_peers() if not self.over(peer)}
         for key, a in reversed(self.allowances.items()):
             if now - a.at > a.length:
                 break
--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -7,12 +7,13 @@
 from collections import deque
 
 from roadspur import interface as io
-from roadspur.policy.attempts import Attempts, Flight
+from roadspur.policy.attempts import Attempts, Charge, Flight
 from roadspur.policy.fleet import Fleet
 from roadspur.policy.health import ALONE, ASK_DOWN
 from roadspur.policy.sharing import Sharing
 from roadspur.policy.store import Customer
 
+HOME_MARKS = (b"\x07", b"\x08", b"\x09")  # of messages that go between a member's home and other ingresses
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
 FORGOT = 2.0      # most units of a request by which a total may be under what was added here
 FORGOT_S = 10.0   # between two words about that
@@ -29,7 +30,7 @@
         self.sharing, self.fleet, self.attempts = sharing, fleet, attempts
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
-        self.calls: dict[int, deque[tuple[Customer, int, float, Flight | None]]] = {}
+        self.calls: dict[int, deque[tuple[Customer, int, float, Charge | None]]] = {}
         self.forgot = 0.0  # when a name was last found cut short
         # Admitted of late, by plan and whether the request is a repeat.
         self.chance = {(p, again): 1.0 for p in self.plans for again in (False, True)}
@@ -44,13 +45,87 @@
             r, cls, c, now, self.fleet.work[cls.name].of(r.units))
         if plan.rate <= 0 or not self.s.counter:
             return self.local(now, f)
+        if self.sharing.talk is not None and not c.wide():
+            self.sharing.talk.meet(now, c.first, c.width)
+        home = self.sharing.home(now, c)
+        if home is not None and home != self.s.me and self.ask(now, f, home):
+            return None
+        if home == self.s.me:
+            c.house(now)
+        self.charge(now, f)
+
+    def ask(self, now: float, f: Flight, home: int) -> bool:
+        """Have the home of a member's account decide; whether it was asked, or all was said without it."""
+        if not self.fleet.free(now) and self.attempts.late(now, f):
+            self.attempts.refuse(now, f, 0.0)  # a charge for what is not sent would use the quota up
+            return True
+        talk, number = self.sharing.talk, self.sharing.plan_numbers[f.req.plan]
+        message = talk.ask(now, home, f.req, number) if talk is not None else None
+        if message is not None:
+            self.acts.append(io.Tell(home, message))
+        return message is not None
+
+    def told(self, now: float, e: io.PeerMessage) -> None:
+        """A question to this ingress as home, an answer to one of its own, or what is to be settled here."""
+        talk, mark = self.sharing.talk, e.payload[:1]
+        if talk is None or mark not in HOME_MARKS:
+            return self.sharing.heard(now, e)
+        self.sharing.touch[e.sender] = now
+        talk.heard(now, e.sender, False)
+        if mark == HOME_MARKS[0] and (a := talk.asked(e.payload)) is not None:
+            c = self.sharing.housed(now, a.plan, a.customer, a.first, a.width)
+            if c is not None:
+                r = io.Request("", "", c.plan.name, a.customer, math.inf, a.units, a.width, a.first)
+                self.charge(now, Charge(r, c, e.sender, a.number))
+        elif mark == HOME_MARKS[1] and (answer := talk.answered(e.sender, e.payload)) is not None:
+            name, good, room = answer
+            f = self.attempts.flights.get(name)
+            if f is None:  # its client has gone
+                return None
+            f.home, f.took = e.sender, f.req.units if good else 0.0
+            self.pass_on(now, f) if good else self.attempts.refuse(now, f, (f.req.units - room) / f.customer.plan.rate)
+        elif mark == HOME_MARKS[2]:
+            for key, number, units in talk.settled(e.payload):
+                if (c := self.sharing.housed(now, number, key)) is not None:
+                    c.pending += units
+                    c.use(now, units)
+        return None
+
+    def overdue(self, now: float) -> None:
+        """Homes that have not answered in time: the ingress goes by what it knows, and asks the counter itself."""
+        for name in self.sharing.talk.overdue(now) if self.sharing.talk is not None else ():
+            if (f := self.attempts.flights.get(name)) is not None:
+                self.charge(now, f)
+
+    def pass_on(self, now: float, f: Charge) -> None:
+        """It is inside the quota: send it on, or tell who asked."""
+        if isinstance(f, Flight):
+            self.attempts.send(now, f)
+        else:
+            self.reply(now, f, True)
+
+    def turn_away(self, now: float, f: Charge, wait: float) -> None:
+        """It is beyond the quota, or nobody knows: refuse it, or tell who asked."""
+        if isinstance(f, Flight):
+            self.attempts.refuse(now, f, wait)
+        else:
+            self.reply(now, f, False)
+
+    def reply(self, now: float, f: Charge, good: bool) -> None:
+        """The home's word to the ingress that asked."""
+        if self.sharing.talk is not None and f.peer is not None:
+            self.acts.append(io.Tell(f.peer, self.sharing.talk.answer(f.number, good, f.customer.room(now))))
+
+    def charge(self, now: float, f: Charge) -> None:
+        """Charge it to the count, or decide by what is known where the counter cannot take so many calls."""
+        c, r = f.customer, f.req
         health, known = self.sharing.health(now, c), c.room(now) - c.flying
         health.asked *= 1 - ASK_OVER
         # Spared a call: others can only have taken more than is known.
         spared = health.ask < 1 or health.asked > ASK_SHARE
         if spared and (known < r.units or c.short(now) in self.sharing.spent):
-            return self.attempts.refuse(now, f, (r.units - known) / plan.rate)
-        if not self.fleet.free(now) and self.attempts.late(now, f):
+            return self.turn_away(now, f, (r.units - known) / c.plan.rate)
+        if isinstance(f, Flight) and not self.fleet.free(now) and self.attempts.late(now, f):
             # A charge for what is not sent would use the quota up.
             return self.attempts.refuse(now, f, 0.0)
         if r.expires_in <= 2 * self.s.counter_timeout or self.rng.random() >= health.ask:
@@ -60,7 +135,7 @@
         self.add(now, c, f.charge + c.pending, f)
         c.pending = 0.0
 
-    def add(self, now: float, c: Customer, units: float, f: Flight | None) -> None:
+    def add(self, now: float, c: Customer, units: float, f: Charge | None) -> None:
         """One call on the count of the customer's current window."""
         window = c.turn(now)
         name = c.name(now)
@@ -82,7 +157,7 @@
         c.owing -= max(0.0, units - (f.charge if f else 0.0))
         self.sharing.touched(c)
         health = self.sharing.counters.of(e.name)
-        f = f if f is not None and f.req.id in self.attempts.flights else None
+        f = f if f is not None and (f.peer is not None or f.req.id in self.attempts.flights) else None
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
             health.missed(now)
             if health.misses == ALONE:
@@ -110,15 +185,16 @@
         self.chance[f.req.plan, f.req.is_repeat] = common + VERDICT / 5 * (good - common)
         if good:
             self.sharing.admit(now, c, f.charge, f)
-            return self.attempts.send(now, f)
+            return self.pass_on(now, f)
         if c.known or health.ask >= 1:
             self.add(now, c, -f.charge, None)  # refused: the charge is added back
-        if self.s.peers and not c.known and c.level < 1 and c.short(now) not in self.sharing.spent:
+        if (self.s.peers and self.sharing.talk is None and not c.known and c.level < 1
+                and c.short(now) not in self.sharing.spent):
             self.acts.append(io.Tell(None, c.short(now)))  # nothing more fits: peers need not ask
             self.sharing.heard(now, io.PeerMessage(self.s.me, c.short(now)))
-        self.attempts.refuse(now, f, (f.req.units - c.room(now)) / c.plan.rate)
+        self.turn_away(now, f, (f.req.units - c.room(now)) / c.plan.rate)
 
-    def guess(self, now: float, f: Flight) -> float:
+    def guess(self, now: float, f: Charge) -> float:
         """The chance that a total would admit: the customer's own of late, ageing into its like's."""
         c, common = f.customer, self.chance[f.req.plan, f.req.is_repeat]
         return common + (c.chance - common) * math.exp((c.at - now) / (7 * c.length))
@@ -126,7 +202,7 @@
     def learn(self, now: float, c: Customer, window: int, units: float, total: float,
               charge: float) -> None:
         """Put the store right by a total: what it holds over what is known came in elsewhere."""
-        if c.width > c.plan.burst and (c.window < window - 1 or (c.window == window and not c.known)):
+        if c.wide() and not c.housed and (c.window < window - 1 or (c.window == window and not c.known)):
             # No history at most ingresses: each would take most of a store to be left, anew in every window.
             c.known, c.window, c.total = False, window, total
             c.level, c.at = c.plan.burst - total + charge, now
@@ -172,28 +248,28 @@
             self.add(now, c, c.pending, None)
             c.pending = 0.0
 
-    def local(self, now: float, f: Flight) -> None:
+    def local(self, now: float, f: Charge) -> None:
         """Admit against this ingress's share of the store; the use is reported with the next call."""
         c, units = f.customer, f.req.units
         if self.sharing.in_touch(now, c):
             if c.room(now) - c.flying < units:
-                return self.attempts.refuse(now, f, (units - c.room(now)) / c.plan.rate)
+                return self.turn_away(now, f, (units - c.room(now)) / c.plan.rate)
             if self.sharing.health(now, c).silent(now) and (
                     c.plan.ceiling_rate > 0 or self.sharing.guessed(now, c)):
                 f.escrowed = True  # a ceiling is never given up for service, not even what peers have yet to tell
                 if not self.sharing.share(now, c, units):
-                    return self.attempts.refuse(now, f, 0.0)
+                    return self.turn_away(now, f, 0.0)
             c.pending += units
         elif c.plan.rate > 0 and self.sharing.escrow is not None:
             f.escrowed = True
             if c.room(now) - c.flying < units or not self.sharing.share(now, c, units):
-                return self.attempts.refuse(now, f, 0.0)
+                return self.turn_away(now, f, 0.0)
             c.pending += units
         elif c.plan.rate > 0 >= c.plan.ceiling_rate and f.thin:
             # A share under one request would refuse all: whole ones by the chance they had of late.
             good = self.rng.random() < self.guess(now, f)
             c.chance *= 1 - VERDICT * good  # let in unseen: who comes here again soon asks more than most
-            return self.attempts.send(now, f) if good else self.attempts.refuse(now, f, 0.0)
+            return self.pass_on(now, f) if good else self.turn_away(now, f, 0.0)
         elif c.plan.rate > 0:
             share = max(1.0 / c.width, c.part)
             if c.plan.ceiling_rate > 0:  # all shares together, and what totals admit, stay within it
@@ -205,7 +281,7 @@
                 c.level, c.at = c.plan.burst, now
             own = max(0.0, c.pending)
             if own + c.flying + units > min(c.plan.burst, c.room(now) + own) * share:
-                return self.attempts.refuse(now, f, 0.0)
+                return self.turn_away(now, f, 0.0)
             c.pending += units
         self.sharing.admit(now, c, units, f)
-        self.attempts.send(now, f)
+        self.pass_on(now, f)
--- a/roadspur/policy/attempts.py
+++ b/roadspur/policy/attempts.py
@@ -18,19 +18,29 @@
 NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
 
 
-class Flight:
+class Charge:
+    """Units that are asked for of a customer's quota: by a request here (`Flight`), or by a peer for one of its own."""
+
+    def __init__(self, req: io.Request, customer: Customer, peer: int | None = None, number: int = 0) -> None:
+        """`peer`: who asks, by a question of this `number`."""
+        self.req, self.customer, self.charge, self.peer, self.number = req, customer, req.units, peer, number
+        self.thin = req.units * customer.width > customer.plan.burst  # an even share is under one request
+        self.took = 0.0  # units off the store
+        self.escrowed = False  # let in on the ingress's own share
+        self.home: int | None = None  # the peer that was asked and let it in
+
+
+class Flight(Charge):
     """A request that is owed one final answer."""
 
     def __init__(self, req: io.Request, cls: io.ClassSettings, customer: Customer, now: float,
                  work: float = 1.0) -> None:
-        self.req, self.cls, self.customer, self.work = req, cls, customer, work
+        super().__init__(req, customer)
+        self.cls, self.work = cls, work
         self.aim = now + min(cls.objective, req.expires_in)  # nothing is sent once its client is gone
-        self.attempts, self.sent, self.charge = 0, 0.0, req.units
-        self.thin = req.units * customer.width > customer.plan.burst  # an even share is under one request
+        self.attempts, self.sent = 0, 0.0
         self.ran_at: float | None = None  # send time of the earliest attempt that may have run, and where
         self.ran_on: io.BackendEntry | None = None
-        self.took = 0.0  # units off the store
-        self.escrowed = False  # let in on the ingress's own share
         self.bad, self.value = set[str](), cls.worth * customer.plan.price  # worth a unit; units go with work
 
 
@@ -51,8 +61,7 @@
         """Final answer: refused, or failed where a refusal would promise too much."""
         del self.flights[f.req.id]
         if f.took > 0 and f.attempts == 0:  # what was never sent on uses nothing up
-            f.customer.pending -= f.took
-            self.sharing.admit(now, f.customer, -f.took)
+            self.sharing.settle(now, f, -f.took)
         keyed = f.cls.effect is io.Effect.KEYED and f.cls.group is io.Group.ALL
         if f.ran_at is not None and f.cls.effect is not io.Effect.SAFE and not keyed:
             self.acts.append(io.Fail(f.req.id))
@@ -129,8 +138,7 @@
             if self.queue:
                 self.dispatch(now)
             if e.outcome is io.Outcome.OK and e.true_units > 0 and self.s.settles:
-                f.customer.pending += e.true_units - f.req.units  # settled with the next call
-                self.sharing.admit(now, f.customer, e.true_units - f.req.units)
+                self.sharing.settle(now, f, e.true_units - f.req.units)  # with the next call
             return
         f.bad.add(e.backend)
         jammed = e.outcome is io.Outcome.FULL and self.fleet.press > PRESSED  # elsewhere it is full too
--- a/roadspur/policy/gateway.py
+++ b/roadspur/policy/gateway.py
@@ -19,7 +19,7 @@
 from roadspur.policy.sharing import Sharing
 from roadspur.policy.store import Customer
 
-BEAT, TELL, GREET = 0, 1, 2  # tokens of timers
+BEAT, TELL, GREET, HOME = 0, 1, 2, 3  # tokens of timers
 
 
 class Gateway:
@@ -29,23 +29,24 @@
     """
 
     def __init__(self, settings: io.Settings, seed: int, now: float, escrow: io.Escrow | None = None,
-                 placement: io.CounterOf | None = None) -> None:
+                 placement: io.CounterOf | None = None, talk: io.Talk | None = None) -> None:
         """`escrow` holds members to shares while no total can be trusted; without it even shares do.
 
-        `placement` tells which of several counters holds a name.
+        `placement` tells which of several counters holds a name; `talk`, of a large fleet, who is told what.
         """
         self.s, rng = settings, random.Random(seed)
         self.acts: list[io.Action] = []
         self.counters = Counters(placement)
-        self.sharing = Sharing(settings, self.counters, self.acts, now, escrow)
+        self.sharing = Sharing(settings, self.counters, self.acts, now, escrow, talk)
         self.fleet = Fleet(settings, rng, self.acts, now)
         self.attempts = Attempts(settings, self.fleet, self.sharing, self.acts)
         self.admission = Admission(settings, rng, self.sharing, self.fleet, self.attempts, self.acts)
         self.begun, self.escrow = False, self.sharing.escrow
+        self.talk, self.asking, self.greeting = talk, False, False  # and whether those timers are set
         self.on: dict[type, Callable[[float, Any], Any]] = {
             io.Request: self.admission.request, io.CounterReply: self.admission.counted,
             io.AttemptEnded: self.attempts.ended, io.ListUpdate: self.fleet.listed,
-            io.TimerFired: self.timer, io.PeerMessage: self.sharing.heard,
+            io.TimerFired: self.timer, io.PeerMessage: self.admission.told,
             io.ClientGone: lambda _, e: self.attempts.gone(e), io.Leaving: lambda now, _: self.leave(now)}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
@@ -54,16 +55,22 @@
         acts.clear()
         if not self.begun:
             self.begun = True
-            self.greet(now)
+            self.sharing.greet(now)
         if type(event) in self.on:
             self.on[type(event)](now, event)
         if not self.attempts.armed and (self.fleet.out or self.attempts.queue):
             # An idle ingress costs nothing.
             self.attempts.armed = True
             acts.append(io.SetTimer(BEAT_S, BEAT))
-        if (self.sharing.untold or self.sharing.owed) and not self.sharing.telling:
+        if not self.sharing.telling and self.sharing.due():
             self.sharing.telling = True
             acts.append(io.SetTimer(self.sharing.tell_every, TELL))
+        if self.talk is not None and not self.asking and (wait := self.talk.wait_for(now)) is not None:
+            self.asking = True
+            acts.append(io.SetTimer(wait, HOME))
+        if self.escrow is not None and not self.greeting and (wait := self.escrow.greet_in(now)) is not None:
+            self.greeting = True
+            acts.append(io.SetTimer(wait, GREET))
         return acts.copy()
 
     def room(self, now: float, customer: int, plan: str) -> float:
@@ -99,16 +106,14 @@
         if e.token == TELL:
             self.sharing.tell(now)
         elif e.token == GREET:
-            self.greet(now)
+            self.greeting = False
+            self.sharing.greet(now)
+        elif e.token == HOME:
+            self.asking = False
+            self.admission.overdue(now)
         else:
             self.attempts.sweep(now)
 
-    def greet(self, now: float) -> None:
-        """Say to peers that this ingress has begun, until they have answered."""
-        again = self.sharing.greet(now)
-        if again is not None:
-            self.acts.append(io.SetTimer(again, GREET))
-
     def leave(self, now: float) -> None:
         """An end in order: what only this ingress knows goes to the counter and to its peers."""
         self.admission.leave(now)
--- a/roadspur/policy/sharing.py
+++ b/roadspur/policy/sharing.py
@@ -39,14 +39,20 @@
 
     took: float
     escrowed: bool
+    home: int | None
+
+    @property
+    def customer(self) -> Customer: ...
 
 
 class Sharing:
     """Customers' stores at one ingress, kept in step with the other ingresses'."""
 
     def __init__(self, settings: io.Settings, counters: Counters, acts: list[io.Action],
-                 now: float, escrow: io.Escrow | None = None) -> None:
+                 now: float, escrow: io.Escrow | None = None, talk: io.Talk | None = None) -> None:
+        """`talk`: where the fleet is too large for everything to be told to everybody."""
         self.s, self.counters, self.acts = settings, counters, acts
+        self.talk = talk
         self.escrow = escrow if settings.peers else None
         self.plans = {p.name: p for p in settings.plans}
         self.customers = OrderedDict[int, Customer]()  # the longest quiet first
@@ -55,7 +61,10 @@
         taken_in = TELL_PART * settings.peer_in_per_s
         self.tell_every = max(TELL_S, (settings.instances - 1) / max(1e-9, taken_in))
         self.tell_most = int(taken_in * self.tell_every / max(1, settings.instances - 1))  # messages at once
-        self.tells = settings.peers and settings.instances > 1 and self.tell_every <= TELL_MOST_S
+        self.tells = settings.peers and settings.instances > 1 and (
+            self.tell_every <= TELL_MOST_S or talk is not None)
+        if talk is not None:
+            self.tell_every = TELL_S
         self.untold: dict[int, Customer] = {}  # whose use is to be told to peers
         self.changed: dict[int, Customer] | None = None  # since they were last kept; None where nothing is
         self.telling, self.began = False, now
@@ -97,15 +106,52 @@
             self.escrow.spend(now, self.plan_numbers[c.plan.name], c.key, units)
         if f is not None:
             f.took = units
-        if self.tells and c.width <= c.plan.burst:
+        if self.tells and not c.wide():
             c.mine += round(4 * units)
-            self.untold[c.key] = c
+            if self.talk is not None:
+                self.talk.note(now, c.key, c.first, c.width, f is None)
+            else:
+                self.untold[c.key] = c
+
+    def settle(self, now: float, f: Charged, units: float) -> None:
+        """Put right what a request was charged, where its member's account is kept."""
+        c = f.customer
+        if f.home is not None and self.talk is not None:
+            return self.talk.settle(f.home, c.key, self.plan_numbers[c.plan.name], units)
+        c.pending += units
+        self.admit(now, c, units)
+
+    def home(self, now: float, c: Customer) -> int | None:
+        """The ingress that keeps the account of a member with a wide set; None where each goes by its own knowledge.
+
+        A ceiling has no home: while homes change its room could be had twice.
+        """
+        if self.talk is None or not c.wide() or c.plan.ceiling_rate > 0:
+            return None
+        return self.talk.home(now, c.key, c.first, c.width)
+
+    def housed(self, now: float, number: int, key: int, first: int = 0, width: int = 0) -> Customer | None:
+        """A member whose account is kept here, as a peer says; None where it has no such plan."""
+        plan = list(self.plans.values())[number] if number < len(self.plans) else None
+        if plan is None or plan.rate <= 0 or plan.ceiling_rate > 0:
+            return None
+        c = self.meet(now, key, plan)
+        if width:
+            c.first, c.width = first, width
+        c.house(now)
+        return c
 
     def tell(self, now: float) -> None:
         """Tell peers what was let in: between its own calls no ingress sees it in a count."""
         self.telling = self.owed = False
         self.last_told = now
         self.want(now)
+        if self.talk is not None:
+            self.acts += [io.Tell(peer, TOLD_MARK + b"".join(
+                self.told(now, c, peer) for c in map(self.customers.get, keys) if c is not None))
+                for peer, keys in self.talk.tellings(now)]
+            self.acts += [io.Tell(peer, message) for peer, message in self.talk.settlements()]
+            return
         if not self.untold:  # only that this ingress is there
             self.acts.append(io.Tell(None, TOLD_MARK))
         waiting = list(islice(self.untold.values(), max(1, self.tell_most) * TOLD_MOST))
@@ -113,11 +159,14 @@
             self.acts.append(io.Tell(None, TOLD_MARK + b"".join(
                 self.told(now, c) for c in waiting[n:n + TOLD_MOST])))
 
-    def told(self, now: float, c: Customer) -> bytes:
-        """What a message says of one customer."""
-        del self.untold[c.key]
-        new = max(-128, min(127, c.mine - c.mine_told))
-        c.mine_told = c.mine
+    def told(self, now: float, c: Customer, peer: int | None = None) -> bytes:
+        """What a message, to one peer or to all, says of one customer."""
+        if peer is not None:
+            new, c.told_to[peer] = c.mine - c.told_to.get(peer, c.mine_told), c.mine
+        else:
+            del self.untold[c.key]
+            new, c.mine_told = c.mine - c.mine_told, c.mine
+        new = max(-128, min(127, new))
         name = c.key << 7 | self.plan_numbers[c.plan.name]
         level = max(-LEVELS, min(LEVELS, LEVELS * c.room(now) / c.plan.burst))
         return TOLD.pack(name.to_bytes(5), c.mine & 0xffff, new, round(level))
@@ -125,8 +174,10 @@
     def heard(self, now: float, e: io.PeerMessage) -> None:
         """What a peer has let in, or a window that is used up; what is long over is forgotten."""
         self.touch[e.sender] = now
+        if self.talk is not None:
+            self.talk.heard(now, e.sender, len(e.payload) > 1 and e.payload[:1] == TOLD_MARK)
         if e.payload[:1] == TOLD_MARK and len(e.payload) % TOLD.size == 1 and self.tells:
-            self.owed |= len(e.payload) > 1 and now - self.last_told > BEACON_S
+            self.owed |= self.talk is None and len(e.payload) > 1 and now - self.last_told > BEACON_S
             for name, total, new, level in TOLD.iter_unpack(e.payload[1:]):
                 self.hear(now, e.sender, int.from_bytes(name), total, new, level / LEVELS)
             return
@@ -171,37 +222,42 @@
             self.owed = True  # what is not told now is told with the next telling
         return good
 
-    def greet(self, now: float) -> float | None:
-        """Say that this ingress has begun to peers that have not answered; seconds until it is due again."""
-        if self.escrow is None:
-            return None
-        self.acts += [io.Tell(peer, message) for peer, message in self.escrow.greetings(now)]
-        return self.escrow.greet_in(now)
+    def greet(self, now: float) -> None:
+        """Say that this ingress has begun to peers that have not answered."""
+        if self.escrow is not None:
+            self.acts += [io.Tell(peer, message) for peer, message in self.escrow.greetings(now)]
 
     def leave(self, now: float) -> None:
         """Tell peers all that they have not been told, and hand them this ingress's shares."""
         while self.untold:
             self.tell(now)
+        if self.talk is not None:
+            self.tell(now)
         if self.escrow is not None:
             self.acts += [io.Tell(peer, message) for peer, message in self.escrow.leaving(now)]
 
     def want(self, now: float) -> None:
         """Ask peers for their shares, as often as messages may be sent."""
-        message = self.escrow.wanting(now) if self.escrow is not None else None
-        if message is not None:
-            self.acts.append(io.Tell(None, message))
+        if self.escrow is not None:
+            self.acts += [io.Tell(peer, message) for peer, message in self.escrow.wanting(now)]
+
+    def due(self) -> bool:
+        """Whether peers are to be told anything with the next tick."""
+        return bool(self.untold) or self.owed or (self.talk is not None and self.talk.busy())
 
     def in_touch(self, now: float, c: Customer, strict: bool = False) -> bool:
         """Whether all ingresses of the customer's set are heard of: the store is known without calls.
 
         `strict`: within the shorter time also while totals come.
         """
+        if c.housed:
+            return True
         peers = (i % self.s.instances for i in range(c.first, c.first + c.width))
         short = strict or self.health(now, c).silent(now)
         if strict and now - self.began < TOUCH_S:  # they are given time to say that they are there
             return True
         since = now - (TOUCH_S if short else AWAY_S)
-        return self.tells and c.width <= c.plan.burst and all(
+        return self.tells and not c.wide() and all(
             i == self.s.me or self.touch[i] > since or (self.escrow is not None and self.escrow.over(i))
             for i in peers)
 
@@ -212,13 +268,15 @@
 
     def followed(self, now: float, c: Customer) -> bool:
         """Whether all that the present window's total holds must have been heard of too."""
-        return self.in_touch(now, c) and c.born <= c.turn(now) * c.length - c.phase
+        return not c.housed and self.in_touch(now, c) and c.born <= c.turn(now) * c.length - c.phase
 
     def told_of(self, now: float, c: Customer) -> bool:
         """Whether all that the customer has used of late must be known here: it would have been told of.
 
         Or it came through here alone, and this ingress, or a counter of its own, is old enough to know it.
         """
+        if c.housed:
+            return True
         if c.width == 1 and c.first % self.s.instances == self.s.me % self.s.instances and (
                 self.s.own_counter or now - self.began > 2 * c.length):
             return True
--- a/roadspur/policy/store.py
+++ b/roadspur/policy/store.py
@@ -21,7 +21,7 @@
     __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
                  "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
                  "vouched", "seen", "named", "hashed",
-                 "doubt", "doubted", "pending", "flying", "owing", "part", "known", "chance")
+                 "doubt", "doubted", "pending", "flying", "owing", "part", "known", "chance", "housed", "told_to")
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -41,6 +41,8 @@
         self.pending, self.flying = 0.0, 0.0  # own use not in the count yet, and charges without a verdict
         self.owing = 0.0  # own use that is on its way to the count
         self.part = 0.0  # of the customer's recent use, what came through here
+        self.housed = False  # all that it uses comes through this ingress, the home of its account
+        self.told_to: dict[int, int] = {}  # `mine` as last told to each peer, where they are told one by one
         self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
 
     def turn(self, now: float) -> int:
@@ -86,6 +88,16 @@
         self.heard, self.heard_in, self.excess, self.excess_at = s.heard, s.heard_in, s.excess, self.born
         self.doubt, self.doubted = s.doubt, s.doubted  # the next total may tell
 
+    def house(self, now: float) -> None:
+        """Its account is kept here from now on."""
+        if not self.known:
+            self.level, self.at, self.known = self.room(now), now, True
+        self.housed = True
+
+    def wide(self) -> bool:
+        """Whether its set is so wide that an even share is less than a unit."""
+        return self.width > self.plan.burst
+
     def use(self, now: float, units: float) -> None:
         """Units were let in."""
         if self.known:
--- /dev/null
+++ b/roadspur/talk/__init__.py
@@ -0,0 +1,11 @@
+"""What the ingresses of a large fleet say to one another: to whom, when and within which budget; pure.
+
+Promises: what one ingress sends a second is bounded whatever its traffic and the size of the fleet; what waits is
+merged, never queued without end; and a member whose set is too wide for tellings has one account, at its home.
+"""
+
+from roadspur.talk.homes import Homes
+from roadspur.talk.outbox import Outbox
+from roadspur.talk.talk import Talk
+
+__all__ = ["Homes", "Outbox", "Talk"]
--- /dev/null
+++ b/roadspur/talk/talk.py
@@ -0,0 +1,146 @@
+"""The words of homes and their members' ingresses, byte by byte, and what a large fleet's talk consists of.
+
+    07  question  number (2), member and plan (5), set: first (2), width (2), quarter units (2)    14 bytes
+    08  answer    number (2), 1 let in / 0 not (1), room in quarter units, signed (2)              6 bytes
+    09  settled   rows of member and plan (5), quarter units more or less, signed (2)              7 bytes a row
+
+Numbers are big-endian. A message of another length is passed over.
+"""
+
+from __future__ import annotations
+
+import struct
+
+from roadspur import interface as io
+from roadspur.talk.homes import ANSWER_S, Homes
+from roadspur.talk.outbox import Outbox
+
+ASK, ANSWER, SETTLED = b"\x07", b"\x08", b"\x09"
+MARKS = (ASK, ANSWER, SETTLED)
+QUESTION = struct.Struct(">H5sHHH")
+REPLY = struct.Struct(">HBh")
+ROW = struct.Struct(">5sh")
+ROWS = (256 - 1) // ROW.size
+SETTLE_MOST = 4096  # members whose settlements wait at once; beyond it the oldest are forgotten
+TELL_PART = 0.5     # of the messages that an ingress takes in, that it sends as tellings
+
+
+class Talk:
+    """What one ingress of a large fleet says: tellings to sets, questions to homes, settlements."""
+
+    def __init__(self, instances: int, me: int, per_s: float, rows: int, counter_timeout: float, now: float) -> None:
+        """`per_s`: messages a second that an ingress takes in; `rows`: members that a telling holds."""
+        self.instances, self.me = instances, me
+        self.outbox = Outbox(TELL_PART * per_s, rows, now)
+        self.homes = Homes(instances, me, ANSWER_S + counter_timeout)
+        self.settling: dict[int, dict[bytes, float]] = {}  # by home, units by member and plan
+        self.settlings = 0
+
+    def peers(self, first: int, width: int) -> list[int]:
+        """The other ingresses of a set."""
+        return [p for n in range(width) if (p := (first + n) % self.instances) != self.me]
+
+    # Tellings.
+
+    def note(self, now: float, key: int, first: int, width: int, lazy: bool = False) -> None:
+        """Something of a member has changed; `lazy`: it may wait for company."""
+        peers = self.peers(first, width)
+        self.outbox.note(now, key, peers, lazy)
+        self.outbox.meet(now, peers)
+
+    def heard(self, now: float, peer: int, telling: bool) -> None:
+        """A peer has sent a message; `telling`: of use by members that are common to both."""
+        self.homes.heard(peer)
+        if telling:
+            self.outbox.owe(now, peer)
+            self.outbox.meet(now, (peer,))
+
+    def meet(self, now: float, first: int, width: int) -> None:
+        """A member of this set was seen."""
+        self.outbox.meet(now, self.peers(first, width))
+
+    def busy(self) -> bool:
+        """Whether the next tick has anything to say."""
+        return self.outbox.busy() or bool(self.settling)
+
+    def tellings(self, now: float) -> list[tuple[int, list[int]]]:
+        """The tellings that leave now: to whom, of which members."""
+        return self.outbox.take(now)
+
+    # Questions and their answers.
+
+    def home(self, now: float, customer: int, first: int, width: int) -> int | None:
+        """The ingress that keeps a member's account; None where none of its candidates answers."""
+        return self.homes.of(now, customer, first, width)
+
+    def ask(self, now: float, home: int, r: io.Request, plan: int) -> bytes | None:
+        """A question for a request; None where too many are out."""
+        number = self.homes.ask(now, r.id, home, r.customer, plan, r.units)
+        if number is None:
+            return None
+        quarters = min(0xffff, round(4 * r.units))
+        return ASK + QUESTION.pack(number, (r.customer << 7 | plan).to_bytes(5), r.first, r.width, quarters)
+
+    def asked(self, payload: bytes) -> io.Asked | None:
+        """A question of a peer's, None where it cannot be one."""
+        if len(payload) != 1 + QUESTION.size:
+            return None
+        number, name, first, width, quarters = QUESTION.unpack_from(payload, 1)
+        if not 1 <= width <= self.instances or first >= self.instances:
+            return None
+        return io.Asked(number, int.from_bytes(name) >> 7, name[4] & 127, first, width, quarters / 4)
+
+    def answer(self, number: int, good: bool, room: float) -> bytes:
+        """The answer to one."""
+        return ANSWER + REPLY.pack(number, good, max(-0x8000, min(0x7fff, round(4 * room))))
+
+    def answered(self, peer: int, payload: bytes) -> tuple[str, bool, float] | None:
+        """Whose request a home has decided on, how, and the room that it told; None where nobody waits for it."""
+        if len(payload) != 1 + REPLY.size:
+            return None
+        number, good, quarters = REPLY.unpack_from(payload, 1)
+        found = self.homes.answered(peer, number)
+        if found is None:
+            return None
+        question, in_time = found
+        if not in_time:
+            if good:  # it went another way meanwhile
+                self.settle(peer, question.customer, question.plan, -question.units)
+            return None
+        return question.request, bool(good), quarters / 4
+
+    def overdue(self, now: float) -> list[str]:
+        """Requests whose home has not answered in time."""
+        return self.homes.overdue(now)
+
+    def wait_for(self, now: float) -> float | None:
+        """Seconds until a question is overdue; None where none is out."""
+        return self.homes.wait_for(now)
+
+    def settle(self, home: int, customer: int, plan: int, units: float) -> None:
+        """Units more (or less) than a home was asked for; they go with the next tick, merged."""
+        if self.settlings >= SETTLE_MOST:
+            oldest = next(iter(self.settling))
+            self.settlings -= len(self.settling.pop(oldest))
+        rows = self.settling.setdefault(home, {})
+        name = (customer << 7 | plan).to_bytes(5)
+        self.settlings += name not in rows
+        rows[name] = rows.get(name, 0.0) + units
+
+    def settlements(self) -> list[tuple[int, bytes]]:
+        """The messages of all that waits, each home's together."""
+        out = []
+        for home, rows in self.settling.items():
+            packed = [ROW.pack(name, max(-0x8000, min(0x7fff, round(4 * u)))) for name, u in rows.items()]
+            out += [(home, SETTLED + b"".join(packed[n:n + ROWS])) for n in range(0, len(packed), ROWS)]
+        self.settling.clear()
+        self.settlings = 0
+        return out
+
+    @staticmethod
+    def settled(payload: bytes) -> list[tuple[int, int, float]]:
+        """Members, their plans' numbers, and units, of a peer's settlements."""
+        if (len(payload) - 1) % ROW.size:
+            return []
+        return [(int.from_bytes(name) >> 7, name[4] & 127, quarters / 4)
+                for name, quarters in ROW.iter_unpack(payload[1:])]
--- a/tests/ledger/test_escrow.py
+++ b/tests/ledger/test_escrow.py
@@ -70,8 +70,7 @@
         if good:
             self.served += 1
             self.store.pour(self.now, units)
-        message = self.nodes[node].wanting(self.now)
-        if message is not None:
+        for _, message in self.nodes[node].wanting(self.now):  # to all
             self.wire += [(node, other, message) for other in range(self.count) if other != node]
         return good
 
@@ -313,8 +312,9 @@
         while node.take(START, 0, member, 0, 3, 4.0, 0.0):
             pass
     messages, now = [], START
-    while (message := node.wanting(now)) is not None:
-        assert node.wanting(now) is None  # no more than one at a time, however many want
+    while wanted := node.wanting(now):
+        [(_, message)] = wanted
+        assert not node.wanting(now)  # no more than one at a time, however many want
         messages.append(message)
         now += 2 * node.want_every
     assert max(map(len, messages)) <= 256 and sum((len(m) - HEAD) // ROW.size for m in messages) == 100
