--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -114,7 +114,8 @@
     def reply(self, now: float, f: Charge, good: bool) -> None:
         """The home's word to the ingress that asked."""
         if self.sharing.talk is not None and f.peer is not None:
-            self.acts.append(io.Tell(f.peer, self.sharing.talk.answer(f.number, good, f.customer.room(now))))
+            room = f.customer.room(now) - f.customer.flying
+            self.acts.append(io.Tell(f.peer, self.sharing.talk.answer(f.number, good, room)))
 
     def charge(self, now: float, f: Charge) -> None:
         """Charge it to the count, or decide by what is known where the counter cannot take so many calls."""
--- a/roadspur/talk/outbox.py
+++ b/roadspur/talk/outbox.py
@@ -64,7 +64,9 @@
             keys = list(islice(self.waiting[peer], self.rows))
             for key in keys:
                 del self.waiting[peer][key]
-            if not self.waiting[peer]:
+            if self.waiting[peer]:
+                self.due[peer] = now  # behind all that wait already
+            else:
                 del self.waiting[peer], self.due[peer]
             self.send(now, peer, keys, out)
         for peer, until in list(self.company.items()):
--- a/roadspur/talk/talk.py
+++ b/roadspur/talk/talk.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 
 from roadspur import interface as io
@@ -91,8 +92,8 @@
         return io.Asked(number, int.from_bytes(name) >> 7, name[4] & 127, first, width, quarters / 4)
 
     def answer(self, number: int, good: bool, room: float) -> bytes:
-        """The answer to one."""
-        return ANSWER + REPLY.pack(number, good, max(-0x8000, min(0x7fff, round(4 * room))))
+        """The answer to one. Room is rounded down: who has none must not be told of enough."""
+        return ANSWER + REPLY.pack(number, good, max(-0x8000, min(0x7fff, math.floor(4 * room))))
 
     def answered(self, peer: int, payload: bytes) -> tuple[str, bool, float] | None:
         """Whose request a home has decided on, how, and the room that it told; None where nobody waits for it."""
@@ -119,14 +120,18 @@
 
     def settle(self, home: int, customer: int, plan: int, units: float) -> None:
         """Units more (or less) than a home was asked for; they go with the next tick, merged."""
-        if self.settlings >= SETTLE_MOST:
-            oldest = next(iter(self.settling))
-            self.settlings -= len(self.settling.pop(oldest))
-        rows = self.settling.setdefault(home, {})
         name = (customer << 7 | plan).to_bytes(5)
-        self.settlings += name not in rows
+        if name not in self.settling.get(home, ()):
+            if self.settlings >= SETTLE_MOST:
+                self.settlings -= len(self.settling.pop(next(iter(self.settling))))
+            self.settlings += 1
+        rows = self.settling.setdefault(home, {})
         rows[name] = rows.get(name, 0.0) + units
 
+    def settlements_waiting(self) -> int:
+        """Members whose settlements wait, over all homes."""
+        return self.settlings
+
     def settlements(self) -> list[tuple[int, bytes]]:
         """The messages of all that waits, each home's together."""
         out = []
--- a/tests/ledger/world.py
+++ b/tests/ledger/world.py
@@ -31,13 +31,23 @@
 class CounterModel:
     """A counter service with its faults."""
 
-    def __init__(self) -> None:
+    def __init__(self, per_s: float = math.inf) -> None:
+        """`per_s`: calls a second that it takes; what comes beyond that within 40 ms is turned away."""
+        self.per_s, self.line, self.at = per_s, 0.0, 0.0
         self.counts: dict[int, tuple[float, float]] = {}
         self.delay = 0.002
         self.silent = self.old = False
         self.lose = self.life_cut = 0.0
         self.adds = 0
 
+    def full(self, now: float) -> bool:
+        """Whether its line is too long for one more call."""
+        if self.per_s == math.inf:
+            return False
+        self.line, self.at = max(0.0, self.line - self.per_s * (now - self.at)), now
+        self.line += 1.0 if (good := self.line < 0.04 * self.per_s) else 0.0
+        return not good
+
     def add(self, now: float, name: int, amount: float, life: float) -> float:
         total, until = self.counts.get(name, (0.0, 0.0))
         if until <= now:
@@ -81,6 +91,9 @@
         self.placement = placement
         self.parts = {a: CounterModel() for a in placement.addresses} if placement else {}
         self.loss, self.delay = 0.0, 0.01
+        self.inbox = math.inf  # messages a second that an ingress takes in; what comes beyond it is lost
+        self.inboxes = [(0.0, start)] * instances  # how full each is, when
+        self.told = self.told_bytes = self.spilt = 0  # messages sent, as their receivers count them, and lost so
         self.cut: set[int] = set()  # ingresses that no datagram goes to or comes from
         self.gateways: list[Any] = []
         self.life = [0] * instances
@@ -173,10 +186,22 @@
             self.at(a.delay, lambda: self.give(n, io.TimerFired(a.token), life))
         elif isinstance(a, io.Tell):
             for target in range(self.instances) if a.peer is None else (a.peer,):
-                if target != n and not self.cut & {n, target} and self.rng.random() >= self.loss:
+                if target == n:
+                    continue
+                self.told, self.told_bytes = self.told + 1, self.told_bytes + len(a.payload)
+                if not self.cut & {n, target} and self.rng.random() >= self.loss and self.takes_in(target):
                     late = self.delay * (0.5 + 0.5 * self.rng.random())
                     self.at(late, lambda t=target: self.give(t, io.PeerMessage(n, a.payload)))  # type: ignore[misc]
 
+    def takes_in(self, target: int) -> bool:
+        """Whether an ingress's inbox has room for one more message."""
+        full, at = self.inboxes[target]
+        full = max(0.0, full - self.inbox * (self.now - at)) if self.inbox < math.inf else 0.0
+        good = full < self.inbox
+        self.inboxes[target] = (full + good, self.now)
+        self.spilt += not good
+        return good
+
     def call(self, n: int, a: io.CounterAdd, life: int) -> None:
         counter = self.counters[n]
         if self.placement is not None:
@@ -190,6 +215,8 @@
 
         if counter.silent:
             reply(io.Outcome.TIMEOUT, TIMEOUT)
+        elif counter.full(self.now):
+            reply(io.Outcome.FULL, counter.delay)
         elif counter.delay > TIMEOUT:
             self.at(counter.delay, late)
             reply(io.Outcome.TIMEOUT, TIMEOUT)
@@ -202,11 +229,13 @@
 
     # Members.
 
-    def ask(self, n: int, member: int = 7, plan: str = "plus", units: float = 1.0) -> None:
-        """One request; `fair` are those that one store with the quota would have let in."""
+    def ask(self, n: int, member: int = 7, plan: str = "plus", units: float = 1.0, first: int = 0,
+            width: int = 0) -> None:
+        """One request; `fair` are those that one store with the quota would have let in. Its set is all by default."""
         p = PLUS if plan == "plus" else BASIC
         name = f"r{next(self.numbers)}"
-        r = self.requests[name] = io.Request(name, "read", plan, member, 6.0, units, self.instances, 0)
+        r = self.requests[name] = io.Request(
+            name, "read", plan, member, 6.0, units, width or self.instances, first)
         self.asked += 1
         self.began[name] = self.now
         ideal = self.ideal.setdefault((plan, member), Store(p.rate, p.burst))
--- /dev/null
+++ b/tests/talk/test_fleet.py
@@ -0,0 +1,159 @@
+"""Sixty ingresses in scripted time: members of wide and narrow sets through everything that breaks between them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from roadspur.ledger.bound import Assumed, bound_of
+from tests.ledger.world import BASIC, CounterModel, World, settings
+
+FLEET, WIDE, NARROW = 60, 50, 5
+MEMBERS = 240
+
+
+def fleet(seed: int = 1, per_s: float = 250.0, offsets: tuple[float, ...] = ()) -> World:
+    """A counter that takes two calls for five requests, inboxes of 100 messages a second."""
+    w = World(seed, FLEET, offsets=offsets)
+    w.join(CounterModel(per_s))
+    w.inbox = 100.0
+    return w
+
+
+def load(w: World, seconds: float, rate: float = 500.0, hot: float = 0.0) -> None:
+    """Members of both plans ask through their sets, which lie all round the numbering; `hot`: share of one of them."""
+    began, t = w.now, 0.0
+    while (t := t + w.rng.expovariate(rate)) < seconds:
+        member = 0 if w.rng.random() < hot else w.rng.randrange(MEMBERS)
+        plan, width = ("basic", WIDE) if member % 2 else ("plus", NARROW)
+        first = member * 7 % FLEET
+        n = (first + min(w.rng.randrange(width), w.rng.randrange(width))) % FLEET  # unevenly
+        units = w.rng.choice((1.0, 2.0))
+        w.at(t, lambda n=n, m=member, p=plan, u=units, f=first, d=width: (  # type: ignore[misc]
+            w.ask(n, m, p, u, f, d) if w.gateways[n] is not None else None))
+    w.run(seconds)
+    assert w.now == began + seconds
+
+
+def vain(w: World) -> float:
+    """Share of requests that came with half of the quota unused and were not sent on."""
+    return len(w.room_for) / max(1, w.asked)
+
+
+def lost(w: World) -> None:
+    w.loss = 0.7
+
+
+def inbox_of_one(w: World) -> None:
+    """Somebody floods one ingress, and nothing of the fleet's gets through to it."""
+    plain = w.takes_in
+    w.takes_in = lambda target: target != 7 and plain(target)  # type: ignore[method-assign]
+
+
+def heard_by_some(w: World) -> None:
+    """One ingress's words reach the lower half only."""
+    give = w.give
+    w.give = lambda n, e, life=None: (  # type: ignore[method-assign]
+        None if getattr(e, "sender", None) == 7 and n >= FLEET // 2 else give(n, e, life))
+
+
+def killed(w: World) -> None:
+    """Seven in ten at once, and back after a second."""
+    gone = w.rng.sample(range(FLEET), 42)
+    for n in gone:
+        w.kill(n)
+    w.at(1.0, lambda: [w.restart(n) for n in gone])
+
+
+def silent(w: World) -> None:
+    w.counters[0].silent = True
+
+
+def split(w: World) -> None:
+    other = CounterModel(250.0)
+    w.counters = [other if n < FLEET // 2 else w.counters[0] for n in range(FLEET)]
+
+
+def replaced(w: World) -> None:
+    w.join(CounterModel(250.0))
+
+
+# What happens, share of requests refused with half of the quota unused, units beyond quota of a wide and a narrow set.
+FAULTS: list[tuple[Callable[[World], None], float, float, float]] = [
+    (lambda w: None, 0.02, BASIC.burst, 36.0),
+    (lost, 0.12, 5 * BASIC.burst, 72.0),
+    (inbox_of_one, 0.03, BASIC.burst, 36.0),
+    (heard_by_some, 0.03, BASIC.burst, 36.0),
+    (killed, 0.06, 3 * BASIC.burst, 72.0),
+    (silent, 0.03, BASIC.burst, 36.0),
+    (split, 0.03, BASIC.burst, 36.0),
+    (replaced, 0.03, BASIC.burst, 36.0),
+]
+
+
+@pytest.mark.parametrize("fault,refused,wide,narrow", FAULTS,
+                         ids=["calm", *(f.__name__ for f, *_ in FAULTS[1:])])
+def test_a_fleet_of_sixty_serves_through(fault, refused, wide, narrow):
+    w = fleet()
+    load(w, 6.0)
+    fault(w)
+    w.asked, w.room_for = 0, set()
+    load(w, 5.0)
+    assert vain(w) <= refused
+    assert w.beyond("basic")[0] <= wide and w.beyond("plus")[0] <= narrow
+    assert w.beyond("plus")[1] <= bound_of(settings(0, FLEET), settings(0).plans[1], Assumed(), NARROW).ceiling
+
+
+def test_all_begin_together_without_a_storm():
+    w = fleet(offsets=tuple(n * 0.1 / FLEET for n in range(FLEET)))
+    load(w, 5.0)
+    assert w.spilt == 0 and w.told / 5 / FLEET <= 60
+    assert vain(w) <= 0.02
+
+
+def test_a_hot_member_with_half_of_the_traffic_fills_nobodys_inbox():
+    w = fleet()
+    load(w, 6.0, hot=0.5)
+    assert w.spilt == 0
+    assert w.beyond("plus")[0] <= bound_of(settings(0, FLEET), settings(0).plans[1], Assumed(), NARROW).quota_in_touch
+
+
+def test_a_member_who_moves_to_another_set_keeps_its_quota():
+    """Its account moves to another home, which begins full: one burst more, once."""
+    w = fleet()
+    for second in range(12):
+        for n in range(20):
+            w.at(n / 20, lambda n=n, f=0 if second < 6 else 30: w.ask(  # type: ignore[misc]
+                (f + n * 7) % FLEET, 1, "basic", 2.0, f, WIDE))
+        w.run(1.0)
+    quota, _ = w.beyond("basic")
+    assert quota <= BASIC.burst + 4.0 and w.kept() > 0.9
+
+
+@pytest.mark.parametrize("width", [1, FLEET])
+def test_sets_of_one_and_sets_of_all(width):
+    w = fleet()
+    for n in range(200):
+        w.at(n / 20, lambda n=n: w.ask(  # type: ignore[misc]
+            (59 + n * 7 % width) % FLEET, 1, "basic", 1.0, 59, width))
+    w.run(11.0)
+    assert 0.85 <= w.kept() <= 1.15 and w.beyond("basic")[0] <= 4.0
+
+
+@pytest.mark.parametrize("instances", [16, 60, 200])
+def test_what_an_ingress_says_does_not_grow_with_the_fleet(instances):
+    """Eight requests a second at each ingress, whatever their number; a third of its sets are wide."""
+    w = World(2, instances)  # as they begin
+    w.join(CounterModel(4.0 * instances))
+    w.inbox = 100.0
+    t = 0.0
+    w.at(1.0, w.room_for.clear)  # who has only begun holds ceilings by what it is sure of
+    while (t := t + w.rng.expovariate(8.0 * instances)) < 3.0:
+        member = w.rng.randrange(4 * instances)
+        plan, width = ("basic", max(11, instances // 2)) if member % 3 == 0 else ("plus", NARROW)
+        first = member * 7 % instances
+        w.at(t, lambda m=member, p=plan, f=first, d=width: w.ask(  # type: ignore[misc]
+            (f + w.rng.randrange(d)) % instances, m, p, 1.0, f, d))
+    w.run(3.0)
+    assert w.told / 3 / instances <= 60 and w.spilt == 0 and vain(w) <= 0.01
