A wide member cut off from home and counter is let in once an ingress, as the bound says

Excluded: an empty first room (it begins with one largest request). At fault: Allowance.lessen, which Ledger.take calls at the first request and which cuts that room to share x what is left, 0.17 units of 8 at 47 ingresses. A wide set's room is not lessened, nor asked of peers. The test over 60 ingresses without homes and counter serves each ingress's first request, and stays within the printed bound.

--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -89,7 +89,7 @@
         self.taken: dict[int, tuple[int, int]] = {}
         self.wanted = self.used = now - 2 * self.length
         self.reserve: Reserve | None = None  # where rooms are kept on disk
-        first_whole, wide = int(lives.began // self.length) + 1, not terms.strict and len(members) > terms.burst
+        first_whole, wide = int(lives.began // self.length) + 1, self.wide()
         if not terms.strict:
             self.share = self.even()
             fresh = terms.fresh * (not lives.known and kept is None)
@@ -132,6 +132,10 @@
     def even(self) -> int:
         return WHOLE // len(self.set) if self.me in self.set else 0
 
+    def wide(self) -> bool:
+        """Whether an even share is less than a unit: each ingress lets in `least` at once, or nobody anything."""
+        return not self.terms.strict and len(self.set) > self.terms.burst
+
     def part(self) -> float:
         """The share, from 0 to 1."""
         return self.share / WHOLE
@@ -188,6 +192,8 @@
     def lessen(self, now: float, spent: float) -> None:
         """What is known to be spent of the whole allowance lowers the room, and never raises it."""
         self.turn(now)
+        if self.wide():
+            return  # a part of what is left is less than a request, whatever is spent: `least` would be lost
         self.room = min(self.room, self.part() * max(0.0, self.terms.burst - spent))
 
     def give(self, now: float, peer: int, wanted: float = math.inf, leaving: bool = False) -> tuple[int, int] | None:
@@ -386,7 +392,7 @@
             a.lessen(now, spent)
         good = a.take(now, units)
         short = (0.0 if good else units) + min(a.terms.ahead, a.cap() / 4) - a.room
-        if short > 0 and 1 < len(a.set) <= a.terms.burst and now - a.wanted >= WANT_S:  # also ahead of the next request
+        if short > 0 and len(a.set) > 1 and not a.wide() and now - a.wanted >= WANT_S:  # also ahead of the next request
             a.wanted = now
             self.wants[plan, customer] = min(short, 2 * short / (len(a.set) - 1))  # of each peer: some have less
         return good
--- a/tests/talk/test_fleet.py
+++ b/tests/talk/test_fleet.py
@@ -157,3 +157,15 @@
             (f + w.rng.randrange(d)) % instances, m, p, 1.0, f, d))
     w.run(3.0)
     assert w.told / 3 / instances <= 60 and w.spilt == 0 and vain(w) <= 0.01
+
+
+def test_a_wide_member_cut_off_from_its_home_and_the_counter_is_let_in_once_an_ingress():
+    """What the bound names W x u: neither a refusal for each, as a share under a unit is, nor without end."""
+    w = fleet()
+    w.run(1.0)
+    w.counters[0].silent, w.loss = True, 1.0
+    for n in range(3 * FLEET):
+        w.at(n / 30, lambda n=n: w.ask(n % FLEET, 1, "basic", 4.0, 0, FLEET))  # type: ignore[misc]
+    w.run(8.0)
+    assert FLEET - 2 <= w.served <= FLEET + FLEET // 10  # and what has refilled meanwhile
+    assert w.beyond("basic")[0] <= bound_of(settings(0, FLEET), BASIC, Assumed()).quota_cut_off
