Each ingress goes to its own part of many backends

Excluded: connections closed as idle by servers (0), clients' connections (half of the servers'). At fault: Fleet.choose, which draws from all. Change: deterministic subsetting (Beyer et al. 2016): 16 backends by hashed ids, more for who is busier, at least four parts to a backend, what rests is replaced; from 25 backends on only. Cold budgets go up by what a part's ingresses are fewer.

--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -9,6 +9,8 @@
 import math
 import random
 import statistics
+import zlib
+from itertools import islice
 from typing import NamedTuple, Protocol
 
 from roadspur import interface as io
@@ -27,6 +29,8 @@
 KEEP_SHARE = 0.5  # of the fleet that outlier ejection must leave in use
 COLD_SAFETY = 0.8  # of the stated cold budget that is used, as the warm rate is only an estimate
 COLD_MOST = 2.0   # times what a cold backend is sure to do, beyond which it is only slow, allowed or not
+NEAR, NEAR_S = 16, 3.0  # backends at least of the part that an ingress goes to; seconds between attempts at one of it
+COVER = 4  # parts at least that a backend is in
 SCAN, DRAWN, DRAWS = 24, 8, 4  # backends that are all looked at; of more, looked at in a draw, and draws
 TIE, RATE_S = 0.02, 5.0  # chance that breaks ties, span of the rate of answers
 FAULTS = (io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.CONNECT_FAILED)
@@ -71,6 +75,9 @@
 class Fleet:
     """All backends. `choose` looks at each of up to `SCAN`; of more at `DRAWN` at random (Mitzenmacher 2001).
 
+    Of so many an ingress goes to its part alone (deterministic subsetting, Beyer et al. 2016, ch. 20): connections are
+    used again, and what one ingress learns of a backend it learns soon. Parts lie evenly in the order of hashed ids,
+    so each backend is in about as many of them; a busier ingress has a larger one.
     At all of them only where several such draws hold none that may be sent to.
     """
 
@@ -78,7 +85,9 @@
         self.s, self.rng, self.acts = settings, rng, acts
         self.classes = {c.name: c for c in settings.classes}
         self.backends: dict[str, Backend] = {}
-        self.ready: list[Backend] = []  # those that the list says may be used
+        self.ready: list[Backend] = []  # those that the list says may be used, by their hashed ids
+        self.near: list[Backend] = []  # this ingress's part of them
+        self.near_at = -math.inf  # when that was last looked at
         self.latency = {c.name: c.objective * AIM_PART for c in settings.classes}  # usual time of an answer
         self.base = dict(self.latency)  # and what it was when nothing was pressed
         self.work = {c.name: WorkOfClass() for c in settings.classes}
@@ -106,11 +115,23 @@
         """Least own outstanding work over learned speed, among those that are healthy and allowed."""
         if not self.free(now):
             return None
-        for _ in range(DRAWS if len(self.ready) > SCAN else 0):
-            if (best := self.least(now, f, self.rng.sample(self.ready, DRAWN))) is not None:
-                return best
+        if len(self.ready) > SCAN:
+            if now - self.near_at > 1.0:
+                self.draw_near(now)
+            for among in (*[self.near] * DRAWS, *[self.ready] * DRAWS):
+                if (best := self.least(now, f, self.rng.sample(among, min(DRAWN, len(among))))) is not None:
+                    return best
         return self.least(now, f, self.ready)
 
+    def draw_near(self, now: float) -> None:
+        """This ingress's part anew, without what rests. Costs a look at each backend, once a second."""
+        count = len(self.ready)
+        part = max(NEAR, COVER * count // self.sharers, round(NEAR_S * self.rate * self.usable))
+        start = count * (self.s.me % self.sharers) // self.sharers
+        ring = (self.ready[(start + n) % count] for n in range(count))
+        self.near = list(islice((b for b in ring if now >= b.resting), part))
+        self.near_at = now
+
     def least(self, now: float, f: Routed, among: list[Backend]) -> Backend | None:
         """The one of least cost; None where none of them may be sent to now."""
         best: Backend | None = None
@@ -127,7 +148,7 @@
                     f.cls.group is io.Group.CELL and e.cell != keyed.cell)):
                 continue
             if e.born > 0 and (ramp := self.cold(now, b)) < 1.0:
-                gain = self.rate * ramp * min(COLD_SAFETY * self.s.fall_multiple, COLD_MOST)
+                gain = self.rate * self.apart() * ramp * min(COLD_SAFETY * self.s.fall_multiple, COLD_MOST)
                 b.tokens = min(1.5, b.tokens + gain * (now - b.tokens_at))
                 b.tokens_at = now
                 if b.tokens < 1.0:
@@ -143,6 +164,10 @@
                 best, least = b, cost
         return best
 
+    def apart(self) -> float:
+        """Times as often as a backend of all that one of this ingress's part is gone to; by as many ingresses fewer."""
+        return len(self.ready) / len(self.near) if len(self.ready) > SCAN and self.near else 1.0
+
     def sent(self, now: float, b: Backend, f: Routed) -> None:
         """An attempt goes out."""
         b.out[f.req.id] = Out(now, f.cls.name, f.req.plan, f.req.units, f.work)
@@ -252,6 +277,9 @@
         self.backends = {n: b for n, b in self.backends.items()  # gone, and nothing of ours out there
                          if b.out or b.entry.phase is not io.Phase.DELETED}
         self.ready = [b for b in self.backends.values() if b.usable]
+        if len(self.ready) > SCAN:
+            self.ready.sort(key=lambda b: zlib.crc32(b.entry.backend.encode()))
+        self.near_at = -math.inf
         self.usable = len(self.ready)
         self.slots = self.slots or max(2.0, self.each * self.usable)
 
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,79 @@
+"""Each ingress's part of many backends: even over the fleet, larger for who is busier, without what rests."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from roadspur import interface as io
+from roadspur.policy.fleet import NEAR, SCAN, Fleet
+from tests.helpers import PLAN, SAFE, Ingress, some
+
+
+def part(me: int, instances: int = 200, backends: int = 100, rate: float = 0.0) -> Fleet:
+    settings = io.Settings(classes=(SAFE,), plans=(PLAN,), instances=instances, me=me)
+    fleet = Fleet(settings, random.Random(me), [], 100.0)
+    fleet.listed(100.0, io.ListUpdate(io.ListKind.WHOLE, 1, tuple(
+        io.BackendEntry(f"b{n}", io.Phase.RUNNING) for n in random.Random(me).sample(range(backends), backends))))
+    fleet.rate = rate
+    fleet.draw_near(100.0)
+    return fleet
+
+
+def names(fleet: Fleet) -> list[str]:
+    return [b.entry.backend for b in fleet.near]
+
+
+@pytest.mark.parametrize("instances,backends", [(200, 100), (200, 200), (60, 60), (24, 30)])
+def test_parts_lie_evenly_over_the_backends_in_whatever_order_the_list_comes(instances, backends):
+    met = Counter(name for me in range(instances) for name in names(part(me, instances, backends)))
+    assert len(met) == backends and max(met.values()) <= 1.2 * min(met.values()) + 1
+
+
+def test_who_is_busier_has_a_larger_part_and_one_ingress_alone_has_all():
+    assert len(part(3).near) == NEAR
+    assert len(part(3, rate=0.2).near) == 60  # 20 attempts a second
+    assert len(part(0, instances=1).near) == 100 == len(part(3, rate=9.0).near)
+
+
+def test_what_rests_is_replaced_by_the_next_and_is_back_for_its_trial():
+    fleet = part(3)
+    before = names(fleet)
+    fleet.backends[before[0]].resting = 103.0
+    fleet.draw_near(100.0)
+    assert before[0] not in names(fleet) and len(fleet.near) == NEAR and set(before[1:]) < set(names(fleet))
+    fleet.draw_near(103.0)
+    assert names(fleet) == before
+
+
+def test_an_ingress_goes_to_its_part_and_beyond_it_where_nobody_there_may_be_sent_to():
+    g = Ingress(backends=100, instances=200, me=7, peers=False)
+    sent: set[str] = set()
+    for n in range(60):
+        for a in some(g.ask(customer=n), io.Attempt):
+            sent.add(a.backend)
+            g.end(a, elapsed=0.32)  # as long as usual
+        g.now += 0.01
+    own = set(names(g.gw.fleet))
+    assert sent <= own and len(sent) > NEAR / 2
+    for name in own:
+        g.gw.fleet.backends[name].resting = g.now + 9.0
+    [a] = some(g.ask(customer=99), io.Attempt)
+    assert a.backend not in own
+
+
+def test_a_new_list_changes_a_part_by_few():
+    fleet = part(3)
+    before = set(names(fleet))
+    fleet.listed(101.0, io.ListUpdate(io.ListKind.CHANGE, 2, (io.BackendEntry("new", io.Phase.RUNNING),)))
+    fleet.draw_near(101.0)
+    assert len(before - set(names(fleet))) <= 2
+
+
+def test_the_sum_of_all_cold_budgets_does_not_grow_by_parts():
+    whole, near = part(3, backends=SCAN), part(3, rate=0.05)
+    assert whole.apart() == 1.0
+    members = 200 * len(near.near) / 100  # ingresses with one backend in their part
+    assert members * near.apart() == pytest.approx(200.0)
