--- a/roadspur/assembly.py
+++ b/roadspur/assembly.py
@@ -7,7 +7,7 @@
 from roadspur.ledger.bound import fresh_room
 from roadspur.ledger.escrow import WANT_S, Terms
 from roadspur.policy import Gateway
-from roadspur.policy.sharing import TELL_PART, TELL_S, TOLD_MOST
+from roadspur.policy.sharing import TOLD_MOST
 from roadspur.talk import Talk
 
 
@@ -16,15 +16,9 @@
     return Gateway(settings, seed, now, make_ledger(settings, now), placement, make_talk(settings, now))
 
 
-def large(settings: io.Settings) -> bool:
-    """Whether not everything can be told to everybody within a tick, so that words go to sets and homes."""
-    return (settings.peers and settings.counter and settings.instances <= 0xffff
-            and settings.instances - 1 > TELL_S * TELL_PART * settings.peer_in_per_s > 0)
-
-
 def make_talk(settings: io.Settings, now: float) -> Talk | None:
     """A large fleet's talk; None where all is told to all."""
-    if not large(settings):
+    if not settings.large:
         return None
     return Talk(settings.instances, settings.me, settings.peer_in_per_s, TOLD_MOST, settings.counter_timeout, now)
 
@@ -54,5 +48,5 @@
         return None
     terms = tuple(terms_of(p, settings.max_units) for p in settings.plans)
     want_every = max(WANT_S, 4 * (settings.instances - 1) / settings.peer_in_per_s)
-    each = 4 / settings.peer_in_per_s if large(settings) else None
+    each = 4 / settings.peer_in_per_s if settings.large else None
     return Ledger(settings.instances, settings.me, now, terms, WANT_S if each is not None else want_every, each)
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -8,6 +8,9 @@
 from enum import Enum
 from typing import NamedTuple, Protocol, Union
 
+TELL_S = 0.1      # between tellings to peers of what was let in
+TELL_PART = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
+
 
 class Effect(Enum):
     """What repeating a request may do."""
@@ -156,6 +159,12 @@
                       "waste_price", "cross_zone_price", "probe_price")
 
 
+    @property
+    def large(self) -> bool:
+        """Whether not everything can be told to everybody within a tick, so that words go to sets and homes."""
+        return self.peers and self.counter and 0 < TELL_S * TELL_PART * self.peer_in_per_s < self.instances - 1
+
+
 class BackendEntry(NamedTuple):
     """One line of the list of servers."""
 
--- a/roadspur/ledger/bound.py
+++ b/roadspur/ledger/bound.py
@@ -11,6 +11,8 @@
 
 from roadspur import interface as io
 from roadspur.ledger.reserve import KEEP, TOP
+from roadspur.talk.homes import CANDIDATES, MUTE_S
+from roadspur.talk.talk import TELL_PART
 
 MISSES = 8        # misses in a row after which an ingress counts the counter as down
 TOUCH_S = 1.0     # without a peer's message, after which it is out of touch
@@ -53,10 +55,25 @@
     ceiling_restart: float | None  # the same of the ceiling; one ingress alone that restarts gets nothing more
 
 
-def staleness(a: Assumed) -> float:
-    """Seconds until a telling has come: some are lost, and the next one makes up for them."""
+def staleness(a: Assumed, every: float = 0.0) -> float:
+    """Seconds until a telling has come: some are lost, and the next one makes up for them. `every`: between two."""
     tries = 1 if a.loss == 0 else max(1, math.ceil(math.log(RARE) / math.log(a.loss)))
-    return tries * a.tell_every + a.delay
+    return tries * max(a.tell_every, every) + a.delay
+
+
+def paced(settings: io.Settings, width: int) -> float:
+    """Seconds between two tellings to one peer in a large fleet: a set's member shares sets with this many others.
+
+    Assumed of the inbox: it takes in `peer_in_per_s`, and sets lie evenly, so that others send what is sent to them.
+    """
+    if not settings.large:
+        return 0.0
+    return min(settings.instances - 1, 2 * (width - 1)) / (TELL_PART * settings.peer_in_per_s)
+
+
+def housed(settings: io.Settings, plan: io.PlanSettings, width: int) -> bool:
+    """Whether members of such a set have a home that keeps their account."""
+    return settings.large and width > plan.burst and plan.ceiling_rate <= 0
 
 
 def bound_of(settings: io.Settings, plan: io.PlanSettings, assumed: Assumed, width: int = 0) -> Bound:
@@ -72,11 +89,19 @@
     promise `reserve.TOP` of what ingresses are always sure of at most.
     """
     w, u, r, b = width or settings.instances, settings.max_units, plan.rate, plan.burst
-    stale = staleness(assumed)
+    home = housed(settings, plan, w)
+    stale = staleness(assumed, 0.0 if home else paced(settings, w))
     notice = max(MISSES * settings.counter_timeout, TOUCH_S + assumed.delay)
     unseen = (w - 1) * (b + r * (stale + assumed.skew))
     entering = (w - 1) * (b + r * (notice + assumed.skew))
     fresh = fresh_room(plan)
+    if home:
+        # While ingresses disagree on the home, each candidate keeps an account. Whoever reaches none, nor the counter,
+        # lets in one request, and then its part of the rate.
+        others = CANDIDATES - 1
+        return Bound(plan.name, w, stale, others * (b + r * (MUTE_S + stale)),
+                     others * (b + r * assumed.outage) + w * u, others * (b + r * assumed.outage) + w * u, None,
+                     fresh + w * u, None)
     if plan.ceiling_rate <= 0:
         return Bound(plan.name, w, stale, unseen, entering + w * u, entering + (w - 1) * r * assumed.outage, None,
                      fresh, None)
@@ -102,6 +127,11 @@
     return at_once + rate * seconds, plan.burst + plan.rate * seconds
 
 
+def widths(instances: int) -> list[int]:
+    """Sizes of sets that are worth a line: all of a few, doublings of many."""
+    return sorted({*range(1, min(instances, 8) + 1), *(1 << n for n in range(4, instances.bit_length())), instances})
+
+
 def table(settings: io.Settings, assumed: Assumed) -> list[str]:
     """The figures of all plans, for people."""
     out = [f"{'plan':12} {'ingresses':>9} {'beyond quota, in touch':>23} {'cut off':>9} {'and split':>10}"
@@ -110,7 +140,7 @@
         if plan.rate <= 0:
             out.append(f"{plan.name:12} no quota")
             continue
-        for w in range(1, settings.instances + 1):
+        for w in widths(settings.instances):
             b = bound_of(settings, plan, assumed, w)
             ceiling = "-" if b.ceiling is None else f"{b.ceiling:.1f}"
             out.append(f"{b.plan:12} {w:9} {b.quota_in_touch:23.1f} {b.quota_cut_off:9.1f}"
@@ -123,6 +153,10 @@
             within = ", ".join(f"{have:.1f} (a full quota: {whole:.1f})" for have, whole in pairs)
             ceiling = "" if b.ceiling_restart is None else f", its ceiling by {b.ceiling_restart:.1f}"
             out.append(f"{plan.name:12} {within}; each time passes the quota by {b.quota_restart:.1f}{ceiling} at most")
+    if settings.large:
+        out.append(f"{settings.instances} ingresses: words go to the sets of their members, sets wider than a burst"
+                   f" have a home. Assumed: inboxes take in {settings.peer_in_per_s:g} messages a second,"
+                   " and sets lie evenly")
     if assumed.folders:
         out.append("with folders: a write-back whose note a kill loses is counted twice unless a total of its window"
                    " tells; a member may get that much less, a burst at most, and never more")
--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -14,6 +14,7 @@
 from roadspur.policy.store import Customer
 
 HOME_MARKS = (b"\x07", b"\x08", b"\x09")  # of messages that go between a member's home and other ingresses
+HOME_WAITS = 5  # time-outs of the counter that a request must have left for its member's home to be asked
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
 FORGOT = 2.0      # most units of a request by which a total may be under what was added here
 FORGOT_S = 10.0   # between two words about that
@@ -47,7 +48,7 @@
             return self.local(now, f)
         if self.sharing.talk is not None and not c.wide():
             self.sharing.talk.meet(now, c.first, c.width)
-        home = self.sharing.home(now, c)
+        home = self.sharing.home(now, c) if r.expires_in > HOME_WAITS * self.s.counter_timeout else None
         if home is not None and home != self.s.me and self.ask(now, f, home):
             return None
         if home == self.s.me:
--- a/roadspur/policy/sharing.py
+++ b/roadspur/policy/sharing.py
@@ -16,8 +16,7 @@
 from roadspur.policy.store import Customer
 
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
-TELL_S, TELL_MOST_S = 0.1, 0.25  # between tellings to peers of what was let in, and at most
-TELL_PART = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
+TELL_S, TELL_PART, TELL_MOST_S = io.TELL_S, io.TELL_PART, 0.25  # between tellings at most, where all are told all
 BEACON_S = 0.4    # without a telling, after which an ingress answers peers that it is there
 TOUCH_S = 1.0     # without a message, after which a peer counts as out of touch while the counter is down;
 AWAY_S = 60.0     # while totals come they tell of it, and it is likely to be restarting
--- a/tests/talk/test_fleet.py
+++ b/tests/talk/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from roadspur.ledger.bound import Assumed, bound_of
+from roadspur.ledger.bound import Assumed, bound_of, table
 from tests.ledger.world import BASIC, CounterModel, World, settings
 
 FLEET, WIDE, NARROW = 60, 50, 5
@@ -169,3 +169,14 @@
     w.run(8.0)
     assert FLEET - 2 <= w.served <= FLEET + FLEET // 10  # and what has refilled meanwhile
     assert w.beyond("basic")[0] <= bound_of(settings(0, FLEET), BASIC, Assumed()).quota_cut_off
+
+
+def test_the_bound_says_what_it_assumes_of_a_large_fleet():
+    told = settings(0, 200)
+    wide, narrow = bound_of(told, BASIC, Assumed(), 120), bound_of(told, told.plans[1], Assumed(), 13)
+    few = bound_of(settings(0, 3), told.plans[1], Assumed(), 3)
+    assert wide.quota_in_touch < 4 * BASIC.burst  # as homes are few, not as the set is wide
+    assert narrow.stale > few.stale  # a budget over 24 peers
+    lines = table(told, Assumed())
+    assert len(lines) < 40 and "inboxes take in 100" in "".join(lines)
+    assert "inboxes" not in "".join(table(settings(0, 3), Assumed()))
