Under a ceiling peers count as in touch for a second only, also without a call

Decisions logged: a member with ceiling 45 stood at 83 units; all were let in by Admission.local at the ingresses of one set whose peers had been silent for 4 to 5 s ('misses 1, ask 0.08, touch [4.08, 4.2, 4.07, 4.25], room 21.1, not escrowed'). Excluded: totals (counted asks with strict), the escrow's shares (those entries were escrowed and in room), the homes (plans with ceilings have none). At fault: Admission.local asked in_touch without strict, so while a crowded counter answers now and then peers are believed for 60 s. It was there before, unseen, as nobody was in touch in large fleets. Now strict, for ceilings; the first second's grace is none.

--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -253,7 +253,8 @@
     def local(self, now: float, f: Charge) -> None:
         """Admit against this ingress's share of the store; the use is reported with the next call."""
         c, units = f.customer, f.req.units
-        if self.sharing.in_touch(now, c):
+        strict = c.plan.ceiling_rate > 0  # not a minute on the word of peers that may let in as much meanwhile
+        if self.sharing.in_touch(now, c) and (not strict or self.sharing.in_touch(now, c, strict=True)):
             if c.room(now) - c.flying < units:
                 return self.turn_away(now, f, (units - c.room(now)) / c.plan.rate)
             if self.sharing.health(now, c).silent(now) and (
--- a/tests/talk/test_fleet.py
+++ b/tests/talk/test_fleet.py
@@ -180,3 +180,14 @@
     lines = table(told, Assumed())
     assert len(lines) < 40 and "inboxes take in 100" in "".join(lines)
     assert "inboxes" not in "".join(table(settings(0, 3), Assumed()))
+
+
+def test_a_ceiling_is_kept_while_peers_are_deaf_and_a_crowded_counter_answers_few():
+    """Totals that come now and then are no word of peers: for a minute each let in by its own store alone."""
+    w = fleet(per_s=30.0)
+    load(w, 4.0)  # the counter is crowded: most is decided without it
+    w.cut = set(range(FLEET))
+    for n in range(800):  # one member asks for 100 units a second through all of its set
+        w.at(n / 100, lambda n=n: w.ask(n % NARROW, 0, "plus", 1.0, 0, NARROW))  # type: ignore[misc]
+    load(w, 8.0, rate=100.0)
+    assert w.beyond("plus")[1] <= 29.0  # what a second gives, until peers count as deaf; 251 without it
