Stand-ins: the relay can no longer draw a port that was chosen for an ingress

Seen: 'ingress 11 does not come up: could not bind' to its datagram port, once in a dozen runs of twelve processes. At fault: Fleet.start let the chosen ports go before the relay drew its own, one for each ingress, from the same range. They are held until it has.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,9 +80,9 @@
                            "startCapacity": o.shape.cold, "cold": o.shape.cold_s}}
 
 
-def free_ports(count: int, first: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
-    """Ports of loopback; from `first` on where that is not 0. OSError names one that is taken."""
-    held, ports = [], []
+def hold_ports(count: int, first: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[socket.socket]:
+    """Ports of loopback, held until they are closed; from `first` on where that is not 0. OSError names a taken one."""
+    held = []
     for n in range(count):
         s = socket.socket(socket.AF_INET, kind)
         held.append(s)
@@ -92,7 +92,13 @@
             s.bind((HOST, first + n if first else 0))
         except OSError as error:
             raise OSError(f"{HOST}:{first + n}: {error.strerror}; choose others with --port") from error
-        ports.append(s.getsockname()[1])
+    return held
+
+
+def free_ports(count: int, first: int) -> list[int]:
+    """Numbers of such ports, free from now on: somebody else may draw one of them meanwhile."""
+    held = hold_ports(count, first)
+    ports = [s.getsockname()[1] for s in held]
     for s in held:
         s.close()
     return ports
@@ -209,9 +215,14 @@
             self.records.all.pop()
             self.list(n)
         ports = free_ports(o.ingresses, o.port)
-        homes = [(HOST, p) for p in free_ports(o.ingresses, 0, socket.SOCK_DGRAM)]
+        held = hold_ports(o.ingresses, 0, socket.SOCK_DGRAM)
+        homes = [(HOST, s.getsockname()[1]) for s in held]
         self.relay = Relay(homes, o.seed, o.loss, o.delay)
-        await self.relay.start()
+        try:
+            await self.relay.start()  # its own ports are drawn from the same range: it must not draw one of these
+        finally:
+            for s in held:
+                s.close()
         for n in range(o.ingresses):
             self.ingresses.append(IngressProcess(n, ports[n], {
                 "name": f"n{n}", "listen": f"{HOST}:{ports[n]}", "discovery": self.discovery.address,
