The words' marks and what a choice asks of a request stand with the interface

Change: constants of the words between ingresses and one protocol moved to roadspur/interface.py, a second protocol of the same request dropped. No decision differs.

--- a/roadspur/assembly.py
+++ b/roadspur/assembly.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from roadspur import interface as io
+from roadspur.interface import TOLD_MOST
 from roadspur.ledger import Ledger, Placement
 from roadspur.ledger.bound import fresh_room
 from roadspur.ledger.escrow import WANT_S, Terms
 from roadspur.policy import Gateway
-from roadspur.policy.sharing import TOLD_MOST
 from roadspur.talk import Talk
 
 
--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+import struct
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -11,6 +12,13 @@
 
 TELL_S = 0.1      # between tellings to peers of what was let in
 TELL_PART = 0.75  # of the messages that an ingress takes in, that its peers' tellings may make up
+LEVELS = 100.0    # steps of a burst in which a telling says what is left in a store
+TOLD = struct.Struct(">5sHbb")  # customer, plan; quarter units let in so far, since last told; level
+TOLD_MARK = b"\x01"
+ESCROW_MARKS = (b"\x02", b"\x03", b"\x04", b"\x05", b"\x06")  # of messages that the escrow reads
+GIFTS = (b"\x03", b"\x06")  # of these, those that bring shares
+HOME_MARKS = (b"\x07", b"\x08", b"\x09")  # of messages that go between a member's home and other ingresses
+TOLD_MOST = (256 - len(TOLD_MARK)) // TOLD.size  # customers that a message of 256 bytes tells of
 
 
 def name_of(plan: int, customer: int) -> bytes:
@@ -439,6 +447,16 @@
     at: float
 
 
+class Routed(Protocol):
+    """What the choice of a backend asks of a request."""
+
+    req: Request
+    cls: ClassSettings
+    work: float
+    bad: set[str]
+    ran_on: BackendEntry | None
+
+
 class Escrow(Protocol):
     """What holds members to an ingress's own share of their allowance; `roadspur.ledger` is one.
 
--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -7,13 +7,13 @@
 from collections import deque
 
 from roadspur import interface as io
+from roadspur.interface import GIFTS, HOME_MARKS
 from roadspur.policy.attempts import Attempts, Charge, Flight
 from roadspur.policy.fleet import Fleet
 from roadspur.policy.health import ALONE, ASK_DOWN, ASK_S
-from roadspur.policy.sharing import GIFTS, Sharing
+from roadspur.policy.sharing import Sharing
 from roadspur.policy.store import Customer
 
-HOME_MARKS = (b"\x07", b"\x08", b"\x09")  # of messages that go between a member's home and other ingresses
 HOLD_S = 0.25  # for which a request waits at most for shares that peers are asked for
 HOME_WAITS = 5  # time-outs of the counter that a request must have left for its member's home to be asked
 ASK_SHARE, ASK_OVER = 0.8, 0.01  # calls a request beyond which sure refusals need none; weight of a request
--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -11,7 +11,7 @@
 import statistics
 import zlib
 from itertools import islice
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from roadspur import interface as io
 from roadspur.policy.work import WorkOfClass
@@ -37,16 +37,6 @@
 ANSWERS = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.RESET, io.Outcome.FULL)
 
 
-class Routed(Protocol):
-    """What the choice of a backend asks of a request."""
-
-    req: io.Request
-    cls: io.ClassSettings
-    work: float
-    bad: set[str]
-    ran_on: io.BackendEntry | None
-
-
 class Out(NamedTuple):
     """An attempt that is out: its class and plan, told units, expected work."""
 
@@ -111,7 +101,7 @@
         grown = (now - b.entry.born) / self.s.cold_time if b.entry.born > 0 and self.s.cold_time > 0 else 1.0
         return min(1.0, self.s.start_capacity + (1 - self.s.start_capacity) * max(0.0, grown))
 
-    def choose(self, now: float, f: Routed) -> Backend | None:
+    def choose(self, now: float, f: io.Routed) -> Backend | None:
         """Least own outstanding work over learned speed, among those that are healthy and allowed."""
         if not self.free(now):
             return None
@@ -132,7 +122,7 @@
         self.near = list(islice((b for b in ring if now >= b.resting), part))
         self.near_at = now
 
-    def least(self, now: float, f: Routed, among: list[Backend]) -> Backend | None:
+    def least(self, now: float, f: io.Routed, among: list[Backend]) -> Backend | None:
         """The one of least cost; None where none of them may be sent to now."""
         best: Backend | None = None
         least = 0.0
@@ -168,7 +158,7 @@
         """Times as often as a backend of all that one of this ingress's part is gone to; by as many ingresses fewer."""
         return len(self.ready) / len(self.near) if len(self.ready) > SCAN and self.near else 1.0
 
-    def sent(self, now: float, b: Backend, f: Routed) -> None:
+    def sent(self, now: float, b: Backend, f: io.Routed) -> None:
         """An attempt goes out."""
         b.out[f.req.id] = Out(now, f.cls.name, f.req.plan, f.req.units, f.work)
         b.work += f.work
--- a/roadspur/policy/sharing.py
+++ b/roadspur/policy/sharing.py
@@ -6,27 +6,24 @@
 
 from __future__ import annotations
 
-import struct
 from collections import OrderedDict
 from itertools import islice
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from roadspur import interface as io
+from roadspur.interface import ESCROW_MARKS, LEVELS, TOLD, TOLD_MARK, TOLD_MOST
 from roadspur.policy.health import CounterHealth, Counters
 from roadspur.policy.store import Customer
 
+if TYPE_CHECKING:
+    from roadspur.policy.attempts import Charge
+
 KEPT_LENGTHS = 6.0  # windows after which a quiet customer is forgotten: its store has long been full
 TELL_S, TELL_PART, TELL_MOST_S = io.TELL_S, io.TELL_PART, 0.25  # between tellings at most, where all are told all
 BEACON_S = 0.4    # without a telling, after which an ingress answers peers that it is there
 TOUCH_S = 1.0     # without a message, after which a peer counts as out of touch while the counter is down;
 AWAY_S = 60.0     # while totals come they tell of it, and it is likely to be restarting
-LEVELS = 100.0    # steps of a burst in which a message tells what is left in a store
 EXCESS_S = 0.3    # after which what a total held and no peer has told was a charge that was added back
-TOLD = struct.Struct(">5sHbb")  # customer, plan; quarter units let in so far, since last told; level
-TOLD_MARK = b"\x01"
-ESCROW_MARKS = (b"\x02", b"\x03", b"\x04", b"\x05", b"\x06")  # of messages that the escrow reads
-GIFTS = (b"\x03", b"\x06")  # of these, those that bring shares
-TOLD_MOST = (256 - len(TOLD_MARK)) // TOLD.size  # customers that a message of 256 bytes tells of
 
 
 def kept_for(settings: io.Settings) -> float:
@@ -34,17 +31,6 @@
     return KEPT_LENGTHS * max((p.burst / p.rate for p in settings.plans if p.rate > 0), default=1.0)
 
 
-class Charged(Protocol):
-    """Who was let in: a request that remembers what it took off the store."""
-
-    took: float
-    escrowed: bool
-    home: int | None
-
-    @property
-    def customer(self) -> Customer: ...
-
-
 class Sharing:
     """Customers' stores at one ingress, kept in step with the other ingresses'."""
 
@@ -98,7 +84,7 @@
         if self.changed is not None:
             self.changed[c.key] = c
 
-    def admit(self, now: float, c: Customer, units: float, f: Charged | None = None) -> None:
+    def admit(self, now: float, c: Customer, units: float, f: Charge | None = None) -> None:
         """Units were let in here: they come off the store, and peers are told."""
         c.use(now, units)
         self.touched(c)
@@ -113,7 +99,7 @@
             else:
                 self.untold[c.key] = c
 
-    def settle(self, now: float, f: Charged, units: float) -> None:
+    def settle(self, now: float, f: Charge, units: float) -> None:
         """Put right what a request was charged, where its member's account is kept."""
         c = f.customer
         if f.home is not None and self.talk is not None:
--- a/soak/readers.py
+++ b/soak/readers.py
@@ -19,14 +19,13 @@
 
 from roadspur import interface as io
 from roadspur.assembly import make_gateway
-from roadspur.interface import name_of
+from roadspur.interface import TOLD, TOLD_MARK, name_of
 from roadspur.ledger.beginning import HELLO, HELLO_MARK
 from roadspur.ledger.escrow import ROW, SETTLED
 from roadspur.net.config import BadConfiguration, read_config
 from roadspur.net.counters_file import read_counters
 from roadspur.net.discovery import Watch, read_listing_text
 from roadspur.net.server import ClientConnection, Server
-from roadspur.policy.sharing import TOLD, TOLD_MARK
 from roadspur.services.counter import Add, Link
 from roadspur.services.wire import MAX_BODY, MAX_HEAD, AnswerReader
 from roadspur.settings import nested_settings
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -442,7 +442,7 @@
     for customer in range(50):
         serve(s.nodes[0], s.nodes[0].ask(units=1.0, width=3, customer=customer))
     s.tell()
-    assert list(s.nodes[1].gw.sharing.customers) == list(range(sharing.TOLD_MOST))
+    assert list(s.nodes[1].gw.sharing.customers) == list(range(io.TOLD_MOST))
     s.tell()
     assert list(s.nodes[1].gw.sharing.customers) == list(range(50))
 
@@ -494,7 +494,7 @@
     s.nodes[1].counter = "silent"
     s.tell()
     for n in (0, 2):
-        s.nodes[1].give(io.PeerMessage(n, sharing.TOLD_MARK))
+        s.nodes[1].give(io.PeerMessage(n, io.TOLD_MARK))
     s.nodes[1].gw.counters.each[0].ask = 0.0
     only(s.nodes[1].ask(units=1.0, width=3), io.Attempt)
 
@@ -514,7 +514,7 @@
         s.tell()
         s.nodes[2].give(io.TimerFired(gateway.TELL))
         for other in s.nodes[:2]:
-            other.give(io.PeerMessage(2, sharing.TOLD_MARK))
+            other.give(io.PeerMessage(2, io.TOLD_MARK))
         s.later(0.1)
     assert 8 + 2 * 6 - 2 <= sent <= 8 + 2 * 6
 
@@ -561,7 +561,7 @@
 
 
 @pytest.mark.parametrize("payload", [
-    b"", sharing.TOLD_MARK, sharing.TOLD_MARK + bytes(7), sharing.TOLD_MARK + b"\xff" * 9, b"\x01" * 250])
+    b"", io.TOLD_MARK, io.TOLD_MARK + bytes(7), io.TOLD_MARK + b"\xff" * 9, b"\x01" * 250])
 def test_what_a_peer_cannot_mean_changes_nothing(payload):
     g = Ingress(peers=True, instances=3, peer_in_per_s=100.0)
     serve(g, g.ask(units=1.0))
@@ -572,8 +572,8 @@
 
 def test_the_first_total_of_a_window_does_not_undo_what_a_peer_has_told():
     g = Ingress(instances=2, peers=True, peer_in_per_s=100.0)
-    told = sharing.TOLD.pack((7 << 7).to_bytes(5), 24, 24, 25)  # 6 units let in, a quarter of the burst left
-    g.give(io.PeerMessage(1, sharing.TOLD_MARK + told))
+    told = io.TOLD.pack((7 << 7).to_bytes(5), 24, 24, 25)  # 6 units let in, a quarter of the burst left
+    g.give(io.PeerMessage(1, io.TOLD_MARK + told))
     c = g.gw.sharing.customers[7]
     assert c.room(g.now) == pytest.approx(2.0)
     g.counts[c.name(g.now)] = 6.0
