Old news leaves no debt in large fleets only; small ones hear of a lost word a tick later

At fault: Sharing.hear called a word lost a tenth of a second ago old. Change: only where words are few.

--- a/roadspur/policy/sharing.py
+++ b/roadspur/policy/sharing.py
@@ -193,9 +193,10 @@
         window = c.turn(now)
         c.heard, c.heard_in = units + (c.heard if c.heard_in == window else 0.0), window
         c.excess -= covered
-        # What only its total tells came in words that were lost. The store has refilled since, and what went beyond it
-        # took nothing: it can be empty for that, but not in debt.
-        old = min(max(0.0, (more - new) / 4), max(0.0, units - covered))
+        # What only its total tells came in words that were lost; where words are few that is seconds ago. The store has
+        # refilled since, and what went beyond it took nothing: it can be empty for that, but not in debt.
+        lost = max(0.0, (more - new) / 4) if self.talk is not None else 0.0
+        old = min(lost, max(0.0, units - covered))
         c.use(now, units - covered - old)
         c.level = max(c.level - old, min(c.level, 0.0))
         if not c.vouched and now - self.began < self.kept:
