--- a/roadspur/interface.py
+++ b/roadspur/interface.py
@@ -17,7 +17,7 @@
 TOLD_MARK = b"\x01"
 ESCROW_MARKS = (b"\x02", b"\x03", b"\x04", b"\x05", b"\x06")  # of messages that the escrow reads
 GIFTS = (b"\x03", b"\x06")  # of these, those that bring shares
-HOME_MARKS = (b"\x07", b"\x08", b"\x09", b"\x0a")  # of messages that go between a member's home and other ingresses
+HOME_MARKS = (b"\x07", b"\x08", b"\x09")  # of messages that go between a member's home and other ingresses
 TOLD_MOST = (256 - len(TOLD_MARK)) // TOLD.size  # customers that a message of 256 bytes tells of
 
 
@@ -567,20 +567,11 @@
     def wait_for(self, now: float) -> float | None:
         """Seconds until a question is overdue; None where none is out."""
 
-    def weigh(self, now: float, r: Request, plan: int, good: bool) -> None:
-        """As a home this ingress has decided on a request of a member's."""
-
-    def noticed(self, now: float, payload: bytes) -> None:
-        """A home's notice of members that ask far more than their quota."""
-
-    def lets_in(self, now: float, customer: int, plan: int) -> float:
-        """Of a member's requests, what share its home let in, 0 to 1; 1 where nothing was told of late."""
-
     def settle(self, home: int, customer: int, plan: int, units: float) -> None:
         """Units more (or less) than a home was asked for."""
 
     def settlements(self) -> list[tuple[int, bytes]]:
-        """The messages of all that waits to be settled, and notices of members that get little."""
+        """The messages of all that waits to be settled."""
 
     def settled(self, payload: bytes) -> list[tuple[int, int, float]]:
         """Members, their plans' numbers, and units, of a peer's settlements."""
--- a/roadspur/policy/admission.py
+++ b/roadspur/policy/admission.py
@@ -97,8 +97,6 @@
                 if (c := self.sharing.housed(now, number, key)) is not None:
                     c.pending += units
                     c.use(now, units)
-        elif mark == HOME_MARKS[3]:
-            talk.noticed(now, e.payload)
         return None
 
     def overdue(self, now: float) -> None:
@@ -119,7 +117,6 @@
     def reply(self, now: float, f: Charge, good: bool) -> None:
         """The home's word to the ingress that asked."""
         if self.sharing.talk is not None and f.peer is not None:
-            self.sharing.talk.weigh(now, f.req, self.sharing.plan_numbers[f.req.plan], good)
             room = f.customer.room(now) - f.customer.flying
             self.acts.append(io.Tell(f.peer, self.sharing.talk.answer(f.peer, f.number, good, room)))
 
@@ -275,11 +272,6 @@
             # A ceiling is never given up for service, not even what peers have yet to tell.
             f.escrowed = not touch or (strict and sharing.talk is not None) or (
                 sharing.health(now, c).silent(now) and (strict or sharing.guessed(now, c)))
-            if f.escrowed and sharing.talk is not None and c.wide() and self.rng.random() >= sharing.talk.lets_in(
-                    now, c.key, sharing.plan_numbers[c.plan.name]):
-                return self.turn_away(now, f, 0.0)  # its home had it for one that asks far more than its quota
-            if strict and not touch and sharing.talk is not None and not c.assumes(now, units):
-                return self.turn_away(now, f, 0.0)
             if f.escrowed and not sharing.share(now, c, units):
                 return None if strict and self.hold(now, f) else self.turn_away(now, f, 0.0)
             c.pending += units
--- a/roadspur/policy/store.py
+++ b/roadspur/policy/store.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from roadspur import interface as io
 
 UNKNOWN = 0.8   # of the burst that counts as left at the end of a window that nothing was seen of
@@ -16,8 +14,7 @@
     __slots__ = ("key", "plan", "width", "first", "length", "phase", "window", "total", "told", "heard",
                  "heard_in", "excess", "excess_at", "mine", "mine_told", "theirs", "level", "at", "born",
                  "vouched", "seen", "named", "hashed",
-                 "doubt", "doubted", "pending", "flying", "owing", "part", "known", "chance", "housed", "told_to",
-                 "alone", "alone_at")
+                 "doubt", "doubted", "pending", "flying", "owing", "part", "known", "chance", "housed", "told_to")
 
     def __init__(self, key: int, plan: io.PlanSettings, now: float) -> None:
         self.key, self.plan, self.width = key, plan, 1
@@ -39,7 +36,6 @@
         self.part = 0.0  # of the customer's recent use, what came through here
         self.housed = False  # all that it uses comes through this ingress, the home of its account
         self.told_to: dict[int, int] = {}  # `mine` as last told to each peer, where they are told one by one
-        self.alone, self.alone_at = 0.0, -math.inf  # the store with others' use assumed, while none of it is heard of
         self.known, self.chance = True, 1.0  # carried on from an earlier window; share admitted of late
 
     def turn(self, now: float) -> int:
@@ -95,14 +91,6 @@
         """Whether its set is so wide that an even share is less than a unit."""
         return self.plan.wide(self.width)
 
-    def assumes(self, now: float, units: float) -> bool:
-        """Whether the store should hold these, and takes them, if others use of it what they did of late."""
-        since = now - self.alone_at
-        assumed = min(self.plan.burst, self.alone + self.plan.rate * since)
-        before = assumed if since <= 2 * self.length else self.room(now)  # else it was heard of meanwhile
-        self.alone, self.alone_at = before - (before >= units) * units / max(self.part, 1 / self.width), now
-        return before >= units
-
     def use(self, now: float, units: float) -> None:
         """Units were let in."""
         if self.known:
--- a/roadspur/talk/talk.py
+++ b/roadspur/talk/talk.py
@@ -3,7 +3,6 @@
     07  question  number (2), member and plan (5), set: first (2), width (2), quarter units (2)    14 bytes
     08  answer    number (2), 1 let in / 0 not (1), room in quarter units, signed (2)              6 bytes
     09  settled   rows of member and plan (5), quarter units more or less, signed (2)              7 bytes a row
-    0a  notice    rows of member and plan (5), share of its requests that its home lets in (1)     6 bytes a row
 
 Numbers are big-endian. A message of another length is passed over.
 """
@@ -16,7 +15,6 @@
 from roadspur import interface as io
 from roadspur.talk.held import Held
 from roadspur.talk.homes import ANSWER_S, Asked, Homes
-from roadspur.talk.notices import Notices
 from roadspur.talk.outbox import Outbox
 
 ASK, ANSWER, SETTLED = b"\x07", b"\x08", b"\x09"
@@ -38,7 +36,6 @@
         self.homes = Homes(instances, me, ANSWER_S + counter_timeout)
         self.known = Asked()
         self.waiting = Held()
-        self.notices = Notices(instances, me)
         self.settling: dict[int, dict[bytes, float]] = {}  # by home, units by member and plan
         self.settlings = 0  # rows of all homes
 
@@ -67,7 +64,7 @@
 
     def busy(self) -> bool:
         """Whether the next tick has anything to say."""
-        return self.outbox.busy() or bool(self.settling or self.notices.waiting)
+        return self.outbox.busy() or bool(self.settling)
 
     def tellings(self, now: float) -> list[tuple[int, list[int]]]:
         """The tellings that leave now: to whom, of which members."""
@@ -140,20 +137,6 @@
         dues = [due for due in (self.homes.due(), self.waiting.due()) if due is not None]
         return max(0.001, min(dues) - now) if dues else None
 
-    # Notices.
-
-    def weigh(self, now: float, r: io.Request, plan: int, good: bool) -> None:
-        """This home has decided on a request of a member's."""
-        self.notices.weigh(now, r.customer, plan, r.first, r.width, good)
-
-    def noticed(self, now: float, payload: bytes) -> None:
-        """A home's notice of members that get little."""
-        self.notices.heard(now, payload)
-
-    def lets_in(self, now: float, customer: int, plan: int) -> float:
-        """Of a member's requests, what share its home let in; 1 where nothing was told of late."""
-        return self.notices.share(now, customer, plan)
-
     # Settlements.
 
     def settle(self, home: int, customer: int, plan: int, units: float) -> None:
@@ -167,8 +150,8 @@
         rows[name] = rows.get(name, 0.0) + units
 
     def settlements(self) -> list[tuple[int, bytes]]:
-        """The messages of all that waits, each home's together, and notices."""
-        out = self.notices.take()
+        """The messages of all that waits, each home's together."""
+        out = []
         for home, rows in self.settling.items():
             packed = [ROW.pack(name, max(-0x8000, min(0x7fff, round(4 * u)))) for name, u in rows.items()]
             out += [(home, SETTLED + b"".join(packed[n:n + ROWS])) for n in range(0, len(packed), ROWS)]
