--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -41,8 +41,6 @@
         self.judges: dict[int, Store] = {}
         self.offered = self.got = self.over = self.cost = 0.0
         self.sent_units = 0.0
-        self.with_room = self.vain = 0
-        self.open: set[str] = set()
         self.by_plan = {"basic": [0.0, 0.0, 0.0], "plus": [0.0, 0.0, 0.0]}  # offered, got, beyond
         super().__init__(seed, instances)
 
@@ -73,9 +71,8 @@
     def take(self) -> tuple[float, float, float, float]:
         """Since the last look: worth served inside quotas of that offered, cost of what went beyond, of the same;
         units beyond of those sent on; tries refused with half of the quota unused."""
-        vain = len(self.room_for & set(self.requests)) / max(1, self.asked)
         out = (self.got / max(1e-9, self.offered), self.cost / max(1e-9, self.offered),
-               self.over / max(1e-9, self.sent_units), vain)
+               self.over / max(1e-9, self.sent_units), len(self.room_for) / max(1, self.asked))
         self.offered = self.got = self.over = self.cost = self.sent_units = 0.0
         self.by_plan = {p: [0.0, 0.0, 0.0] for p in self.by_plan}
         self.asked, self.room_for = 0, set()
