Read again: a case that could not fail, unmeasured words and a wrong message size are mended

Wants ask once how many peers to ask; the benchmark returns its ceiling in place of a printed line that its caller sorted out. No decision differs.

--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -109,8 +109,11 @@
 
 
 def play(instances: int, seed: int, phases: list[tuple[str, int, Callable[[Judged], None]]],
-         say: Callable[[str], None]) -> list[tuple[str, tuple[float, float, float, float]]]:
-    """Phases by their names, seconds and what begins with them; a line for each second, the mean of each phase."""
+         say: Callable[[str], None]) -> tuple[list[tuple[str, list[float]]], float]:
+    """Phases by their names, seconds and what begins with them; a line for each second.
+
+    The means of each phase's seconds (`Judged.take`), and the most units that a member went beyond its ceiling.
+    """
     w = Judged(seed, instances)
     w.join(CounterModel(CALLS_PER_S * instances))
     w.inbox = 100.0
@@ -127,10 +130,8 @@
             served, cost, over, vain = rows[-1]
             say(f"{name:8} {n:3}  served {served:5.3f}  cost {cost:5.3f}  beyond {over:5.3f}  in vain {vain:5.3f}"
                 f"  calls {w.counters[0].adds - calls:4}  {plans}")
-        out.append((name, tuple(sum(r[i] for r in rows) / seconds for i in range(4))))  # type: ignore[arg-type]
-    ceiling = max((s.worst for s in w.ceilings.values()), default=0.0)
-    say(f"units beyond a ceiling, the worst member: {ceiling:.1f} (slack {max(4.0, 0.1 * PLUS.ceiling_burst):.1f})")
-    return out  # type: ignore[return-value]
+        out.append((name, [sum(column) / seconds for column in zip(*rows, strict=True)]))
+    return out, w.beyond("plus")[1]
 
 
 def main() -> None:
@@ -150,8 +151,8 @@
         w.counters[0].silent, w.cut = False, set()
 
     phases = [("before", args.before, lambda w: None), ("outage", args.outage, cut), ("after", args.after, back)]
-    rows = play(args.ingresses, args.seed, phases, print if args.each else lambda line: (
-        print(line) if line.startswith("units") else None))
+    rows, ceiling = play(args.ingresses, args.seed, phases, print if args.each else lambda line: None)
+    print(f"units beyond a ceiling, the worst member: {ceiling:.1f} (slack {max(4.0, 0.1 * PLUS.ceiling_burst):.1f})")
     for name, (served, cost, over, vain) in rows:
         print(f"{name:8} served inside quotas {100 * served:5.1f}%  cost of what went beyond {100 * cost:5.1f}%"
               f"  units beyond {100 * over:5.1f}%  refused in vain {100 * vain:5.1f}%")
--- a/roadspur/ledger/bound.py
+++ b/roadspur/ledger/bound.py
@@ -83,7 +83,8 @@
     what refills. Cut off from its peers, each has its share, and one whole request where that is less. The
     ceiling is escrowed from the moment that an ingress counts the counter as down, or its peers as out of touch:
     until then each lets in what its store allows. While calls are few the former takes longer than `notice`; all
-    are in touch then, and no more than `unseen` goes unknown.
+    are in touch then, and no more than `unseen` goes unknown. A large fleet holds ceilings by shares at all times but
+    for what a total lets in: the same figures are more than it needs.
 
     With folders a joint restart adds only what was let in on a total's or a peer's word since the last commit: notes
     promise `reserve.TOP` of what ingresses are always sure of at most.
--- a/roadspur/ledger/escrow.py
+++ b/roadspur/ledger/escrow.py
@@ -412,7 +412,8 @@
     def next_asked(self, a: Allowance) -> list[int]:
         """Those of the others whose turn it is."""
         others = [p for p in a.set if p != self.me]
-        count, a.turned = self.asked(a), (a.turned + self.asked(a)) % max(1, len(others))
+        count = self.asked(a)
+        a.turned = (a.turned + count) % max(1, len(others))
         return [others[(a.turned + n) % len(others)] for n in range(count)]
 
     def spend(self, now: float, plan: int, customer: int, units: float) -> None:
--- a/roadspur/talk/homes.py
+++ b/roadspur/talk/homes.py
@@ -9,7 +9,7 @@
 once more, and a home that knows it says again what it has said: a message that was lost charges nothing twice. A home
 that left `MISSES` questions in a row without a word is passed over for `MUTE_S`: the next one in the order takes its
 place, and begins with a full store. So each change of homes can let in a burst more, and none is lost.
-Cost: constant a request; over the fleet two messages of 15 and 6 bytes a request, and one of 8 bytes to settle.
+Cost: constant a request; over the fleet two messages of 14 and 6 bytes a request, and one of 8 bytes to settle.
 """
 
 from __future__ import annotations
--- a/tests/talk/test_fleet.py
+++ b/tests/talk/test_fleet.py
@@ -195,10 +195,11 @@
     assert w.beyond("plus")[1] <= CEILING_SLACK  # 251 units by words alone, 11 by words of the last second
 
 
-@pytest.mark.parametrize("width,lost,quiet", [(4, 1.0, True), (4, 1.0, False), (8, 0.7, True)])
-def test_a_spike_in_the_very_second_in_which_words_are_lost_does_not_pass_a_ceiling(width, lost, quiet):
-    """Words of the last second are not enough: 105, 40 and 33 units beyond, where shares hold it under 1."""
-    w = fleet(per_s=240.0)
+@pytest.mark.parametrize("width,lost,quiet,per_s", [
+    (4, 1.0, True, 240.0), (4, 1.0, False, 30.0), (8, 0.7, True, 240.0), (13, 1.0, True, 240.0)])
+def test_a_spike_in_the_very_second_in_which_words_are_lost_does_not_pass_a_ceiling(width, lost, quiet, per_s):
+    """Words of the last second are not enough: 110, 41, 16 and 48 units beyond by them, none by shares."""
+    w = fleet(per_s=per_s)
     for n in range(30):
         w.at(4.0 + n / 5, lambda n=n: w.ask(n % width, 1000, "plus", 1.0, 0, width))  # type: ignore[misc]
     load(w, 6.0, rate=600.0)
@@ -210,8 +211,8 @@
 
 
 def test_a_request_waits_for_shares_that_the_others_have():
-    """One ingress of twelve gets all that a member asks, four units at once; refused at once, what peers gave came
-    too late for a third of them."""
+    """One ingress of twelve gets all that a member asks, four units at once. Refused at once, 26 of 30 are served:
+    what peers give comes too late for the others."""
     w = fleet()
     w.counters[0].silent = True
     for n in range(30):
