--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -49,7 +49,7 @@
     Wrong("a reset attempt counts as never written", "net/upstream.py",
           "            exchange.written = True\n            self.transport", "            self.transport"),
     Wrong("a request that cannot be read is answered 500", "net/server.py",
-          "return Early(400, str(error))", "return Early(500, str(error))"),
+          "return Early(400, str(error), ends=True)", "return Early(500, str(error), ends=True)"),
     Wrong("a total need only begin like a number", "services/counter.py", "TOTAL.fullmatch", "TOTAL.match"),
     Wrong("requests are answered after their time", "core/driver.py",
           "left -= min(MARGIN_S, MARGIN_SHARE * request.expires_in)", "left += 0.2"),
--- /dev/null
+++ b/roadspur/accession/counts.py
@@ -0,0 +1,124 @@
+"""The counter service: one global count a tenant, a window of burst over rate seconds, one burst a window.
+
+Guaranteed, over all ingresses and lives: in one window no more than a burst is let in, by the count and by shares
+together. How: an ingress has a share that the store of configuration keeps before it is handed out. While an ingress
+is not known to hear the counter, its share is taken off the allowance, so that it may decide alone. It counts here
+again from the first window that begins after it is back. A counter that begins anew begins no window for as long as
+one lasts: the one before it may have spent the present one.
+
+Pure; seconds on the steady clock. Cost: one message and one answer a request; a few additions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from roadspur.catalogue.shares import ALONE, FORGET_S, GATHER_S, GIVEN, LOST_S, OK, OVER, ROOM
+
+LONGEST_S = 60.0  # a window lasts at most
+
+
+@dataclass(slots=True)
+class Window:
+    """One tenant's present window."""
+
+    start: float
+    length: float
+    burst: float
+    count: float = 0.0
+
+
+@dataclass(slots=True)
+class Ingress:
+    """One ingress: its life, when the last echo was sent that it is known to have had, since when without a gap."""
+
+    life: str = ""
+    share: float = 0.0
+    confirmed: float = float("-inf")
+    since: float = float("inf")
+
+
+class Counts:
+    """All counts, by whoever does the duty."""
+
+    def __init__(self, now: float) -> None:
+        self.begun = now
+        self.limits: dict[str, tuple[float, float]] = {}
+        self.windows: dict[str, Window] = {}
+        self.ingresses: dict[str, Ingress] = {}
+        self.first: float | None = None  # when the first without a share asked
+
+    def follow(self, limits: Mapping[str, tuple[float, float]], shares: Mapping[str, float]) -> None:
+        """Tenants' (rate, burst), and the shares that are kept."""
+        self.limits = dict(limits)
+        for node, share in shares.items():
+            self.ingresses.setdefault(node, Ingress()).share = share
+
+    def here(self, now: float, node: str, life: str, echoed: float | None) -> None:
+        """A beat; `echoed`: when, by this counter's clock, the newest echo was sent that its sender has had."""
+        ingress = self.ingresses.setdefault(node, Ingress())
+        if ingress.life != life:
+            ingress.life, ingress.since, ingress.confirmed = life, float("inf"), float("-inf")
+        if echoed is not None and now - echoed < LOST_S:
+            if now - ingress.confirmed >= LOST_S:
+                ingress.since = now
+            ingress.confirmed = max(ingress.confirmed, echoed)
+
+    def wanted(self, now: float) -> dict[str, float]:
+        """Shares that are to be kept for ingresses that have none; they hold once `follow` brings them."""
+        lacking = [n for n, i in self.ingresses.items() if i.share <= 0 and now - i.confirmed < LOST_S]
+        if not lacking:
+            return {}
+        if self.first is None:
+            self.first = now
+        given = sum(i.share for i in self.ingresses.values())
+        if given <= 0:
+            if now - self.first < GATHER_S:
+                return {}
+            return dict.fromkeys(lacking, GIVEN / len(lacking))
+        usual = min(i.share for i in self.ingresses.values() if i.share > 0)
+        shares: dict[str, float] = {}
+        for node in lacking:
+            shares[node] = min(usual, max(0.0, 1.0 - given) * ROOM)
+            given += shares[node]
+        return shares
+
+    def part(self, now: float, start: float) -> float:
+        """Of the allowance of a window that began at `start`, what the count may give out."""
+        alone = 0.0
+        for i in self.ingresses.values():
+            quiet = now - max(i.confirmed, self.begun)
+            if (quiet >= LOST_S or i.since > start or i.confirmed < self.begun) and quiet < FORGET_S:
+                alone += i.share
+        return max(0.0, 1.0 - alone)
+
+    def add(self, now: float, node: str, tenant: str, amount: float) -> tuple[int, float]:
+        """Charge a tenant's count; (verdict, seconds until its next window). Less than 0 gives a charge back."""
+        limit = self.limits.get(tenant)
+        if limit is None or limit[0] <= 0:
+            return OK, 0.0
+        window = self._window(now, tenant, *limit)
+        left = window.start + window.length - now
+        if amount <= 0:
+            window.count = max(0.0, window.count + amount)
+            return OK, left
+        ingress = self.ingresses.get(node)
+        if ingress is None or ingress.since > window.start or window.start > now:
+            return ALONE, left
+        window.count += amount
+        return (OK if window.count <= window.burst * self.part(now, window.start) else OVER), left
+
+    def _window(self, now: float, tenant: str, rate: float, burst: float) -> Window:
+        length = min(LONGEST_S, max(burst, 1.0) / rate)
+        allowance = length * rate
+        window = self.windows.get(tenant)
+        if window is None:
+            window = self.windows[tenant] = Window(self.begun + length, length, allowance)
+        if now >= window.start + window.length:
+            steps = (now - window.start) // window.length
+            window.start += steps * window.length
+            window.length, window.burst, window.count = length, allowance, 0.0
+            if now >= window.start + length:  # the new one is shorter
+                window.start = now
+        return window
--- a/roadspur/core/driver.py
+++ b/roadspur/core/driver.py
@@ -61,8 +61,7 @@
                  unix: Callable[[], float] = time.time) -> None:
         self.settings, self.gateway, self.backends = settings, gateway, backends
         self.scheduler, self.unix = scheduler, unix
-        self.effects = {c.name: c.effect for c in settings.classes}
-        self.groups = {c.name: c.group for c in settings.classes}
+        self.classes = {c.name: c for c in settings.classes}  # a front may name further ones as they come
         self.counter: CounterPort | None = None
         self.peers: PeerPort | None = None
         self.held: dict[str, Held] = {}
@@ -198,10 +197,9 @@
 
     def may_refuse(self, held: Held) -> bool:
         """A refusal says that trying again is harmless: so it is where nothing ran, or where repeats are."""
-        name = held.request.class_name
-        effect = self.effects[name]
-        return (not held.may_have_run or effect is io.Effect.SAFE
-                or (effect is io.Effect.KEYED and self.groups[name] is io.Group.ALL))
+        cls = self.classes[held.request.class_name]
+        return (not held.may_have_run or cls.effect is io.Effect.SAFE
+                or (cls.effect is io.Effect.KEYED and cls.group is io.Group.ALL))
 
     def _refusal(self, wait: float) -> Final:
         """Beyond a quota the module tells when there is room again."""
--- /dev/null
+++ b/roadspur/courier/doors.py
@@ -0,0 +1,189 @@
+"""The doors for calls of the operator, of clients that ask where to go, and of the platform: one generic handler.
+
+A call and its answer are a pair of types. A `Desk` of handlers reads a request into its call, hands it to the one
+handler that is registered for the call's type, and writes what comes back, an answer or a `Failure`, in HTTP's words.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, ClassVar, Generic, NamedTuple, TypeVar
+from urllib.parse import parse_qs, unquote
+
+from roadspur.catalogue.events import Event, say
+from roadspur.catalogue.failures import ANSWERS, Failure, Kind, header_of
+from roadspur.net.ingress import Reply
+from roadspur.net.server import Bounds, ClientConnection, Early, Server
+
+MOST_CONNECTIONS = 400
+JSON = b"Content-Type: application/json\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Readiness:
+    """GET /readiness: the platform's own check."""
+
+    METHOD: ClassVar[str] = "GET"
+    PATH: ClassVar[str] = "/readiness"
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """It is ready; anything else is a Failure."""
+
+    def body(self) -> bytes:
+        return b""
+
+
+@dataclass(frozen=True, slots=True)
+class Resolve:
+    """GET /resolve: where a client in `zone` of `region` should go for host `name`."""
+
+    METHOD: ClassVar[str] = "GET"
+    PATH: ClassVar[str] = "/resolve"
+    name: str = ""
+    region: str = ""
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """`host:port` of ingresses, 64 at most, and for how many seconds to keep them."""
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+    def body(self) -> bytes:
+        return json.dumps({"addresses": list(self.addresses), "ttl_s": self.ttl_s}).encode()
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceConfiguration:
+    """POST /Config.Replace: a whole configuration, as its bytes came."""
+
+    METHOD: ClassVar[str] = "POST"
+    PATH: ClassVar[str] = "/Config.Replace"
+    document: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """The change is kept, or one that prevails over it is."""
+
+    def body(self) -> bytes:
+        return b"{}"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """GET /Config.Read: the newest configuration."""
+
+    METHOD: ClassVar[str] = "GET"
+    PATH: ClassVar[str] = "/Config.Read"
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A configuration as it was put."""
+
+    document: bytes
+
+    def body(self) -> bytes:
+        return self.document
+
+
+@dataclass(frozen=True, slots=True)
+class BeginEvacuation:
+    """POST /Evacuation.Begin/ZONE: nothing more to the zone's backends."""
+
+    METHOD: ClassVar[str] = "POST"
+    PATH: ClassVar[str] = "/Evacuation.Begin/"
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FinishEvacuation:
+    """POST /Evacuation.Finish/ZONE: takes that back."""
+
+    METHOD: ClassVar[str] = "POST"
+    PATH: ClassVar[str] = "/Evacuation.Finish/"
+    zone: str = ""
+
+
+CALLS: tuple[Any, ...] = (Readiness, Resolve, ReplaceConfiguration, ReadConfiguration, BeginEvacuation,
+                          FinishEvacuation)
+C = TypeVar("C")
+
+
+class Handler(NamedTuple, Generic[C]):
+    """What answers one type of call: `answer(call, done)` calls `done` once with an answer or a Failure."""
+
+    call: type[C]
+    answer: Callable[[C, Callable[[Any], None]], None]
+
+
+class Asked(NamedTuple):
+    """A call with its handler; `target` is the request's own, for a redirect."""
+
+    call: Any
+    handler: Handler[Any]
+    target: str
+
+
+class CallServer(Server):
+    """One door; only the calls that it has handlers for are known there."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, handlers: list[Handler[Any]], bounds: Bounds,
+                 most: int = MOST_CONNECTIONS) -> None:
+        super().__init__(loop, most, bounds)
+        self.handlers = {h.call: h for h in handlers}
+
+    def read(self, came: ClientConnection) -> Any:
+        """The call that a request is."""
+        target = came.url.decode("latin-1")
+        path, _, query = target.partition("?")
+        method = came.parser.get_method().decode()
+        if came.crowded:
+            return refusal(Failure(Kind.CROWDED))
+        for kind in CALLS:
+            handler = self.handlers.get(kind)
+            if handler is None or method != kind.METHOD:
+                continue
+            if path == kind.PATH:
+                if kind is Resolve:
+                    asked = parse_qs(query)
+                    return Asked(Resolve(*(asked.get(k, [""])[0] for k in ("name", "region", "zone"))), handler, target)
+                if kind is ReplaceConfiguration:
+                    return Asked(ReplaceConfiguration(bytes(came.body)), handler, target)
+                if not kind.PATH.endswith("/"):
+                    return Asked(kind(), handler, target)
+            elif kind.PATH.endswith("/") and path.startswith(kind.PATH):
+                return Asked(kind(unquote(path[len(kind.PATH):])), handler, target)
+        return refusal(Failure(Kind.UNKNOWN_CALL, f"no such call: {method} {path[:80]}"))
+
+    def take(self, item: Asked, reply: Reply) -> None:
+        """Hand a call to its handler."""
+        def done(answer: Any) -> None:
+            if isinstance(answer, Failure):
+                early = refusal(answer, item.target)
+                reply(early.status, early.lines, early.why.encode())
+            else:
+                reply(200, JSON, answer.body())
+        try:
+            item.handler.answer(item.call, done)
+        except Failure as failure:
+            done(failure)
+        except Exception as error:  # a fault of one call ends that call
+            say(Event.FAULT, type(item.call).__name__, repr(error))
+            done(Failure(Kind.FAULT))
+
+
+def refusal(failure: Failure, target: str = "") -> Early:
+    """A failure in HTTP's words, by the table."""
+    lines = JSON + header_of(failure.kind)
+    if failure.kind is Kind.ELSEWHERE:
+        lines += b"Location: http://%s%s\r\n" % (failure.where.encode(), target.encode("latin-1"))
+    return Early(ANSWERS[failure.kind].status, json.dumps({"error": failure.text, "kind": failure.kind.value}), lines)
--- /dev/null
+++ b/roadspur/courier/links.py
@@ -0,0 +1,208 @@
+"""Held connections between the system's own processes: tables in msgpack, one after the other, over TCP.
+
+`Dial` keeps one connection to an address and opens it again when it ends; `Listener` takes others' connections. Both
+sides send a beat when they have nothing else to say, and end a connection on which nothing came for `SILENT_S`:
+behind a cut nothing else would tell. What was written to a connection that ends may be lost; who needs an answer asks
+again.
+
+Cost over the fleet: a beat each `BEAT_S` and connection each way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgpack
+
+from roadspur.catalogue.events import Event, say
+from roadspur.net.upstream import watch
+
+BEAT_S = 0.4
+SILENT_S = 1.5
+REDIAL_S = 0.25
+MOST = 64 * 1024 * 1024  # bytes of one message
+FULL = 16 * 1024 * 1024  # bytes waiting to be sent, beyond which a peer that does not read is given up
+BEAT = msgpack.packb({"t": "beat"})
+
+Table = dict[str, Any]
+
+
+class Link(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, on_open: Callable[[Link], None],
+                 on_table: Callable[[Link, Table], None], on_end: Callable[[Link, str], None]) -> None:
+        self.loop, self.on_open, self.on_table, self.on_end = loop, on_open, on_table, on_end
+        self.transport: asyncio.Transport | None = None
+        self.unpacker = msgpack.Unpacker(max_buffer_size=MOST, strict_map_key=False)
+        self.heard = self.said = loop.time()
+        self.name = ""  # who is at the other end, once it has said so
+        self.open = False
+        self.why = "closed"
+        self.beater: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        watch(sock, SILENT_S)
+        self.open = True
+        self.beater = self.loop.call_later(BEAT_S, self._beat)
+        self.on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = self.loop.time()
+        try:
+            self.unpacker.feed(data)
+            for table in self.unpacker:
+                if not isinstance(table, dict):
+                    raise ValueError("expected a table")
+                if table.get("t") != "beat" and self.open:
+                    self.on_table(self, table)
+        except (ValueError, KeyError, TypeError, msgpack.exceptions.UnpackException) as error:
+            say(Event.FAULT, f"a message of {self.name}", repr(error))
+            self.close(repr(error))
+
+    def send(self, table: Table) -> None:
+        """Send one table; nothing where the connection has ended."""
+        self.write(msgpack.packb(table))
+
+    def write(self, data: bytes) -> None:
+        """Send a table that is packed already."""
+        if not self.open or self.transport is None:
+            return
+        self.said = self.loop.time()
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > FULL:
+            self.close("it does not read")
+
+    def _beat(self) -> None:
+        now = self.loop.time()
+        if not self.open:
+            return
+        if now - self.heard > SILENT_S:
+            self.close("silent")
+            return
+        if now - self.said >= BEAT_S * 0.9:
+            self.write(BEAT)
+        self.beater = self.loop.call_later(BEAT_S, self._beat)
+
+    def close(self, why: str = "closed") -> None:
+        """End it at once."""
+        self.why = why
+        if self.transport is not None:
+            self.transport.abort()
+        self._ended()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None:
+            self.why = str(exc)
+        self._ended()
+
+    def _ended(self) -> None:
+        if self.open:
+            self.open = False
+            if self.beater is not None:
+                self.beater.cancel()
+            self.on_end(self, self.why)
+
+
+class Dial:
+    """A connection to one address that is opened again for as long as it is wanted."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: str, port: int, hello: Callable[[], Table],
+                 on_table: Callable[[Dial, Table], None], on_end: Callable[[Dial], None] | None = None) -> None:
+        """`hello`: the first table on each connection."""
+        self.loop, self.host, self.port, self.hello, self.on_table = loop, host, port, hello, on_table
+        self.ended = on_end
+        self.link: Link | None = None
+        self.closed = False
+        self.task = loop.create_task(self._run())
+
+    @property
+    def up(self) -> bool:
+        """Whether the connection stands."""
+        return self.link is not None and self.link.open
+
+    async def _run(self) -> None:
+        while not self.closed:
+            over = self.loop.create_future()
+
+            def end(link: Link, why: str, over: asyncio.Future[str] = over) -> None:
+                if not over.done():
+                    over.set_result(why)
+
+            try:
+                async with asyncio.timeout(SILENT_S):
+                    _, protocol = await self.loop.create_connection(
+                        lambda end=end: Link(self.loop, lambda k: None, self._table, end),  # type: ignore[misc]
+                        self.host, self.port)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(REDIAL_S)
+                continue
+            self.link = protocol
+            self.link.name = f"{self.host}:{self.port}"
+            self.link.send(self.hello())
+            await over
+            self.link = None
+            if self.ended is not None and not self.closed:
+                self.ended(self)
+            await asyncio.sleep(REDIAL_S)
+
+    def _table(self, link: Link, table: Table) -> None:
+        self.on_table(self, table)
+
+    def send(self, table: Table) -> bool:
+        """Send one table; False where no connection stands."""
+        if self.link is None or not self.link.open:
+            return False
+        self.link.send(table)
+        return True
+
+    def close(self) -> None:
+        """End it for good."""
+        self.closed = True
+        self.task.cancel()
+        if self.link is not None:
+            self.link.close()
+
+
+class Listener:
+    """Takes connections; each is known by the `me` of its first table."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, on_table: Callable[[Link, Table], None],
+                 on_end: Callable[[Link], None], most: int = 1024) -> None:
+        self.loop, self.on_table, self.most = loop, on_table, most
+        self.on_end = on_end
+        self.links: set[Link] = set()
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Open the port; OSError where it cannot be had."""
+        self.server = await self.loop.create_server(
+            lambda: Link(self.loop, self._opened, self._table, self._ended), host, port, backlog=256)
+
+    def _opened(self, link: Link) -> None:
+        self.links.add(link)
+        if len(self.links) > self.most:
+            link.close("too many connections")
+
+    def _table(self, link: Link, table: Table) -> None:
+        if not link.name:
+            link.name = str(table.get("me", ""))
+        self.on_table(link, table)
+
+    def _ended(self, link: Link, why: str) -> None:
+        self.links.discard(link)
+        if link.name:
+            self.on_end(link)
+
+    def close(self) -> None:
+        """Close the port and all that came through it."""
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.links):
+            link.close()
--- /dev/null
+++ b/roadspur/desk/decisions.py
@@ -0,0 +1,353 @@
+"""What the proxy decides: counted before it is sent, a backend by tiers, further tries by budget, refused in time.
+
+Guaranteed: a request is sent on only once its tenant's count or share has let it in; one that may have run is sent
+again only if its route allows it; one attempt of it is out at a time; every request ends with one final action or a
+served answer; a charge whose request was never sent on is given back.
+
+It stands where the decision module of the ingress in service stands, behind the same driver, with the same events and
+actions and two of its own: `Charge` and `Counted`. The choice among a tier's backends and the ejection of faulty ones
+are that module's (`policy.fleet`), a fleet a service.
+
+Pure; `now` in seconds on the steady clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from roadspur import interface as io
+from roadspur.catalogue.boot import Bounds
+from roadspur.catalogue.configuration import Configuration, Found
+from roadspur.catalogue.shares import ALONE, OVER
+from roadspur.desk.budgets import UNKNOWN, Colds, Tries
+from roadspur.desk.placement import Ground, Place, homes_of, tiers
+from roadspur.desk.quota import Quota
+from roadspur.policy.fleet import Backend, Fleet
+
+SWEEP = 1          # token of the timer
+SWEEP_S = 0.05
+SILENT_X = 8.0     # usual times of owed answers, after which a backend counts as silent
+MOST_SENDS = 5     # sends of one request, whether they came anywhere or not
+NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
+PLAN = "all"
+AGAIN_S = 0.05     # added to the time until a tenant's next window
+PLACE_S = 0.2      # of its aim, for which a request may wait for a backend before it is refused
+
+
+class Charge(NamedTuple):
+    """Action: add to a tenant's one count; the answer to a positive amount is a `Counted`."""
+
+    request: str
+    tenant: str
+    amount: int
+
+
+class Counted(NamedTuple):
+    """Event: the counter's verdict, and seconds until the tenant's next window."""
+
+    request: str
+    verdict: int
+    left: float
+
+
+class Asked(NamedTuple):
+    """The route and tenant that a request came by; told before the request itself."""
+
+    found: Found
+    tenant: str | None
+
+
+class Flight:
+    """A request that is owed one final answer; what `policy.fleet` asks of one, and more."""
+
+    __slots__ = ("req", "cls", "work", "bad", "ran_on", "found", "tenant", "service", "homes", "sends", "arrived",
+                 "ran", "charged", "counted", "aim", "came", "sent", "backend")
+
+    def __init__(self, req: io.Request, asked: Asked, cls: io.ClassSettings, now: float, service: str,
+                 homes: frozenset[str] | None) -> None:
+        self.req, self.cls, self.work, self.bad = req, cls, 1.0, set[str]()
+        self.ran_on: io.BackendEntry | None = None
+        self.found, self.tenant, self.service, self.homes = asked.found, asked.tenant, service, homes
+        self.sends = self.arrived = 0
+        self.ran = self.charged = self.counted = False
+        self.aim, self.came, self.sent = now + req.expires_in, now, 0.0
+        self.backend = ""
+
+
+def class_of(found: Found) -> io.ClassSettings:
+    """A route as a class of the decision module."""
+    route = found.route
+    return io.ClassSettings(found.name, io.Effect.SAFE if route.repeatable else io.Effect.UNSAFE,
+                            max(0.05, route.target_ms / 1000), route.deadline_ms / 1000)
+
+
+class Decisions:
+    """One proxy's."""
+
+    def __init__(self, node: str, zone: str, region: str, bounds: Bounds, rng: random.Random, now: float) -> None:
+        self.node, self.bounds, self.rng = node, bounds, rng
+        self.ground = Ground(zone, region)
+        self.quota = Quota(now)
+        self.colds = Colds(node, bounds.cold_excess, bounds.cold_slack)
+        self.tries: dict[str, Tries] = {}
+        self.fleets: dict[str, Fleet] = {}
+        self.places: dict[str, Place] = {}
+        self.strangers: set[str] = set()  # ids that a 421 has shown to be no longer at their address
+        self.expected: dict[str, Asked] = {}
+        self.flights: dict[str, Flight] = {}
+        self.counting: dict[str, float] = {}  # requests without a verdict, and since when
+        self.waiting: list[str] = []  # requests that no backend could take just then
+        self.config: Configuration | None = None
+        self.ingresses: list[str] = []
+        self.acts: list[Any] = []
+        self.armed = False
+        self.settings = io.Settings(
+            (io.ClassSettings("-", io.Effect.UNSAFE, 1.0, 30.0),), (io.PlanSettings(PLAN, 0.0, 0.0),),
+            max_retry_after=0.25, instances=1, may_cancel=True, own_backends=True)
+        self.take: dict[type, Callable[[float, Any], None]] = {
+            io.Request: self._asked, Counted: self._counted, io.AttemptEnded: self._ended, io.ClientGone: self._gone,
+            io.TimerFired: self._sweep}
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        """One event; the actions that follow from it."""
+        take = self.take.get(type(event))
+        if take is not None:
+            take(now, event)
+        if not self.armed and (self.flights or self.counting):
+            self.armed = True
+            self.acts.append(io.SetTimer(SWEEP_S, SWEEP))
+        acts = self.acts.copy()
+        self.acts.clear()  # the fleets hold this very list
+        return acts
+
+    # What is known.
+
+    def configured(self, now: float, config: Configuration) -> None:
+        """A configuration is in force."""
+        self.config = config
+        self.quota.follow({name: (t.rate_per_s, t.burst) for name, t in config.tenants.items()})
+        self._listed(now)
+
+    def listed(self, now: float, places: dict[str, Place]) -> None:
+        """The list of backends, whole."""
+        self.places = places
+        self.strangers &= places.keys()
+        self.colds.keep(set(places))
+        self._listed(now)
+
+    def _listed(self, now: float) -> None:
+        by_service: dict[str, list[io.BackendEntry]] = {}
+        for place in self.places.values():
+            phase = io.Phase.STOPPING if place.draining else io.Phase.RUNNING
+            by_service.setdefault(place.service, []).append(
+                io.BackendEntry(place.name, phase, float(place.slots), zone=place.zone))
+        for service in by_service.keys() | self.fleets.keys():
+            fleet = self._fleet(now, service)
+            fleet.listed(now, io.ListUpdate(io.ListKind.WHOLE, 0, tuple(by_service.get(service, ()))))
+
+    def _fleet(self, now: float, service: str) -> Fleet:
+        fleet = self.fleets.get(service)
+        if fleet is None:
+            fleet = self.fleets[service] = Fleet(self.settings, self.rng, self.acts, now)
+        return fleet
+
+    def evacuated(self, now: float, zones: set[str]) -> None:
+        """The zones that are to be left; backends of one that is taken back may have turned cold."""
+        back = self.ground.evacuated - zones
+        for place in self.places.values():
+            if place.zone in back:
+                place.cold_until = max(place.cold_until, now + self._warmup(place))
+        self.ground.evacuated = zones
+
+    def _warmup(self, place: Place) -> float:
+        service = self.config.services.get(place.service) if self.config is not None else None
+        return service.warmup_s if service is not None else 0.0
+
+    def stranger(self, backend: str) -> None:
+        """Another backend has this one's address."""
+        self.strangers.add(backend)
+
+    # Admission.
+
+    def expect(self, name: str, asked: Asked) -> None:
+        """The request of this id comes next, by this route and tenant."""
+        self.expected[name] = asked
+
+    def _asked(self, now: float, request: io.Request) -> None:
+        e = self.expected.pop(request.id)
+        route, config = e.found.route, self.config
+        assert config is not None
+        tenant = config.tenants.get(e.tenant) if e.tenant is not None else None
+        cls = class_of(e.found)
+        homes = homes_of(route.regions_allowed, tenant.regions_allowed if tenant is not None else ())
+        flight = self.flights[request.id] = Flight(request, e, cls, now, self._service(e.found), homes)
+        self._tries(flight.service).came(now)
+        if e.tenant is None or not self.quota.limited(e.tenant):
+            self._place(now, flight)
+        elif self.quota.alone(now):
+            self._alone(now, flight)
+        else:
+            flight.charged = True
+            self.counting[request.id] = now
+            self.acts.append(Charge(request.id, e.tenant, 1))
+
+    def _service(self, found: Found) -> str:
+        shares = found.route.shares
+        if len(shares) == 1:
+            return shares[0].target
+        draw = self.rng.random() * sum(s.weight for s in shares)
+        for share in shares:
+            draw -= share.weight
+            if draw < 0:
+                return share.target
+        return max(shares, key=lambda s: s.weight).target
+
+    def _tries(self, service: str) -> Tries:
+        tries = self.tries.get(service)
+        if tries is None:
+            tries = self.tries[service] = Tries(self.bounds.retry_ratio, self.bounds.retry_slack,
+                                                self.bounds.retry_window_s)
+        return tries
+
+    def _counted(self, now: float, e: Counted) -> None:
+        self.counting.pop(e.request, None)
+        flight = self.flights.get(e.request)
+        if flight is None or flight.counted or flight.tenant is None:
+            return  # its client has left: the charge was given back
+        if e.verdict == OVER:
+            self._refuse(flight, e.left + AGAIN_S + 0.2 * self.rng.random())
+        elif e.verdict == ALONE:
+            self._alone(now, flight)
+        else:
+            flight.counted = True
+            self._place(now, flight)
+
+    def _alone(self, now: float, flight: Flight) -> None:
+        """The counter's word is not to be had: this ingress's share decides, or the request is refused."""
+        assert flight.tenant is not None
+        if flight.charged:
+            self.acts.append(Charge(flight.req.id, flight.tenant, -1))
+            flight.charged = False
+        if self.quota.spend(now, flight.tenant):
+            flight.counted = True
+            self._place(now, flight)
+        else:
+            self._refuse(flight, 0.0)
+
+    # A backend.
+
+    def _place(self, now: float, flight: Flight) -> None:
+        """Send it to the best backend of the nearest tier that has one; or have it wait a little, or refuse it."""
+        fleet = self._fleet(now, flight.service)
+        fleet.meet(flight.cls)
+        for tier in tiers(self.ground, self.places, fleet.ready, flight.homes):
+            fit = [b for b in tier if self._fits(now, b)]
+            best = fleet.least(now, flight, fit) if fit else None
+            if best is not None:
+                self._send(now, fleet, flight, best)
+                return
+        possible = flight.homes is None or bool(flight.homes)
+        if possible and now - flight.came < PLACE_S * flight.cls.objective and flight.req.id not in self.waiting:
+            self.waiting.append(flight.req.id)
+        elif flight.req.id not in self.waiting:
+            self._give_up(flight)
+
+    def _fits(self, now: float, b: Backend) -> bool:
+        place = self.places[b.entry.backend]
+        if place.name in self.strangers:
+            return False
+        if now >= place.cold_until:
+            return True
+        service = self.config.services.get(place.service) if self.config is not None else None
+        return service is None or service.cold_per_s <= 0 or self.colds.may(
+            now, place.name, service.cold_per_s, self.ingresses)
+
+    def _send(self, now: float, fleet: Fleet, flight: Flight, best: Backend) -> None:
+        name = best.entry.backend
+        flight.sends += 1
+        flight.sent, flight.backend = now, name
+        if flight.arrived:
+            self._tries(flight.service).spend(now)
+        if now < self.places[name].cold_until:
+            self.colds.spend(now, name)
+        fleet.sent(now, best, flight)
+        self.acts.append(io.Attempt(flight.req.id, name))
+
+    def _ended(self, now: float, e: io.AttemptEnded) -> None:
+        flight = self.flights.get(e.request)
+        for fleet in self.fleets.values():
+            if e.backend in fleet.backends:
+                fleet.ended(now, e)
+        if flight is None:
+            return
+        if e.done:
+            del self.flights[e.request]
+            return
+        flight.bad.add(e.backend)
+        if e.outcome not in (io.Outcome.CONNECT_FAILED, io.Outcome.MOOT):
+            flight.arrived += 1
+        if e.outcome not in NEVER_RAN:
+            flight.ran = True
+        if self._again(now, flight):
+            self._place(now, flight)
+        else:
+            self._give_up(flight)
+
+    def _again(self, now: float, flight: Flight) -> bool:
+        """Whether one more try is allowed: by its route, its time, and the budget of all."""
+        route = flight.found.route
+        if flight.ran and not route.repeatable:
+            return False
+        if flight.sends >= MOST_SENDS or flight.arrived >= max(1, route.tries) or now >= flight.aim:
+            return False
+        return not flight.arrived or self._tries(flight.service).may(now, len(self.ingresses) or UNKNOWN)
+
+    def _give_up(self, flight: Flight) -> None:
+        """A final answer at once: refused where it surely has not run, failed elsewhere."""
+        if flight.ran:
+            self.flights.pop(flight.req.id, None)
+            self.acts.append(io.Fail(flight.req.id))
+        else:
+            self._refuse(flight, 0.0)
+
+    def _refuse(self, flight: Flight, wait: float) -> None:
+        self.flights.pop(flight.req.id, None)
+        self._give_back(flight)
+        self.acts.append(io.Refuse(flight.req.id, wait))
+
+    def _give_back(self, flight: Flight) -> None:
+        if flight.charged and flight.tenant is not None and not flight.arrived:
+            flight.charged = False
+            self.acts.append(Charge(flight.req.id, flight.tenant, -1))
+
+    def _gone(self, now: float, e: io.ClientGone) -> None:
+        flight = self.flights.pop(e.request, None)
+        self.counting.pop(e.request, None)
+        if flight is not None and not flight.sends:
+            self._give_back(flight)
+
+    # Time.
+
+    def _sweep(self, now: float, e: io.TimerFired) -> None:
+        self.armed = False
+        if self.quota.alone(now):
+            for name in list(self.counting):
+                del self.counting[name]
+                flight = self.flights.get(name)
+                if flight is not None:
+                    self._alone(now, flight)
+        waiting, self.waiting = self.waiting, []
+        for name in waiting:
+            flight = self.flights.get(name)
+            if flight is not None:
+                self._place(now, flight)
+        for fleet in self.fleets.values():
+            for b in fleet.silent(now, SILENT_X):
+                for name in b.out:
+                    flight = self.flights.get(name)
+                    if flight is None or not flight.found.route.repeatable or flight.backend != b.entry.backend:
+                        continue
+                    if now - flight.sent > 2 * fleet.latency[flight.cls.name] and self._again(now, flight):
+                        self.acts.append(io.CancelAttempt(name, flight.sends - 1))
--- /dev/null
+++ b/roadspur/desk/front.py
@@ -0,0 +1,217 @@
+"""The clients' door of the proxy, and its driver's surroundings: those of the ingress in service, with the system's
+words."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from roadspur import interface as io
+from roadspur.catalogue.configuration import Found, Index
+from roadspur.catalogue.failures import ANSWERS, Failure, Kind, header_of
+from roadspur.core.driver import Held
+from roadspur.core.ports import Ended, Final, Verdict
+from roadspur.courier.doors import refusal
+from roadspur.desk.decisions import PLAN, Asked, Charge, Counted, Decisions, class_of
+from roadspur.net.farewell import Farewell
+from roadspur.net.ingress import Ingress, Reply, Sent
+from roadspur.net.server import Bounds, ClientConnection, Server
+from roadspur.net.upstream import Exchange, Upstream
+from roadspur.net.wire import Answer
+
+SEAL, NOT_RUN, ATTEMPT = b"x-server-seal", b"x-not-run", b"x-attempt-id"
+OWN = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+       b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"}  # of a connection, or of framing
+BARE = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")  # methods whose requests need not state a length
+NOT_SENT = OWN | {b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms"}
+ONCE = (b"host", b"x-attempt-id", b"x-deadline-ms", b"authorization")
+LONGEST_S = 120.0
+DOOR_S = 3.2    # after a planned end is told, in which clients may still come
+LAST_S = 0.5    # kept of the time before a kill
+SHORT_S = 0.05
+KINDS = {Verdict.OVER_QUOTA: Kind.OVER_QUOTA, Verdict.NO_ROOM: Kind.NO_ROOM, Verdict.FAILED: Kind.FAILED,
+         Verdict.FAULT: Kind.FAULT, Verdict.INVALID: Kind.MALFORMED}
+
+
+@dataclass(slots=True)
+class Call:
+    """A client's request that has come whole and is to be served."""
+
+    request: io.Request
+    asked: Asked
+    start: bytes  # request line and the headers that go on unchanged
+    body: bytes
+    came: float
+    last: Answer | None = None  # the newest whole answer that was no success
+    framed: bool = field(default=True)
+
+    def message(self, left_s: float, backend: str) -> bytes:
+        """The request as a backend gets it, with what is left of its time."""
+        tenant = b"X-Tenant: %s\r\n" % self.asked.tenant.encode() if self.asked.tenant is not None else b""
+        length = b"Content-Length: %d\r\n" % len(self.body) if self.framed else b""
+        return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n%s%s\r\n%s" % (
+            self.start, max(1, int(left_s * 1000)), backend.encode(), tenant, length, self.body)
+
+
+def outcome_of(answer: Answer) -> io.Outcome:
+    """What an answer says of the attempt. A success lacks its seal only where it is none of the backend's."""
+    if NOT_RUN in answer.headers or answer.status == 421:
+        return io.Outcome.FULL
+    if 200 <= answer.status < 300:
+        return io.Outcome.OK if SEAL in answer.headers else io.Outcome.ERROR
+    return io.Outcome.OK if answer.status < 500 else io.Outcome.ERROR
+
+
+def lines_of(answer: Answer) -> bytes:
+    """An answer's headers, but those of its connection."""
+    named = {part.strip().lower() for part in answer.headers.get(b"connection", b"").split(b",")}
+    return b"".join(b"%s: %s\r\n" % (name, value) for name, value in answer.headers.items()
+                    if name not in OWN and name not in named)
+
+
+class DeskFarewell(Farewell):
+    """A planned end within `grace_s`: the door closes early enough for what came last."""
+
+    def __init__(self, told: float, grace_s: float) -> None:
+        super().__init__(told, 0.0)
+        self.shut = told + min(DOOR_S, grace_s / 2)
+        self.end = told + max(1.0, grace_s - LAST_S)
+
+    def open(self, now: float) -> bool:
+        return now < self.shut and super().open(now)
+
+
+class DeskIngress(Ingress):
+    """Calls in, exchanges with backends out."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, decisions: Decisions, upstream: Upstream,
+                 charge: Callable[[Charge], None]) -> None:
+        super().__init__(loop, decisions.settings, decisions, upstream, unix=loop.time)
+        self.decisions = decisions
+        self.driver.carry[Charge] = charge
+
+    def routes(self, index: Index) -> None:
+        """The routes that requests may come by from now on; those of requests that are out stay known."""
+        for name, route in index.config.routes.items():
+            self.driver.classes[name] = class_of(Found(name, route))
+        used = {held.request.class_name for held in self.held.values()}
+        for name in self.driver.classes.keys() - index.config.routes.keys() - used:
+            del self.driver.classes[name]
+
+    def counted(self, request: str, verdict: int, left: float) -> None:
+        """The counter's answer to a charge."""
+        event: Any = Counted(request, verdict, left)
+        self.submit(event)
+
+    def take(self, call: Call, reply: Reply) -> None:  # type: ignore[override]
+        """A client's request: it is owed one answer from here on."""
+        if call.request.id not in self.held:
+            self.decisions.expect(call.request.id, call.asked)
+        self.driver.take(call.request, lambda final: self.final(final, call, reply), call, call.came)
+
+    @staticmethod
+    def final(final: Final, call: Call, reply: Reply) -> None:
+        """The one answer: the backend's own, unchanged, or one by the table of kinds."""
+        answer: Answer | None = final.payload if final.verdict is Verdict.SERVED else None
+        if final.verdict is Verdict.FAILED and call.last is not None:
+            answer = call.last
+        if answer is not None:
+            reply(answer.status, lines_of(answer), answer.body)
+            return
+        kind = KINDS[final.verdict]
+        reply(ANSWERS[kind].status, header_of(kind, final.retry_in or None), b"")
+
+    def prepare(self, held: Held, backend: str, on_end: Callable[[Ended], None]) -> Sent:
+        """One attempt. It is not sent if its client has gone or its backend may not be sent to any more by then."""
+        call: Call = held.context
+
+        def message() -> bytes:
+            return call.message(max(0.001, held.deadline - self.driver.scheduler.time()), backend)
+
+        def may_send() -> bool:
+            return not held.answered and backend in self.serving
+
+        def ended(_: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+            if answer is not None and answer.status == 421:
+                self.decisions.stranger(backend)
+            if answer is not None and outcome is io.Outcome.ERROR and answer.status >= 500:
+                call.last = answer
+            on_end(Ended(outcome, answer))
+
+        return Sent(self.upstream, Exchange(backend, message, may_send, ended, not call.asked.found.route.repeatable,
+                                            call.request.id.encode("latin-1")))
+
+
+class DeskServer(Server):
+    """Clients' connections."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: DeskIngress, most: int) -> None:
+        super().__init__(loop, most)
+        self.ingress = ingress
+        self.index: Index | None = None
+        self.known = False  # whether there is a list of backends
+        self.take, self.gone = ingress.take, ingress.gone  # type: ignore[method-assign, assignment]
+
+    def follow(self, index: Index) -> None:
+        """A configuration is in force from here on."""
+        limits = index.config.limits
+        self.index = index
+        self.bounds = Bounds(limits.max_header_bytes, limits.max_body_bytes, max(0.1, limits.header_timeout_ms / 1000),
+                             max(0.1, limits.idle_timeout_ms / 1000))
+        self.ingress.routes(index)
+
+    def read(self, came: ClientConnection) -> Any:
+        """The call that a request is, or its early answer."""
+        if came.crowded:
+            return refusal(Failure(Kind.CROWDED))
+        index = self.index
+        if index is None or not self.known:
+            return refusal(Failure(Kind.STARTING))
+        values: dict[bytes, bytes] = {}
+        passed = []
+        named = b""
+        for name, value in came.headers:
+            key = name.lower()
+            if key in ONCE and key in values:
+                return refusal(Failure(Kind.MALFORMED, f"{key.decode()}: more than one"))._replace(ends=True)
+            values[key] = value
+            if key == b"connection":
+                named = value
+            if key not in NOT_SENT:
+                passed.append((key, b"%s: %s\r\n" % (name, value)))
+        if named:
+            dropped = {part.strip().lower() for part in named.split(b",")} - {b"host", ATTEMPT}
+            passed = [(key, line) for key, line in passed if key not in dropped]
+        call_id = values.get(ATTEMPT, b"").decode("latin-1")
+        if not call_id:
+            return refusal(Failure(Kind.MALFORMED, "x-attempt-id: missing"))
+        path = came.url.partition(b"?")[0].decode("latin-1")
+        found = index.find(values.get(b"host", b"").decode("latin-1"), path)
+        if found is None:
+            return refusal(Failure(Kind.NO_ROUTE))
+        tenant = None
+        if not found.route.public and index.config.tenants:
+            tenant = index.tenant_of(values.get(b"authorization", b"").decode("latin-1"))
+            if tenant is None:
+                return refusal(Failure(Kind.NO_KEY))
+        left = found.route.deadline_ms / 1000
+        told = values.get(b"x-deadline-ms", b"")
+        if told.isdigit():
+            left = min(left, int(told) / 1000)
+        left = min(left, LONGEST_S)
+        now = self.loop.time()
+        if self.farewell is not None:
+            self.farewell.came(now)
+            rest = self.farewell.left(now)
+            if rest <= SHORT_S:
+                return refusal(Failure(Kind.ENDING))
+            left = min(left, rest)
+        if left <= 0:
+            return refusal(Failure(Kind.NO_ROOM))
+        method = came.parser.get_method()
+        request = io.Request(call_id, found.name, PLAN, 0, left, 1.0)
+        framed = bool(came.body) or method not in BARE or b"content-length" in values
+        start = b"%s %s HTTP/1.1\r\n%s" % (method, came.url, b"".join(line for _, line in passed))
+        return Call(request, Asked(found, tenant), start, bytes(came.body), now, framed=framed)
--- a/roadspur/net/daemon.py
+++ b/roadspur/net/daemon.py
@@ -17,7 +17,7 @@
 from roadspur.net.discovery import Discovery, Listing
 from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress
-from roadspur.net.server import Server
+from roadspur.net.server import IngressServer
 from roadspur.net.upstream import Endpoint, Upstream
 from roadspur.services.counter import Counter
 from roadspur.services.counters import Counters
@@ -48,7 +48,7 @@
         gateway = self.gateway = make_gateway(config.settings, config.seed, clock(), placement)
         self.ingress = Ingress(loop, config.settings, gateway, self.upstream, config.load_fields, clock,
                                scheduler)
-        self.server = Server(loop, self.ingress, self.share)
+        self.server = IngressServer(loop, self.ingress, self.share)
         self.discovery: Discovery | None = None
         self.version = config.known.version if config.known else 0  # of the list of backends
         self.counter: Counter | Counters | None = None
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -8,13 +8,13 @@
 import select
 from collections import deque
 from collections.abc import Awaitable
-from typing import NamedTuple, cast
+from typing import Any, NamedTuple, cast
 
 import httptools
 
 from roadspur.core.request import BadRequest, NoSuchPath, RequestReader, customer_of
 from roadspur.net.farewell import Farewell
-from roadspur.net.ingress import Ingress
+from roadspur.net.ingress import Ingress, Reply
 from roadspur.net.wire import MAX_BODY, MAX_HEAD, Call
 
 PIPELINE = 16  # requests read ahead on one connection
@@ -27,11 +27,26 @@
               b"upgrade", b"expect", b"content-length", b"x-budget"}
 
 
+AGAIN = b"Retry-After: 1\r\n"
+PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+
+
 class Early(NamedTuple):
     """An answer that no decision is needed for."""
 
     status: int
     why: str
+    lines: bytes = b""  # further header lines
+    ends: bool = False  # whether its connection ends with it
+
+
+class Bounds(NamedTuple):
+    """What a client may send and how long it may take over it, in bytes and seconds."""
+
+    head: int = MAX_HEAD
+    body: int = MAX_BODY
+    slow: float = SLOW_S
+    idle: float = IDLE_S
 
 
 class ClientConnection(asyncio.Protocol):
@@ -42,8 +57,8 @@
         self.loop = server.loop
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
-        self.waiting: deque[tuple[Call | Early, bool]] = deque()
-        self.call: Call | None = None  # the one that is being decided on
+        self.waiting: deque[tuple[Any, bool]] = deque()
+        self.call: Any = None  # the one that is being decided on
         self.keep = True  # whether the connection stays open after the present answer
         self.closing = self.deaf = self.paused = self.crowded = False
         self.heard = next(server.order)
@@ -72,7 +87,7 @@
         self.waiting.clear()
         call, self.call = self.call, None
         if call is not None:
-            self.server.ingress.gone(call)
+            self.server.gone(call)
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:  # the rest of a request that was turned away unread
@@ -95,7 +110,7 @@
         if self.in_head and self.began:  # the parser itself would take in a head that never ends
             self.size += 0 if self.fresh else len(data)
             self.fresh = False
-            if self.size > MAX_HEAD:
+            if self.size > self.server.bounds.head:
                 self.fault(431, "the head is too long")
 
     def fault(self, status: int, why: str) -> None:
@@ -119,7 +134,7 @@
 
     def on_url(self, url: bytes) -> None:
         self.url += url
-        if len(self.url) > MAX_HEAD:
+        if len(self.url) > self.server.bounds.head:
             raise BadRequest(431, "the head is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -132,58 +147,36 @@
         The parser refuses both framings at once, two lengths, and lengths that are no plain number.
         """
         self.in_head = False
+        most = self.server.bounds.body
         for name, value in self.headers:
             key = name.lower()
-            if key == b"content-length" and int(value) > MAX_BODY:
-                raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+            if key == b"content-length" and int(value) > most:
+                raise BadRequest(413, f"a body holds at most {most} bytes")
             if key == b"transfer-encoding" and value.lower() != b"chunked":
                 raise BadRequest(400, "transfer-encoding: expected chunked")
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
-        if len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers) > MAX_HEAD:
+        if len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers) > self.server.bounds.head:
             raise BadRequest(431, "the head is too long")
 
     def on_body(self, data: bytes) -> None:
-        if len(self.body) + len(data) > MAX_BODY:
-            raise BadRequest(413, f"a body holds at most {MAX_BODY} bytes")
+        if len(self.body) + len(data) > self.server.bounds.body:
+            raise BadRequest(413, f"a body holds at most {self.server.bounds.body} bytes")
         self.body += data
 
     def on_message_complete(self) -> None:
         self.began, self.in_head, self.used = 0.0, True, True
-        item = self.read()
-        if isinstance(item, Early) and item.status in (400, 404):  # who repeats it has to connect anew
+        item = self.server.read(self)
+        if isinstance(item, Early) and item.ends:  # who repeats it has to connect anew
             self.fault(item.status, item.why)
         else:
             # Whoever asks again and again whether this ingress is ready must not push out those that it serves.
             waits = isinstance(item, Early) and item.status == 503
             self.enqueue(item, self.parser.should_keep_alive() and not self.crowded and not waits)
 
-    def read(self) -> Call | Early:
-        """The request that has come, or the answer to one that is none of ours."""
-        if self.url.partition(b"?")[0] == b"/healthz":
-            return Early(200 if self.server.ready() else 503, "")
-        if self.crowded:
-            return Early(503, "too many connections")
-        try:
-            request = self.server.reader.read(customer_of(self.url), self.parser.get_method(), self.headers)
-        except NoSuchPath as error:
-            return Early(404, str(error))
-        except BadRequest as error:
-            return Early(400, str(error))
-        if self.server.farewell is not None:
-            now = self.loop.time()
-            self.server.farewell.came(now)
-            left = self.server.farewell.left(now)
-            if left <= 0:
-                return Early(503, "this ingress ends")
-            request = request._replace(expires_in=min(request.expires_in, left))
-        start = [b"%s %s HTTP/1.1\r\n" % (self.parser.get_method(), self.url)]
-        start += [b"%s: %s\r\n" % (n, v) for n, v in self.headers if n.lower() not in HOP_BY_HOP]
-        return Call(request, b"".join(start), bytes(self.body), self.server.ingress.driver.scheduler.time())
-
     # Answers, in the order of the requests.
 
-    def enqueue(self, item: Call | Early, keep: bool) -> None:
+    def enqueue(self, item: Any, keep: bool) -> None:
         self.waiting.append((item, keep))
         if len(self.waiting) > PIPELINE and self.transport is not None and not self.paused:
             self.paused = True
@@ -195,12 +188,11 @@
         """Go on with what has been read ahead, until there is one that must wait for its answer."""
         while self.waiting and self.call is None and not self.closing and not self.full_since:
             item, self.keep = self.waiting.popleft()
-            if isinstance(item, Call):
-                self.call = item
-                self.server.ingress.take(item, self.reply)
+            if isinstance(item, Early):
+                self.write(item.status, item.lines, item.why.encode())
             else:
-                lines = b"Retry-After: 1\r\n" if item.status == 503 else b""
-                self.write(item.status, lines, item.why.encode())
+                self.call = item
+                self.server.take(item, self.reply)
         if (self.paused and self.transport is not None and not self.closing and not self.deaf
                 and len(self.waiting) <= PIPELINE):
             self.paused = False
@@ -223,7 +215,7 @@
         if close:
             lines += b"Connection: close\r\n"
         self.transport.write(b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
-            status, http.HTTPStatus(status).phrase.encode(), lines, len(body), body))
+            status, PHRASES.get(status, b"-"), lines, len(body), body))
         if close:
             self.close()
 
@@ -256,22 +248,24 @@
         if self.closing or self.transport is None:
             return
         if self.full_since:
-            if now - self.full_since > SLOW_S:
+            if now - self.full_since > self.server.bounds.slow:
                 self.closing = True
                 self.transport.abort()
         elif self.began:
-            if now - self.began > SLOW_S and not self.deaf and not self.unread():
+            if now - self.began > self.server.bounds.slow and not self.deaf and not self.unread():
                 self.fault(408, "the request did not come whole in time")
-        elif now - self.since > (IDLE_S if self.used else SLOW_S) and self.idle():
+        elif now - self.since > (self.server.bounds.idle if self.used else self.server.bounds.slow) and self.idle():
             self.close()
 
 
 class Server:
-    """Listens for clients, and leaves in order."""
+    """Listens for clients, and leaves in order.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int) -> None:
-        self.loop, self.ingress, self.most = loop, ingress, most
-        self.reader = RequestReader(ingress.settings)
+    What is asked for and who answers is for those that build on it: `read`, `take`, `gone`.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, bounds: Bounds = Bounds()) -> None:  # noqa: B008
+        self.loop, self.most, self.bounds = loop, most, bounds
         self.connections: set[ClientConnection] = set()
         self.order = itertools.count()  # who was heard last; the loop's clock is too coarse to tell
         self.stopping = self.leaving = False
@@ -283,9 +277,16 @@
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024)
 
-    def ready(self) -> bool:
-        """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
-        return bool(self.ingress.serving) and not self.stopping
+    def read(self, came: ClientConnection) -> Any:
+        """The request that has come whole, to be handed to `take`, or the `Early` answer to it."""
+        raise NotImplementedError
+
+    def take(self, item: Any, reply: Reply) -> None:
+        """Answer a request through `reply`, once, now or later."""
+        raise NotImplementedError
+
+    def gone(self, item: Any) -> None:
+        """The client of a request that has not been answered has left."""
 
     def joined(self, connection: ClientConnection) -> None:
         """Room for one more is made by closing one that never sent anything, or has been idle longest.
@@ -334,3 +335,40 @@
             self.listener.close()
         for connection in list(self.connections):
             connection.close()
+
+
+class IngressServer(Server):
+    """The clients' door of the ingress in service."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: Ingress, most: int) -> None:
+        super().__init__(loop, most)
+        self.ingress = ingress
+        self.reader = RequestReader(ingress.settings)
+        self.take, self.gone = ingress.take, ingress.gone  # type: ignore[method-assign, assignment]
+
+    def ready(self) -> bool:
+        """Whether a request could be served: there is a backend to send it to, and this is no goodbye."""
+        return bool(self.ingress.serving) and not self.stopping
+
+    def read(self, came: ClientConnection) -> Any:
+        """The request that has come, or the answer to one that is none of ours."""
+        if came.url.partition(b"?")[0] == b"/healthz":
+            return Early(200, "") if self.ready() else Early(503, "", AGAIN)
+        if came.crowded:
+            return Early(503, "too many connections", AGAIN)
+        try:
+            request = self.reader.read(customer_of(came.url), came.parser.get_method(), came.headers)
+        except NoSuchPath as error:
+            return Early(404, str(error), ends=True)
+        except BadRequest as error:
+            return Early(400, str(error), ends=True)
+        if self.farewell is not None:
+            now = self.loop.time()
+            self.farewell.came(now)
+            left = self.farewell.left(now)
+            if left <= 0:
+                return Early(503, "this ingress ends", AGAIN)
+            request = request._replace(expires_in=min(request.expires_in, left))
+        start = [b"%s %s HTTP/1.1\r\n" % (came.parser.get_method(), came.url)]
+        start += [b"%s: %s\r\n" % (n, v) for n, v in came.headers if n.lower() not in HOP_BY_HOP]
+        return Call(request, b"".join(start), bytes(came.body), self.ingress.driver.scheduler.time())
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -10,7 +10,7 @@
 
 from roadspur import interface as io
 from roadspur.net.guard import Guard
-from roadspur.net.wire import Address, Answer, AnswerReader
+from roadspur.net.wire import MAX_BODY, Address, Answer, AnswerReader
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +21,15 @@
 UNSURE = (io.Outcome.TIMEOUT, io.Outcome.CANCELLED)
 
 
+def watch(sock: socket.socket, silent_s: float) -> None:
+    """Have the kernel end a connection whose other side has acknowledged nothing for that long, idle ones too."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, int(silent_s * 1000)))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(silent_s)))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
 class Endpoint(NamedTuple):
     """Where a backend listens and since when."""
 
@@ -28,6 +37,15 @@
     born: float
 
 
+class Terms(NamedTuple):
+    """What is agreed with the backends of a deployment; the defaults are those of the program in service."""
+
+    most_body: int = MAX_BODY  # bytes
+    mark: bytes = b""  # header in which an answer names its request, where it does
+    silent_s: float = 0.0  # without an acknowledgement, after which a connection ends; 0: the kernel's own time
+    outcome_of: Callable[[Answer], io.Outcome] | None = None  # None: as `outcome_of` below
+
+
 class Exchange:
     """One request to a backend and its one outcome, told through `on_end`.
 
@@ -36,12 +54,17 @@
     """
 
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
-                 on_end: Callable[[Exchange, io.Outcome, Answer | None], None], guarded: bool = False) -> None:
-        """`guarded`: where connections end at bad moments, nothing of it may run that is not known to."""
+                 on_end: Callable[[Exchange, io.Outcome, Answer | None], None], guarded: bool = False,
+                 mark: bytes = b"") -> None:
+        """`guarded`: where connections end at bad moments, nothing of it may run that is not known to.
+
+        `mark`: what `Terms.mark` of its answer must hold; an answer with another one belongs to no request here.
+        """
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # whole: from here on it may have run
+        self.mark = mark
         self.guarded = guarded  # its last byte waits until the connection has shown that it stands
         self.ended = False
         self.heard = 0  # what the pool had heard at the start
@@ -71,11 +94,13 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
         self.transport: asyncio.Transport | None = None
-        self.reader = AnswerReader()
+        self.reader = AnswerReader(pool.terms.most_body)
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
+        self.idle_most = float("inf")  # seconds between requests that the other side has said it allows
         self.closed = False
         self.used = False  # it has carried a request
+        self.strange = False  # it has brought an answer that was no request's here
         self.stall: asyncio.TimerHandle | None = None
         self.holding: asyncio.TimerHandle | None = None
 
@@ -94,6 +119,10 @@
             return True
         return True
 
+    def trusted(self, now: float) -> bool:
+        """Whether the other side is still far from closing it as idle."""
+        return now - self.idle_since < IDLE_SHARE * self.idle_most
+
     def send(self, exchange: Exchange) -> None:
         """Write the request. After this a broken connection counts as a reset, as it may have come whole."""
         assert self.transport is not None
@@ -135,9 +164,13 @@
             self.spoilt("an answer before the request's last byte")
             return
         answers = self.reader.feed(data)
-        if answers:
-            clean = len(answers) == 1 and not self.reader.partial and not self.reader.broken
-            self.answered(answers[0], clean)
+        mark, own = self.pool.terms.mark, answers
+        if mark:  # a surplus answer may come in the place of the one that is waited for
+            own = [a for a in answers if a.headers.get(mark, self.exchange.mark) == self.exchange.mark]
+            self.strange = self.strange or len(own) < len(answers)
+        if own:
+            clean = len(own) == 1 and not (self.strange or self.reader.partial or self.reader.broken)
+            self.answered(own[0], clean)
         elif self.reader.broken:
             self.spoilt(self.reader.broken)
         elif self.reader.partial:
@@ -148,11 +181,11 @@
         assert exchange is not None
         exchange.connection = None
         if clean and answer.keep and not self.closed:
-            self.used = True
+            self.used, self.idle_most = True, idle_time(answer)
             self.pool.keep(self)
         else:
             self.drop()
-        exchange.end(outcome_of(answer), answer)
+        exchange.end((self.pool.terms.outcome_of or outcome_of)(answer), answer)
 
     def stalled(self) -> None:
         """An answer that stops midway is not waited for; unread bytes mean that it was us who stopped."""
@@ -199,6 +232,15 @@
         self.spoilt("the connection ended")
 
 
+def idle_time(answer: Answer) -> float:
+    """Seconds for which the other side keeps an idle connection by its `Keep-Alive` header, inf where it has none."""
+    for part in answer.headers.get(b"keep-alive", b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value)
+    return float("inf")
+
+
 def outcome_of(answer: Answer) -> io.Outcome:
     """What an answer says of the attempt; only a whole 200 is served."""
     if answer.status == 200:
@@ -212,7 +254,9 @@
     """The connections to one backend; the newest idle one is used first, so that the others can age out."""
 
     def __init__(self, backend: str, endpoint: Endpoint, loop: asyncio.AbstractEventLoop,
-                 connections: set[Connection], guard: Guard, reopen: Callable[[Exchange], None]) -> None:
+                 connections: set[Connection], guard: Guard, reopen: Callable[[Exchange], None],
+                 terms: Terms = Terms()) -> None:  # noqa: B008  (a tuple)
+        self.terms = terms
         self.backend, self.endpoint, self.loop = backend, endpoint, loop
         self.guard, self.reopen = guard, reopen
         self.idle: list[Connection] = []
@@ -224,7 +268,7 @@
         """The newest idle connection that still stands; those idle since before `oldest` do not count."""
         while self.idle:
             connection = self.idle.pop()
-            if connection.idle_since >= oldest:
+            if connection.idle_since >= oldest and connection.trusted(self.loop.time()):
                 if not connection.stale():
                     return connection
                 self.guard.found_closed(self.loop.time(), connection.idle_since)
@@ -253,7 +297,8 @@
     """All backends' pools."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, connect_timeout: float, idle: float,
-                 most: int) -> None:
+                 most: int, terms: Terms = Terms()) -> None:  # noqa: B008  (a tuple)
+        self.terms = terms
         self.loop, self.connect_timeout, self.most = loop, connect_timeout, most
         self.idle = IDLE_SHARE * idle
         self.guard = Guard(idle)
@@ -272,7 +317,8 @@
             del self.pools[backend]
             pool = None
         if pool is None and endpoint is not None:
-            self.pools[backend] = Pool(backend, endpoint, self.loop, self.connections, self.guard, self.reopen)
+            self.pools[backend] = Pool(backend, endpoint, self.loop, self.connections, self.guard, self.reopen,
+                                       self.terms)
 
     def send(self, exchange: Exchange, timeout: float) -> None:
         """Carry out one exchange; its outcome may come before this returns."""
@@ -354,6 +400,8 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.terms.silent_s:
+                watch(sock, self.terms.silent_s)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, pool.endpoint.address)
         except BaseException:
--- a/roadspur/policy/attempts.py
+++ b/roadspur/policy/attempts.py
@@ -106,12 +106,7 @@
     def sweep(self, now: float) -> None:
         """Each beat: find silent backends by the answers they owe, and see to what is held."""
         self.armed = False
-        for b in [x for x in self.fleet.backends.values() if x.out]:
-            owed = sum((now - max(o.sent, b.answered)) / (self.fleet.latency[o.cls] * o.work)
-                       for o in b.out.values())
-            if owed < SILENT_X * max(1.0, b.ratio):
-                continue
-            self.fleet.eject(now, b, "silent")
+        for b in self.fleet.silent(now, SILENT_X):
             for name in b.out:  # move what may be repeated; a long request at a live server is left alone
                 f = self.flights.get(name)
                 old = f is not None and now - f.sent > 2 * self.fleet.latency[f.cls.name] * f.work
--- a/roadspur/policy/fleet.py
+++ b/roadspur/policy/fleet.py
@@ -92,6 +92,13 @@
         self.each = SLOTS / self.sharers  # slots a backend to begin with
         self.past: dict[str, io.LearnedBackend] = {}  # of an earlier life, for backends that the list has yet to name
 
+    def meet(self, cls: io.ClassSettings) -> None:
+        """A class that the settings do not name."""
+        if cls.name not in self.classes:
+            self.latency[cls.name] = self.base[cls.name] = cls.objective * AIM_PART
+            self.work[cls.name], self.shy[cls.name] = WorkOfClass(), 0.0
+        self.classes[cls.name] = cls
+
     def free(self, now: float) -> bool:
         """Whether the concurrency limit allows one more attempt."""
         return self.load < max(1.0, self.slots) and now >= self.paused
@@ -233,6 +240,14 @@
         gain = math.log(BAD_SHARE / self.usual) if fault else math.log((1 - BAD_SHARE) / (1 - self.usual))
         b.proof = max(0.0, b.proof + gain)
 
+    def silent(self, now: float, times: float) -> list[Backend]:
+        """Backends that owe answers for `times` their usual time: they are ejected."""
+        owing = [b for b in self.backends.values() if b.out and times * max(1.0, b.ratio) <= sum(
+            (now - max(o.sent, b.answered)) / (self.latency[o.cls] * o.work) for o in b.out.values())]
+        for b in owing:
+            self.eject(now, b, "silent")
+        return owing
+
     def eject(self, now: float, b: Backend, why: str) -> None:
         """Outlier ejection: rest a while, then one trial at a time; part of the fleet is always kept."""
         resting = sum(1 for x in self.backends.values() if x.usable and now < x.resting)
--- a/roadspur/services/wire.py
+++ b/roadspur/services/wire.py
@@ -41,8 +41,10 @@
     handed over first, and `broken` then says why nothing more can be read here.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = MAX_BODY) -> None:
+        """`most`: bytes that a body may hold."""
         self.parser = httptools.HttpResponseParser(self)
+        self.most = most
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.answers: list[Answer] = []
@@ -58,7 +60,7 @@
                 self.parser.feed_data(data)
             except httptools.HttpParserError as error:
                 self.broken = str(error.__context__ or error)
-            if self.fed > 2 * MAX_BODY + MAX_HEAD:  # a head without end is held in the parser's memory
+            if self.fed > 2 * self.most + MAX_HEAD:  # a head without end is held in the parser's memory
                 self.broken = self.broken or "the answer is too long"
         answers, self.answers = self.answers, []
         return answers
@@ -81,12 +83,12 @@
             raise BadAnswer("expected one of content-length and transfer-encoding")
         if coding is not None and coding.lower() != b"chunked":
             raise BadAnswer("transfer-encoding: expected chunked")
-        if length is not None and int(length) > MAX_BODY:
-            raise BadAnswer(f"a body of over {MAX_BODY} bytes")
+        if length is not None and int(length) > self.most:
+            raise BadAnswer(f"a body of over {self.most} bytes")
 
     def on_body(self, data: bytes) -> None:
-        if len(self.body) + len(data) > MAX_BODY:
-            raise BadAnswer(f"a body of over {MAX_BODY} bytes")
+        if len(self.body) + len(data) > self.most:
+            raise BadAnswer(f"a body of over {self.most} bytes")
         self.body += data
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/roadspur/stacks/control.py
@@ -0,0 +1,735 @@
+"""The control state's one machine: founding, epochs, primary and backup, witnesses, take-over.
+
+What is guaranteed, with at most the losses of the settings' `tolerance`:
+
+1. A change is acknowledged only once it is on the disks of the primary and of its backup, in the present epoch, and
+   the primary's lease stands at that moment.
+2. An epoch begins only when a majority of the electorate has written it down, and only a *holder* of the newest epoch
+   that this majority knows (its primary or its backup, with its copy on disk) may begin the next one, after its new
+   backup has the whole copy on disk. So whoever is primary has everything that was ever acknowledged.
+3. A machine that has promised an epoch takes no part in a lower one; what it promised is on its disk before it says
+   so.
+4. A machine whose disk is empty and that is not founding has *forgotten*: it votes, holds and answers for nothing
+   until so many of the others have told it what they know that no majority could have decided without one of them.
+5. A primary answers only while a majority has heard it within `LEASE_S`; a voter that has heard one helps nobody else
+   to the office for `GUARD_S`, which is longer.
+
+How: inputs are ticks, messages, ends of disk writes and calls; outputs are messages, writes, answers and news. A
+reply that rests on something written leaves only after the write has ended (`after`). Witnesses keep epochs (view and
+promise) and no state; there is no log: the state is small and a copy is whole. Views as in Vertical Paxos (Lamport
+2009), witnesses as in Harp (Liskov 1991), leases as in Gray 1989.
+
+Times are seconds on the machine's steady clock. Cost: a beat a machine of the core each `BEAT_S`; a change costs one
+message, one answer and two syncs at once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from roadspur.catalogue.events import Event
+from roadspur.catalogue.failures import Failure, Kind
+from roadspur.courier.news import State
+from roadspur.stacks.views import Copy, Kept, View
+
+BEAT_S = 0.2
+LEASE_S = 1.0      # of a primary, from when it asked
+GUARD_S = 1.25     # of a voter, from when it heard
+FOUND_S = 1.2      # in which all founders come
+AGAIN_S = 0.25     # between repeats of what has no answer yet
+TRY_S = 1.5        # after which an attempt at the office is given up
+DISK_S = 0.8       # that a write of the primary may take before it leaves the office
+BACKUP_S = 0.9     # without a word from the backup, or without its answer to a change, before another takes its place
+HOLD_S = 0.8       # that a call waits for somebody to hold the office
+PART_S = 0.8       # without a beat, after which a primary is no address to send a caller to
+SHUN_S = 5.0       # in which a backup that failed is not chosen again while there is another
+
+Outputs = list["Output"]
+
+
+class Send(NamedTuple):
+    """A message to the control machine at an address."""
+
+    to: str
+    table: dict[str, Any]
+
+
+class Write(NamedTuple):
+    """Records to be on disk together, synced; `Control.written` is told of `token`."""
+
+    token: int
+    records: dict[str, Any]
+
+
+class Answer(NamedTuple):
+    """The one answer to a call: None for kept, a document, or a Failure."""
+
+    call: Any
+    answer: Any
+
+
+class Publish(NamedTuple):
+    """The state as it is in force, to be told to all that follow it."""
+
+    state: State
+
+
+class Note(NamedTuple):
+    """An event for the log."""
+
+    event: Event
+    fields: tuple[object, ...]
+
+
+Output = Send | Write | Answer | Publish | Note
+
+
+class Change(NamedTuple):
+    """A call that alters items. `settled`: whether the state makes it needless; `items`: what it sets."""
+
+    call: Any
+    settled: Callable[[State], bool]
+    items: Callable[[State], dict[str, Any]]
+    what: str
+    until: float = 0.0
+
+
+class Read(NamedTuple):
+    """A call that is answered from the state, by a holder of the office."""
+
+    call: Any
+    answer: Callable[[State], Any]
+    until: float = 0.0
+
+
+@dataclass(slots=True)
+class Pending:
+    """A change that is being kept."""
+
+    state: State
+    changes: list[Change]
+    since: float
+    asked: float
+    number: int
+    items: dict[str, Any]
+    here: bool = False
+    there: bool = False
+
+
+@dataclass(slots=True)
+class Office:
+    """What a primary has to do with."""
+
+    view: View
+    heard: dict[str, float]  # when each voter was asked what it has answered
+    backup_heard: float
+    pending: Pending | None = None
+    disk_since: float | None = None
+
+    def until(self) -> float:
+        """To when the lease stands."""
+        asked = sorted((self.heard.get(v, -1e9) for v in self.view.electorate), reverse=True)
+        return asked[self.view.majority - 1] + LEASE_S
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt at the office of one epoch: 'ask' for promises, 'sync' the backup, 'record' the view."""
+
+    epoch: int
+    view: View  # the newest known, to be followed by the next
+    since: float
+    asked: float
+    stage: str = "ask"
+    said: dict[str, View | None] = field(default_factory=dict)
+    next: View | None = None
+    tried: set[str] = field(default_factory=set)
+
+
+class Control:
+    """One machine of the core."""
+
+    def __init__(self, me: str, zone: str, seeds: Iterable[str], bootstrap: bool, kept: Kept, now: float,
+                 rng: random.Random) -> None:
+        self.me, self.zone, self.rng = me, zone, rng
+        self.seeds = set(seeds)
+        self.promised, self.view, self.copy = kept.promised, kept.view, kept.copy
+        self.founding = bootstrap and kept.view is None and kept.promised == 0
+        self.forgot = kept.view is None and not self.founding
+        self.founders: dict[str, tuple[str, float]] = {}
+        self.taught: dict[str, tuple[View | None, int]] = {}
+        self.born = now
+        self.now = now
+        self.beat_at = now  # when a primary was last heard; a voter that starts may have heard one just before
+        self.primary_at = -1e9  # the same, but for sending callers there
+        self.office: Office | None = None
+        self.attempt: Attempt | None = None
+        self.try_at = now + GUARD_S + rng.random() * 0.1
+        self.next_beat = self.next_learn = now
+        self.queue: deque[Change | Read] = deque()
+        self.after: dict[int, Callable[[bool], None]] = {}
+        self.token = 0
+        self.shunned: dict[str, float] = {}
+        self.known: dict[str, float] = {}  # addresses that anything came from, and when
+        self.stopped = False
+        self.out: Outputs = []
+
+    # Inputs.
+
+    def tick(self, now: float) -> Outputs:
+        """Time has passed; to be called ten times a second or more."""
+        self.now = max(self.now, now)
+        if not self.stopped:
+            if self.founding:
+                self._found()
+            elif self.forgot or (self.view is not None and self.me not in self.view.electorate):
+                self._learn()
+            else:
+                self._lead()
+            self._expire()
+        return self._flush()
+
+    def message(self, now: float, sender: str, table: dict[str, Any]) -> Outputs:
+        """A message from another machine of the core."""
+        self.now = max(self.now, now)
+        self.known[sender] = self.now
+        handle = getattr(self, f"_on_{table.get('t')}", None)
+        if handle is not None and not self.stopped:
+            handle(sender, table)
+        return self._flush()
+
+    def written(self, now: float, token: int, ok: bool) -> Outputs:
+        """A write has ended; `ok`: it is on disk."""
+        self.now = max(self.now, now)
+        after = self.after.pop(token, None)
+        if after is not None and not self.stopped:
+            after(ok)
+        return self._flush()
+
+    def call(self, now: float, call: Change | Read) -> Outputs:
+        """A call from outside; its `Answer` comes now, or within about `HOLD_S` where nobody has the office."""
+        self.now = max(self.now, now)
+        if self.stopped:
+            self.out.append(Answer(call.call, Failure(Kind.ENDING)))
+        else:
+            self.queue.append(call._replace(until=self.now + HOLD_S))
+            self._serve()
+            self._turn_away()
+        return self._flush()
+
+    def stop(self, now: float) -> Outputs:
+        """This process ends in order: the office goes to the backup at once."""
+        self.now = max(self.now, now)
+        self._leave("this process ends")
+        self.stopped = True
+        while self.queue:
+            self.out.append(Answer(self.queue.popleft().call, Failure(Kind.ENDING)))
+        return self._flush()
+
+    def reseed(self, seeds: Iterable[str]) -> None:
+        """The settings name other seeds; what was ever learned is kept."""
+        self.seeds |= set(seeds)
+
+    # Helpers.
+
+    def _flush(self) -> Outputs:
+        out, self.out = self.out, []
+        return out
+
+    def _note(self, event: Event, *fields: object) -> None:
+        self.out.append(Note(event, fields))
+
+    def _write(self, records: dict[str, Any], after: Callable[[bool], None]) -> None:
+        self.token += 1
+        self.after[self.token] = after
+        self.out.append(Write(self.token, records))
+
+    def _send(self, to: str, kind: str, **fields: Any) -> None:
+        self.out.append(Send(to, {"t": kind, **fields}))
+
+    def _others(self) -> list[str]:
+        """All machines of the core that are known, but this one."""
+        voters = self.view.electorate if self.view is not None else {}
+        return sorted(({*self.seeds, *self.known, *voters}) - {self.me})
+
+    def _promise(self, epoch: int, records: dict[str, Any], after: Callable[[], None]) -> None:
+        """Write a promise and what goes with it; `after` follows only if it is on disk and nothing higher came."""
+        self.promised = epoch
+        if self.office is not None and epoch > self.office.view.epoch:
+            self._leave(f"epoch {epoch} was promised")
+
+        def done(ok: bool) -> None:
+            if not ok:
+                self._note(Event.DISK, f"promise of epoch {epoch} not written")
+            elif self.promised == epoch:
+                after()
+        self._write({"promise": {"e": epoch}, **records}, done)
+
+    # Founding.
+
+    def _found(self) -> None:
+        """All founders tell the first seed; it begins once all have come and no more do."""
+        founder = min(self.seeds)
+        if self.now >= self.next_learn:
+            self.next_learn = self.now + AGAIN_S
+            for seed in self.seeds - {self.me}:
+                self._send(seed, "found", z=self.zone)
+        if founder != self.me:
+            return
+        self.founders.setdefault(self.me, (self.zone, self.now))
+        last = max(at for _, at in self.founders.values())
+        whole = self.seeds <= self.founders.keys()
+        if self.attempt is None and whole and self.now - self.born > FOUND_S and self.now - last > FOUND_S / 2:
+            electorate = {ip: zone for ip, (zone, _) in self.founders.items()}
+            nothing = View(0, self.me, "", electorate)
+            self.attempt = Attempt(1, nothing, self.now, self.now)
+            self.copy = Copy(1, State())
+            self._note(Event.CANDIDATE, 1, "founding")
+            self._promise(1, {"copy": self.copy.packed()}, self._sync_backup)
+        elif self.attempt is not None:
+            self._press()
+
+    def _on_found(self, sender: str, table: dict[str, Any]) -> None:
+        if self.founding and sender not in self.founders:
+            self.founders[sender] = (table["z"], self.now)
+        elif not self.founding and self.view is not None:
+            self._teach(sender)
+
+    # A machine that has forgotten, or that has no vote.
+
+    def _learn(self) -> None:
+        if self.now < self.next_learn:
+            return
+        self.next_learn = self.now + AGAIN_S
+        for other in self._others():
+            self._send(other, "learn")
+
+    def _on_learn(self, sender: str, table: dict[str, Any]) -> None:
+        if self.view is not None and not self.forgot:
+            self._teach(sender)
+
+    def _teach(self, sender: str) -> None:
+        assert self.view is not None
+        heard = self.office is not None or self.now - self.primary_at < PART_S
+        self._send(sender, "taught", view=self.view.packed(), e=self.promised, heard=heard)
+
+    def _on_taught(self, sender: str, table: dict[str, Any]) -> None:
+        view = View.unpacked(table["view"])
+        if self.founding and self.me in view.electorate and self.promised == 0:
+            self.founding, self.forgot = False, True  # founded without this one's knowing
+        if table["heard"]:
+            self.primary_at = self.now
+        if self.view is not None and self.me not in self.view.electorate and view.epoch > self.view.epoch:
+            self.view = view
+        if not self.forgot:
+            return
+        self.taught[sender] = (view, table["e"])
+        newest = max((v for v, _ in self.taught.values() if v is not None), key=lambda v: v.epoch)
+        told = [ip for ip in self.taught if ip in newest.electorate and ip != self.me]
+        if self.me not in newest.electorate:
+            self.view = newest  # it has no vote, and sends callers on
+        elif len(told) >= len(newest.electorate) - newest.majority + 1:
+            promised = max(e for _, e in self.taught.values())
+            self.view, self.promised, self.copy = newest, promised, Copy()
+            self.beat_at = self.now
+
+            def learned(ok: bool) -> None:
+                if ok:
+                    self.forgot = False
+                    self._note(Event.VIEW, newest.epoch, newest.primary, newest.backup)
+                else:
+                    self.view, self.taught = None, {}
+            self.taught = {}
+            self._write({"promise": {"e": promised}, "view": newest.packed(), "copy": self.copy.packed()}, learned)
+
+    # The office.
+
+    def eligible(self) -> bool:
+        """Whether this machine holds everything that was acknowledged in the newest epoch it knows."""
+        return (self.view is not None and self.me in self.view.holders and self.copy.epoch >= self.view.epoch
+                and not self.forgot)
+
+    def _lead(self) -> None:
+        if self.office is not None:
+            self._keep_office()
+        elif self.attempt is not None:
+            self._press()
+        elif self.eligible() and self.now - self.beat_at > GUARD_S and self.now >= self.try_at:
+            self._stand("the primary is silent")
+
+    def _keep_office(self) -> None:
+        office = self.office
+        assert office is not None
+        if self.now >= self.next_beat:
+            self.next_beat = self.now + BEAT_S
+            office.heard[self.me] = self.now
+            for voter in office.view.electorate:
+                if voter != self.me:
+                    self._send(voter, "lead", view=office.view.packed(), at=self.now)
+        pending = office.pending
+        if self.now > office.until() + LEASE_S:
+            self._leave("no majority")
+        elif office.disk_since is not None and self.now - office.disk_since > DISK_S:
+            self._leave("the disk is slow")
+        elif self.now < office.until() and (self.now - office.backup_heard > BACKUP_S or (
+                pending is not None and not pending.there and self.now - pending.since > BACKUP_S)):
+            others = [v for v in office.view.electorate if v not in (self.me, office.view.backup)
+                      and self.now - office.heard.get(v, -1e9) < LEASE_S]
+            if others:
+                self.shunned[office.view.backup] = self.now + SHUN_S
+                self._stand("its backup is silent")
+        elif pending is not None and not pending.there and self.now - pending.asked > AGAIN_S:
+            pending.asked = self.now
+            self._store(pending)
+        if self.office is not None:
+            self._serve()
+
+    def _leave(self, why: str) -> None:
+        """Give the office up; what is pending goes back to the queue, and may be in force later or not."""
+        office, self.office = self.office, None
+        self.attempt = None
+        if office is None:
+            return
+        self._note(Event.NO_OFFICE, office.view.epoch, why)
+        if office.pending is not None:
+            for change in reversed(office.pending.changes):
+                self.queue.appendleft(change._replace(until=self.now + HOLD_S))
+        for voter in office.view.electorate:
+            if voter != self.me:
+                self._send(voter, "vacant", e=office.view.epoch)
+        self.try_at = self.now + 2 * GUARD_S + self.rng.random()
+        self.primary_at = -1e9
+
+    def _on_vacant(self, sender: str, table: dict[str, Any]) -> None:
+        if self.view is not None and self.view.epoch == table["e"] and self.view.primary == sender:
+            self.beat_at = self.primary_at = -1e9
+            if self.eligible() and self.office is None and self.attempt is None:
+                self._stand("the office is vacant")
+
+    def _stand(self, why: str) -> None:
+        """Ask for the next epoch."""
+        assert self.view is not None
+        office = self.office
+        epoch = max(self.promised, self.view.epoch) + 1
+        self._note(Event.CANDIDATE, epoch, why)
+        if office is not None:  # of its own accord: its voters still guard it, and know it as the one that asks
+            self.office = None
+            if office.pending is not None:
+                for change in reversed(office.pending.changes):
+                    self.queue.appendleft(change._replace(until=self.now + 2 * HOLD_S))
+        self.attempt = Attempt(epoch, self.view, self.now, self.now)
+        self._promise(epoch, {}, self._ask)
+
+    def _ask(self) -> None:
+        attempt = self.attempt
+        if attempt is None or attempt.epoch != self.promised:
+            return
+        attempt.said[self.me] = self.view
+        for voter in attempt.view.electorate:
+            if voter not in attempt.said:
+                self._send(voter, "ask", e=attempt.epoch, was=attempt.view.epoch)
+
+    def _on_ask(self, sender: str, table: dict[str, Any]) -> None:
+        epoch = table["e"]
+        if self.view is None or self.forgot or sender not in self.view.electorate:
+            return
+        guarded = self.now - self.beat_at < GUARD_S and sender != self.view.primary
+        mine = self.office is not None and self.now < self.office.until()
+        if epoch <= self.promised or guarded or mine:
+            self._send(sender, "refused", e=epoch, promised=self.promised, view=self.view.packed())
+            return
+        self.attempt = None
+        view = self.view
+        self._promise(epoch, {}, lambda: self._send(sender, "promised", e=epoch, view=view.packed()))
+
+    def _on_refused(self, sender: str, table: dict[str, Any]) -> None:
+        attempt = self.attempt
+        if attempt is None or attempt.epoch != table["e"]:
+            return
+        self._adopt(View.unpacked(table["view"]))
+        if table["promised"] >= attempt.epoch:
+            self.attempt = None
+            self.promised = max(self.promised, table["promised"])  # kept with the next promise; it is no vote
+            self.try_at = self.now + 0.1 + self.rng.random() * 0.4
+
+    def _adopt(self, view: View) -> None:
+        """A newer view than the known one was recorded somewhere: this machine may hold nothing any more."""
+        if self.view is None or view.epoch > self.view.epoch:
+            self.view = view
+
+    def _on_promised(self, sender: str, table: dict[str, Any]) -> None:
+        attempt = self.attempt
+        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "ask":
+            return
+        attempt.said[sender] = View.unpacked(table["view"])
+        self._advance()
+
+    def _advance(self) -> None:
+        """With a majority's promises: follow the newest view that it knows, if this machine holds that one's state."""
+        attempt = self.attempt
+        assert attempt is not None
+        newest = max((v for v in attempt.said.values() if v is not None), key=lambda v: v.epoch)
+        self._adopt(newest)
+        if len(attempt.said) < newest.majority or not set(attempt.said) <= set(newest.electorate):
+            return
+        if not self.eligible():
+            self.attempt = None
+            self.try_at = self.now + GUARD_S + self.rng.random()
+            return
+        attempt.view = newest
+        self.copy = Copy(attempt.epoch, self.copy.state)
+        attempt.stage = "copy"
+        epoch = attempt.epoch
+
+        def done(ok: bool) -> None:
+            if ok and self.attempt is not None and self.attempt.epoch == epoch == self.promised:
+                self._sync_backup()
+        self._write({"copy": self.copy.packed()}, done)
+
+    def _sync_backup(self) -> None:
+        """Choose a backup, in another zone where there is one that answers, and give it the whole copy."""
+        attempt = self.attempt
+        if attempt is None:
+            return
+        attempt.stage = "sync"
+        electorate = attempt.view.electorate
+        there = set(attempt.said) if attempt.said else set(electorate)
+
+        def rank(ip: str) -> tuple[bool, bool, bool, bool, str]:
+            return (ip in attempt.tried, self.shunned.get(ip, -1e9) > self.now, ip not in there,
+                    electorate[ip] == self.zone, ip)
+        backup = min((ip for ip in electorate if ip != self.me), key=rank)
+        attempt.tried.add(backup)
+        attempt.asked = self.now
+        attempt.next = View(attempt.epoch, self.me, backup, electorate)
+        self._send(backup, "sync", e=attempt.epoch, copy=self.copy.packed(), view=attempt.next.packed())
+
+    def _on_sync(self, sender: str, table: dict[str, Any]) -> None:
+        epoch = table["e"]
+        if epoch < self.promised or self.forgot or (self.founding and sender not in self.seeds):
+            return
+        if self.view is not None and self.view.epoch >= epoch:
+            return
+        if not self.founding and (self.view is None or self.me not in self.view.electorate):
+            return
+        self.attempt = None
+        self.copy = Copy.unpacked(table["copy"])
+        self._promise(epoch, {"copy": self.copy.packed()}, lambda: self._send(sender, "synced", e=epoch))
+
+    def _on_synced(self, sender: str, table: dict[str, Any]) -> None:
+        attempt = self.attempt
+        if (attempt is None or attempt.epoch != table["e"] or attempt.stage != "sync" or attempt.next is None
+                or attempt.next.backup != sender):
+            return
+        attempt.stage, attempt.asked = "record", self.now
+        attempt.said = {}
+        following = attempt.next
+
+        def done(ok: bool) -> None:
+            if ok and self.attempt is attempt and self.promised == attempt.epoch:
+                attempt.said[self.me] = following
+                self._recorded()
+        self._write({"view": following.packed(), "promise": {"e": attempt.epoch}}, done)
+        self._record()
+
+    def _record(self) -> None:
+        attempt = self.attempt
+        assert attempt is not None and attempt.next is not None
+        for voter in attempt.next.electorate:
+            if voter not in attempt.said and voter != self.me:
+                self._send(voter, "record", view=attempt.next.packed())
+
+    def _on_record(self, sender: str, table: dict[str, Any]) -> None:
+        view = View.unpacked(table["view"])
+        if self.forgot or view.epoch < self.promised or self.me not in view.electorate:
+            return
+        if view.epoch == self.promised and self.view is not None and self.view.epoch == view.epoch:
+            self._send(sender, "recorded", e=view.epoch)
+            return
+        self.attempt = None
+        self.view, self.founding = view, False
+        self.beat_at = self.primary_at = self.now
+        self._promise(view.epoch, {"view": view.packed()}, lambda: self._send(sender, "recorded", e=view.epoch))
+        self._note(Event.VIEW, view.epoch, view.primary, view.backup)
+
+    def _on_recorded(self, sender: str, table: dict[str, Any]) -> None:
+        attempt = self.attempt
+        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "record":
+            return
+        attempt.said[sender] = attempt.next
+        self._recorded()
+
+    def _recorded(self) -> None:
+        """With a majority's records, its own among them, the office begins."""
+        attempt = self.attempt
+        assert attempt is not None and attempt.next is not None
+        view = attempt.next
+        need = len(view.electorate) if self.founding and self.now - attempt.since < TRY_S else view.majority
+        if self.me not in attempt.said or len(attempt.said) < need:
+            return
+        if self.founding:
+            self._note(Event.FOUNDED, ", ".join(sorted(view.electorate)))
+        self.view, self.attempt, self.founding = view, None, False
+        self.office = Office(view, {self.me: self.now}, self.now)
+        for voter in attempt.said:  # they guard it from when they recorded; what they say to the next beat is the lease
+            self.office.heard.setdefault(voter, attempt.asked)
+        self.next_beat = self.now
+        self._note(Event.OFFICE, view.epoch, view.backup)
+        self.out.append(Publish(self.copy.state))
+        self._keep_office()
+
+    def _press(self) -> None:
+        """Repeat what has no answer; give up what takes too long."""
+        attempt = self.attempt
+        assert attempt is not None
+        if not self.founding and self.now - attempt.since > TRY_S:
+            self.attempt = None
+            self.try_at = self.now + 0.2 + self.rng.random() * 0.5
+        elif self.now - attempt.asked > AGAIN_S:
+            attempt.asked = self.now
+            if attempt.stage == "ask":
+                self._ask()
+            elif attempt.stage == "sync":
+                self._sync_backup()
+            elif attempt.stage == "record":
+                self._record()
+                if self.founding:
+                    self._recorded()
+
+    # Beats.
+
+    def _on_lead(self, sender: str, table: dict[str, Any]) -> None:
+        view = View.unpacked(table["view"])
+        if self.forgot or self.me not in view.electorate or view.epoch < self.promised:
+            if not self.forgot and view.epoch < self.promised and self.view is not None:
+                self._send(sender, "deposed", e=view.epoch, promised=self.promised, view=self.view.packed())
+            return
+        self.beat_at = self.primary_at = self.now
+        if self.view is None or self.view.epoch < view.epoch:
+            self._on_record(sender, table)
+        self._send(sender, "heard", e=view.epoch, at=table["at"])
+
+    def _on_heard(self, sender: str, table: dict[str, Any]) -> None:
+        office = self.office
+        if office is not None and table["e"] == office.view.epoch:
+            office.heard[sender] = max(office.heard.get(sender, -1e9), table["at"])
+            if sender == office.view.backup:
+                office.backup_heard = self.now
+            self._commit()
+            self._serve()
+
+    def _on_deposed(self, sender: str, table: dict[str, Any]) -> None:
+        """A voter has promised a higher epoch, and is lost to this office; a recorded one ends it."""
+        view = View.unpacked(table["view"])
+        if self.office is not None and view.epoch > self.office.view.epoch:
+            self._leave(f"epoch {view.epoch} has begun")
+            self._adopt(view)
+            self.beat_at = self.now
+        elif self.office is not None and table["e"] == self.office.view.epoch:
+            # It is lost to this epoch: the office goes on with the others, or anew under a higher one.
+            if self.now > self.office.until():
+                self.promised = max(self.promised, table["promised"])
+                self._stand("a voter has promised more")
+
+    # Changes.
+
+    def _serve(self) -> None:
+        """Answer what can be answered; keep the next change."""
+        office = self.office
+        if office is None or self.now >= office.until():
+            return
+        while self.queue and office.pending is None:
+            call = self.queue.popleft()
+            state = self.copy.state
+            if isinstance(call, Read):
+                self.out.append(Answer(call.call, call.answer(state)))
+            elif call.settled(state):
+                self.out.append(Answer(call.call, None))
+            else:
+                self._keep(office, call)
+
+    def _keep(self, office: Office, change: Change) -> None:
+        state = State(self.copy.state.number, self.copy.state.items, self.copy.state.floor)
+        items = change.items(state)
+        number = state.number + 1
+        state.set(number, items)
+        pending = office.pending = Pending(state, [change], self.now, self.now, number, items)
+        office.disk_since = self.now
+        epoch = office.view.epoch
+
+        def done(ok: bool) -> None:
+            if self.office is not office:
+                return
+            if ok:
+                pending.here, office.disk_since = True, None
+                self._commit()
+                self._serve()
+            else:
+                self._leave("the disk refuses")
+        self._write({"copy": Copy(epoch, state).packed()}, done)
+        self._store(pending)
+
+    def _store(self, pending: Pending) -> None:
+        assert self.office is not None
+        self._send(self.office.view.backup, "store", e=self.office.view.epoch, n=pending.number,
+                   copy=Copy(self.office.view.epoch, pending.state).packed())
+
+    def _on_store(self, sender: str, table: dict[str, Any]) -> None:
+        epoch, number = table["e"], table["n"]
+        if self.view is None or self.view.epoch != epoch or self.promised != epoch or self.copy.epoch != epoch:
+            return
+        if number > self.copy.state.number:
+            self.copy = Copy.unpacked(table["copy"])
+
+        def done(ok: bool) -> None:
+            if ok and self.promised == epoch:
+                self._send(sender, "stored", e=epoch, n=number)
+        self._write({"copy": self.copy.packed()}, done)
+
+    def _on_stored(self, sender: str, table: dict[str, Any]) -> None:
+        office = self.office
+        if office is None or office.view.epoch != table["e"] or office.pending is None:
+            return
+        office.backup_heard = self.now
+        if table["n"] == office.pending.number:
+            office.pending.there = True
+            self._commit()
+            self._serve()
+
+    def _commit(self) -> None:
+        """On both disks, and the lease stands: it is in force, and acknowledged."""
+        office = self.office
+        if office is None or office.pending is None:
+            return
+        pending = office.pending
+        if not (pending.here and pending.there) or self.now >= office.until():
+            return
+        self.copy = Copy(office.view.epoch, pending.state)
+        office.pending = None
+        for change in pending.changes:
+            self._note(Event.KEPT, pending.number, change.what)
+            self.out.append(Answer(change.call, None))
+        self.out.append(Publish(self.copy.state))
+
+    # Calls that wait.
+
+    def _turn_away(self) -> None:
+        """Where another has the office, callers go there at once."""
+        if self.office is not None or self.attempt is not None or not self.queue or self.view is None:
+            return
+        if self.view.primary != self.me and self.now - self.primary_at < PART_S:
+            while self.queue:
+                self.out.append(Answer(self.queue.popleft().call, Failure(Kind.ELSEWHERE, where=self.view.primary)))
+
+    def _expire(self) -> None:
+        self._turn_away()
+        if self.queue:
+            late = [c for c in self.queue if self.now > c.until]
+            if late:
+                self.queue = deque(c for c in self.queue if self.now <= c.until)
+                for call in late:
+                    self.out.append(Answer(call.call, Failure(Kind.NO_OFFICE)))
--- /dev/null
+++ b/roadspur/stacks/leases.py
@@ -0,0 +1,110 @@
+"""Duties that one ingress does: grants by each machine of the core, a lease where a majority grants, held by one at a
+time.
+
+Guaranteed: of two holders of one duty at least one knows that its time is over; terms of holders rise. How: a grantor
+grants a term to one holder only, and nobody else for `GRANT_S` after it last did; a holder counts from when it asked,
+and stops `MARGIN_S` before the end. A grantor that has started anew has forgotten, and grants nothing for `GRANT_S`.
+
+Pure; seconds on steady clocks, which may differ in rate by less than `MARGIN_S` in `GRANT_S`. Cost: one message and
+one answer a grantor and `RENEW_S`, by each ingress that would do the duty.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+GRANT_S = 1.6
+MARGIN_S = 0.3
+RENEW_S = 0.3
+EPOCH = 20  # bits of a term below the epoch of the control state, from which terms go on after all have forgotten
+
+Table = dict[str, Any]
+
+
+@dataclass(slots=True)
+class Grant:
+    """Who may hold a duty by this grantor's word, and until when."""
+
+    holder: str
+    term: int
+    until: float
+
+
+class Grantor:
+    """One machine's grants."""
+
+    def __init__(self, now: float) -> None:
+        self.begun = now
+        self.grants: dict[str, Grant] = {}
+
+    def wanted(self, now: float, table: Table, epoch: int) -> Table:
+        """A wish for a duty, and the answer to it."""
+        duty, holder, term = table["duty"], table["who"], table["term"]
+        grant = self.grants.setdefault(duty, Grant("", epoch << EPOCH, self.begun + GRANT_S))
+        grant.term = max(grant.term, epoch << EPOCH)
+        same = grant.holder == holder and grant.term == term
+        free = now >= grant.until and term > grant.term
+        if same or free or (grant.holder == holder and term > grant.term):
+            grant.holder, grant.term, grant.until = holder, term, now + GRANT_S
+            return {"t": "granted", "duty": duty, "term": term, "at": table["at"]}
+        return {"t": "taken", "duty": duty, "term": grant.term, "by": grant.holder, "free": now >= grant.until,
+                "at": table["at"]}
+
+    def yielded(self, table: Table) -> None:
+        """A holder ends in order."""
+        grant = self.grants.get(table["duty"])
+        if grant is not None and grant.holder == table["who"]:
+            grant.until = -1.0
+
+
+class Holder:
+    """One that would do a duty. `me` names this life of it."""
+
+    def __init__(self, duty: str, me: str, now: float, rng: random.Random) -> None:
+        self.duty, self.me, self.rng = duty, me, rng
+        self.term = 0
+        self.highest = 0
+        self.granted: dict[str, float] = {}
+        self.electorate: frozenset[str] = frozenset()
+        self.next = now
+        self.was = False
+
+    def voters(self, electorate: Iterable[str]) -> None:
+        """The grantors that count."""
+        self.electorate = frozenset(electorate)
+
+    def until(self) -> float:
+        """When the lease is over; in the past where there is none."""
+        majority = len(self.electorate) // 2 + 1
+        asked = sorted((at for ip, at in self.granted.items() if ip in self.electorate), reverse=True)
+        if not self.electorate or len(asked) < majority:
+            return float("-inf")
+        return asked[majority - 1] + GRANT_S - MARGIN_S
+
+    def holds(self, now: float) -> bool:
+        """Whether this one does the duty now."""
+        return now < self.until()
+
+    def tick(self, now: float, send: Callable[[str, Table], object]) -> None:
+        """Ask all grantors when it is time."""
+        if now < self.next or not self.electorate:
+            return
+        self.next = now + RENEW_S
+        if not self.holds(now):
+            if self.was or self.term <= self.highest or not self.granted:
+                self.term, self.granted = self.highest + 1, {}
+            self.next = now + RENEW_S * (1 + self.rng.random())
+        self.was = self.holds(now)
+        for ip in self.electorate:
+            send(ip, {"t": "want", "duty": self.duty, "who": self.me, "term": self.term, "at": now})
+
+    def heard(self, sender: str, table: Table) -> None:
+        """A grantor's answer."""
+        if table["t"] == "granted" and table["term"] == self.term:
+            self.granted[sender] = max(self.granted.get(sender, float("-inf")), table["at"])
+        elif table["t"] == "taken":
+            self.highest = max(self.highest, table["term"])
+            self.granted.pop(sender, None)
--- a/soak/readers.py
+++ b/soak/readers.py
@@ -25,7 +25,7 @@
 from roadspur.net.config import BadConfiguration, read_config
 from roadspur.net.counters_file import read_counters
 from roadspur.net.discovery import Watch, read_listing_text
-from roadspur.net.server import ClientConnection, Server
+from roadspur.net.server import ClientConnection, IngressServer
 from roadspur.services.counter import Add, Link
 from roadspur.services.wire import MAX_BODY, MAX_HEAD, AnswerReader
 from roadspur.settings import nested_settings
@@ -110,7 +110,7 @@
 
     async def main() -> Hashable:
         ingress = _Decided(told)
-        server = Server(asyncio.get_running_loop(), ingress, 8)  # type: ignore[arg-type]
+        server = IngressServer(asyncio.get_running_loop(), ingress, 8)  # type: ignore[arg-type]
         connection, transport = ClientConnection(server), Transport()
         connection.connection_made(transport)  # type: ignore[arg-type]
         for part in chunks(data, rng):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,7 +15,7 @@
 from roadspur import interface as io
 from roadspur.net.discovery import Listing, read_listing
 from roadspur.net.ingress import Ingress
-from roadspur.net.server import Server
+from roadspur.net.server import IngressServer
 from roadspur.net.upstream import Upstream
 from standins.http import read_message
 from tests.helpers import CEILED, KEYED, PLAN, SAFE, UNSAFE
@@ -222,7 +222,7 @@
         self.settings = settings(**more)
         self.upstream = Upstream(loop, self.settings.connect_timeout, idle, 100)
         self.ingress = Ingress(loop, self.settings, self.script, self.upstream, ("latency_ms", "inflight"))
-        self.server = Server(loop, self.ingress, 50)
+        self.server = IngressServer(loop, self.ingress, 50)
         self.port = 0
 
     async def start(self, **backends: int) -> Client:
