Standing shares, leases without livelock, give-backs in their own window; the core in simulation

Change: a part of each allowance always stands with the ingresses; a lease attempt without a majority is given back; terms survive a change of epoch; give-backs name their window; the old primary asks for the office first, the backup second; shorter leases. simnet/: control machines with disks, wires and operators in virtual time, rules after each step.

--- a/roadspur/accession/counts.py
+++ b/roadspur/accession/counts.py
@@ -1,10 +1,10 @@
 """The counter service: one global count a tenant, a window of burst over rate seconds, one burst a window.
 
-Guaranteed, over all ingresses and lives: in one window no more than a burst is let in, by the count and by shares
-together. How: an ingress has a share that the store of configuration keeps before it is handed out. While an ingress
-is not known to hear the counter, its share is taken off the allowance, so that it may decide alone. It counts here
-again from the first window that begins after it is back. A counter that begins anew begins no window for as long as
-one lasts: the one before it may have spent the present one.
+Guaranteed, over all ingresses and lives: in one window about a burst is let in, by the count and by shares together
+(`COUNTED` and `STANDING` of one, `roadspur.catalogue.shares`). How: an ingress has a share that the store of
+configuration keeps before it is handed out. While an ingress is not known to hear the counter, its share is taken off
+the allowance, so that it may decide alone. It counts here again from the first window that begins after it is back. A
+counter that begins anew begins no window for as long as one lasts: the one before it may have spent the present one.
 
 Pure; seconds on the steady clock. Cost: one message and one answer a request; a few additions.
 """
@@ -14,7 +14,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from roadspur.catalogue.shares import ALONE, FORGET_S, GATHER_S, GIVEN, LOST_S, OK, OVER, ROOM
+from roadspur.catalogue.shares import ALONE, COUNTED, FORGET_S, GATHER_S, GIVEN, LOST_S, OK, OVER, ROOM
 
 LONGEST_S = 60.0  # a window lasts at most
 
@@ -26,6 +26,7 @@
     start: float
     length: float
     burst: float
+    number: int = 0
     count: float = 0.0
 
 
@@ -42,8 +43,9 @@
 class Counts:
     """All counts, by whoever does the duty."""
 
-    def __init__(self, now: float) -> None:
-        self.begun = now
+    def __init__(self, now: float, base: int = 0) -> None:
+        """`base`: windows are numbered from here on, above those of every earlier counter."""
+        self.begun, self.base = now, base
         self.limits: dict[str, tuple[float, float]] = {}
         self.windows: dict[str, Window] = {}
         self.ingresses: dict[str, Ingress] = {}
@@ -93,30 +95,38 @@
                 alone += i.share
         return max(0.0, 1.0 - alone)
 
-    def add(self, now: float, node: str, tenant: str, amount: float) -> tuple[int, float]:
-        """Charge a tenant's count; (verdict, seconds until its next window). Less than 0 gives a charge back."""
+    def add(self, now: float, node: str, tenant: str, amount: float, number: int = -1) -> tuple[int, float, int]:
+        """Charge a tenant's count; less than 0 gives a charge back.
+
+        With the verdict come seconds (until the tenant's next window, or with ALONE, for which the ingress was not
+        counted) and the window's number. What is given back counts in the window of that `number` only: of an earlier
+        one it would make room that nobody left.
+        """
         limit = self.limits.get(tenant)
         if limit is None or limit[0] <= 0:
-            return OK, 0.0
+            return OK, 0.0, -1
         window = self._window(now, tenant, *limit)
         left = window.start + window.length - now
         if amount <= 0:
-            window.count = max(0.0, window.count + amount)
-            return OK, left
+            if number == window.number:
+                window.count = max(0.0, window.count + amount)
+            return OK, left, window.number
         ingress = self.ingresses.get(node)
         if ingress is None or ingress.since > window.start or window.start > now:
-            return ALONE, left
+            return ALONE, now - max(self.begun, ingress.since if ingress is not None else now), -1
         window.count += amount
-        return (OK if window.count <= window.burst * self.part(now, window.start) else OVER), left
+        within = window.count <= window.burst * COUNTED * self.part(now, window.start)
+        return (OK if within else OVER), left, window.number
 
     def _window(self, now: float, tenant: str, rate: float, burst: float) -> Window:
         length = min(LONGEST_S, max(burst, 1.0) / rate)
         allowance = length * rate
         window = self.windows.get(tenant)
         if window is None:
-            window = self.windows[tenant] = Window(self.begun + length, length, allowance)
+            window = self.windows[tenant] = Window(self.begun + length, length, allowance, self.base)
         if now >= window.start + window.length:
             steps = (now - window.start) // window.length
+            window.number += 1
             window.start += steps * window.length
             window.length, window.burst, window.count = length, allowance, 0.0
             if now >= window.start + length:  # the new one is shorter
--- a/roadspur/accession/program.py
+++ b/roadspur/accession/program.py
@@ -24,6 +24,7 @@
 TERM = 24  # bits of a number below the holder's term
 KEEP_S = 1.0  # between wishes that a share be kept
 LEAVE_S = 0.1
+AWAY_S = 0.3  # by which the machine of the primary asks for the duty later
 
 
 class Accession:
@@ -64,8 +65,7 @@
     async def leave(self) -> None:
         """Give the duty back, close."""
         if self.on_duty:
-            for dial in self.stacks.values():
-                dial.send({"t": "yield", "duty": DUTY, "who": self.me})
+            self.holder.give_back(self._to_stacks)
         self._end_duty("this process ends")
         await asyncio.sleep(LEAVE_S)
         self.listener.close()
@@ -86,7 +86,7 @@
                 self.stacks[ip] = Dial(self.loop, ip, self.boot.port(STACKS), self._follow_stacks, self._from_stacks)
             if ip != self.boot.ip and ip not in self.fellows:
                 self.fellows[ip] = Dial(self.loop, ip, self.boot.port(ACCESSION), self._follow_list, self._from_fellow)
-        self.holder.tick(now, lambda ip, table: ip in self.stacks and self.stacks[ip].send(table))
+        self.holder.tick(now, self._to_stacks)
         holds = self.holder.holds(now)
         if holds and not self.on_duty and self.kept.state.number > 0:
             self._begin_duty(now)
@@ -95,10 +95,14 @@
         if self.on_duty:
             self._work(now)
 
+    def _to_stacks(self, ip: str, table: dict[str, Any]) -> None:
+        if ip in self.stacks:
+            self.stacks[ip].send(table)
+
     def _begin_duty(self, now: float) -> None:
         self.on_duty = True
         say(Event.DUTY, self.holder.term)
-        self.counts = Counts(now)
+        self.counts = Counts(now, self.holder.term << TERM)
         self._limits()
         for node, about in self.list.state.values("m:").items():
             self.members.known(now, node, about)
@@ -182,6 +186,8 @@
             self.cores |= set(table["ips"])
             if table["ips"]:
                 self.holder.voters(table["ips"])
+            # The machine of the primary has another office to lose at the same time.
+            self.holder.patience = AWAY_S if table["primary"] == self.boot.ip else 0.0
         elif kind == "news":
             changed, reply = self.kept.heard(table)
             if reply is not None:
@@ -218,9 +224,9 @@
         kind, now = table["t"], self.loop.time()
         if kind == "add":
             if self.on_duty and self.counts is not None and self.holder.holds(now):
-                verdict, left = self.counts.add(now, link.name, table["k"], table["a"])
+                verdict, left, number = self.counts.add(now, link.name, table["k"], table["a"], table["w"])
                 if table["a"] > 0:
-                    link.send({"t": "sum", "id": table["id"], "v": verdict, "left": left})
+                    link.send({"t": "sum", "id": table["id"], "v": verdict, "left": left, "w": number})
         elif kind == "here":
             self.members.here(now, link.name, table["about"], table["life"], table["ready"], table["silent"])
             if self.on_duty and self.counts is not None and self.holder.holds(now):
--- a/roadspur/catalogue/process.py
+++ b/roadspur/catalogue/process.py
@@ -13,7 +13,7 @@
 from roadspur.catalogue.boot import boot_path, read_boot
 from roadspur.catalogue.events import Event, say
 
-TICK_S = 0.1
+TICK_S = 0.06
 LOOK_S = 1.0  # between looks at the settings file, which may change without a signal
 
 
--- a/roadspur/desk/decisions.py
+++ b/roadspur/desk/decisions.py
@@ -20,7 +20,7 @@
 from roadspur import interface as io
 from roadspur.catalogue.boot import Bounds
 from roadspur.catalogue.configuration import Configuration, Found
-from roadspur.catalogue.shares import ALONE, OVER
+from roadspur.catalogue.shares import ALONE, OVER, PROMPT_S
 from roadspur.desk.budgets import UNKNOWN, Colds, Tries
 from roadspur.desk.placement import Ground, Place, homes_of, tiers
 from roadspur.desk.quota import Quota
@@ -37,19 +37,24 @@
 
 
 class Charge(NamedTuple):
-    """Action: add to a tenant's one count; the answer to a positive amount is a `Counted`."""
+    """Action: add to a tenant's one count; the answer to a positive amount is a `Counted`.
+
+    What is given back names the window that it was charged in; -1 where that is not known, and it then stays charged.
+    """
 
     request: str
     tenant: str
     amount: int
+    window: int = -1
 
 
 class Counted(NamedTuple):
-    """Event: the counter's verdict, and seconds until the tenant's next window."""
+    """Event: the counter's verdict, seconds until the tenant's next window, and the number of the present one."""
 
     request: str
     verdict: int
     left: float
+    window: int = -1
 
 
 class Asked(NamedTuple):
@@ -63,7 +68,7 @@
     """A request that is owed one final answer; what `policy.fleet` asks of one, and more."""
 
     __slots__ = ("req", "cls", "work", "bad", "ran_on", "found", "tenant", "service", "homes", "sends", "arrived",
-                 "ran", "charged", "counted", "aim", "came", "sent", "backend")
+                 "ran", "charged", "window", "counted", "aim", "came", "sent", "backend")
 
     def __init__(self, req: io.Request, asked: Asked, cls: io.ClassSettings, now: float, service: str,
                  homes: frozenset[str] | None) -> None:
@@ -72,6 +77,7 @@
         self.found, self.tenant, self.service, self.homes = asked.found, asked.tenant, service, homes
         self.sends = self.arrived = 0
         self.ran = self.charged = self.counted = False
+        self.window = -1  # that it was charged in
         self.aim, self.came, self.sent = now + req.expires_in, now, 0.0
         self.backend = ""
 
@@ -215,26 +221,32 @@
         self.counting.pop(e.request, None)
         flight = self.flights.get(e.request)
         if flight is None or flight.counted or flight.tenant is None:
-            return  # its client has left: the charge was given back
-        if e.verdict == OVER:
-            self._refuse(flight, e.left + AGAIN_S + 0.2 * self.rng.random())
-        elif e.verdict == ALONE:
+            return  # its client has left, and the charge was given back; or its own share has let it in
+        flight.window = e.window
+        if e.verdict == ALONE:
+            self.quota.uncounted(now, flight.tenant, e.left)
             self._alone(now, flight)
+            return
+        self.quota.counted(flight.tenant)
+        if e.verdict == OVER:
+            self._alone(now, flight, e.left + AGAIN_S + 0.2 * self.rng.random())
         else:
-            flight.counted = True
-            self._place(now, flight)
+            self._let_in(now, flight)
+
+    def _let_in(self, now: float, flight: Flight) -> None:
+        flight.counted = True
+        self._place(now, flight)
 
-    def _alone(self, now: float, flight: Flight) -> None:
-        """The counter's word is not to be had: this ingress's share decides, or the request is refused."""
+    def _alone(self, now: float, flight: Flight, wait: float = 0.0) -> None:
+        """The count does not let it in: what is this ingress's own does, or it is refused; its charge is given back."""
         assert flight.tenant is not None
         if flight.charged:
-            self.acts.append(Charge(flight.req.id, flight.tenant, -1))
+            self.acts.append(Charge(flight.req.id, flight.tenant, -1, flight.window))
             flight.charged = False
         if self.quota.spend(now, flight.tenant):
-            flight.counted = True
-            self._place(now, flight)
+            self._let_in(now, flight)
         else:
-            self._refuse(flight, 0.0)
+            self._refuse(flight, wait)
 
     # A backend.
 
@@ -320,7 +332,7 @@
     def _give_back(self, flight: Flight) -> None:
         if flight.charged and flight.tenant is not None and not flight.arrived:
             flight.charged = False
-            self.acts.append(Charge(flight.req.id, flight.tenant, -1))
+            self.acts.append(Charge(flight.req.id, flight.tenant, -1, flight.window))
 
     def _gone(self, now: float, e: io.ClientGone) -> None:
         flight = self.flights.pop(e.request, None)
@@ -332,12 +344,19 @@
 
     def _sweep(self, now: float, e: io.TimerFired) -> None:
         self.armed = False
-        if self.quota.alone(now):
-            for name in list(self.counting):
+        alone = self.quota.alone(now)
+        for name, since in list(self.counting.items()):
+            flight = self.flights.get(name)
+            if flight is None or flight.tenant is None:
+                del self.counting[name]
+            elif alone:
+                del self.counting[name]
+                self._alone(now, flight)
+            elif now - since < PROMPT_S:
+                break  # they stand in the order in which they came
+            elif self.quota.spend(now, flight.tenant):
                 del self.counting[name]
-                flight = self.flights.get(name)
-                if flight is not None:
-                    self._alone(now, flight)
+                self._let_in(now, flight)
         waiting, self.waiting = self.waiting, []
         for name in waiting:
             flight = self.flights.get(name)
--- a/roadspur/desk/front.py
+++ b/roadspur/desk/front.py
@@ -100,9 +100,9 @@
         for name in self.driver.classes.keys() - index.config.routes.keys() - used:
             del self.driver.classes[name]
 
-    def counted(self, request: str, verdict: int, left: float) -> None:
+    def counted(self, request: str, verdict: int, left: float, window: int) -> None:
         """The counter's answer to a charge."""
-        event: Any = Counted(request, verdict, left)
+        event: Any = Counted(request, verdict, left, window)
         self.submit(event)
 
     def take(self, call: Call, reply: Reply) -> None:  # type: ignore[override]
--- a/roadspur/desk/program.py
+++ b/roadspur/desk/program.py
@@ -193,7 +193,7 @@
         if kind == "sum":
             request = self.calls.pop(table["id"], None)
             if request is not None:
-                self.ingress.counted(request, table["v"], table["left"])
+                self.ingress.counted(request, table["v"], table["left"], table["w"])
         elif kind == "echo":
             self.decisions.quota.echoed(now, table["by"], table["at"], table["now"], table["share"])
             self.counter = dial
@@ -252,7 +252,7 @@
                 for number in list(self.calls)[:10_000]:
                     del self.calls[number]
         if self.counter is not None:
-            self.counter.send({"t": "add", "id": self.call, "k": a.tenant, "a": a.amount})
+            self.counter.send({"t": "add", "id": self.call, "k": a.tenant, "a": a.amount, "w": a.window})
 
     # Doors.
 
--- a/roadspur/stacks/control.py
+++ b/roadspur/stacks/control.py
@@ -36,16 +36,17 @@
 from roadspur.courier.news import State
 from roadspur.stacks.views import Copy, Kept, View
 
-BEAT_S = 0.2
-LEASE_S = 1.0      # of a primary, from when it asked
-GUARD_S = 1.25     # of a voter, from when it heard
+BEAT_S = 0.12
+LEASE_S = 0.6      # of a primary, from when it asked
+GUARD_S = 0.8      # of a voter, from when it heard
 FOUND_S = 1.2      # in which all founders come
 AGAIN_S = 0.25     # between repeats of what has no answer yet
-TRY_S = 1.5        # after which an attempt at the office is given up
-DISK_S = 0.8       # that a write of the primary may take before it leaves the office
-BACKUP_S = 0.9     # without a word from the backup, or without its answer to a change, before another takes its place
+TURN_S = 0.15
+TRY_S = 1.0        # after which an attempt at the office is given up
+DISK_S = 0.6       # that a write of the primary may take before it leaves the office
+BACKUP_S = 0.7     # without a word from the backup, or without its answer to a change, before another takes its place
 HOLD_S = 0.8       # that a call waits for somebody to hold the office
-PART_S = 0.8       # without a beat, after which a primary is no address to send a caller to
+PART_S = 0.5       # without a beat, after which a primary is no address to send a caller to
 SHUN_S = 5.0       # in which a backup that failed is not chosen again while there is another
 
 Outputs = list["Output"]
@@ -358,9 +359,13 @@
             self._keep_office()
         elif self.attempt is not None:
             self._press()
-        elif self.eligible() and self.now - self.beat_at > GUARD_S and self.now >= self.try_at:
+        elif self.eligible() and self.now - self.beat_at > GUARD_S + self._turn() and self.now >= self.try_at:
             self._stand("the primary is silent")
 
+    def _turn(self) -> float:
+        """Of two that may take the office the backup comes second: both asking at once would only hinder each other."""
+        return TURN_S if self.view is not None and self.view.primary != self.me else 0.0
+
     def _keep_office(self) -> None:
         office = self.office
         assert office is not None
--- a/roadspur/stacks/leases.py
+++ b/roadspur/stacks/leases.py
@@ -16,9 +16,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-GRANT_S = 1.6
-MARGIN_S = 0.3
-RENEW_S = 0.3
+GRANT_S = 1.0
+MARGIN_S = 0.2
+RENEW_S = 0.15
+ROUND_S = 0.4  # for a majority's grants to come
 EPOCH = 20  # bits of a term below the epoch of the control state, from which terms go on after all have forgotten
 
 Table = dict[str, Any]
@@ -43,25 +44,26 @@
     def wanted(self, now: float, table: Table, epoch: int) -> Table:
         """A wish for a duty, and the answer to it."""
         duty, holder, term = table["duty"], table["who"], table["term"]
-        grant = self.grants.setdefault(duty, Grant("", epoch << EPOCH, self.begun + GRANT_S))
-        grant.term = max(grant.term, epoch << EPOCH)
-        same = grant.holder == holder and grant.term == term
-        free = now >= grant.until and term > grant.term
-        if same or free or (grant.holder == holder and term > grant.term):
+        grant = self.grants.setdefault(duty, Grant("", 0, self.begun + GRANT_S))
+        renewed = grant.holder == holder and grant.term == term
+        if renewed or (now >= grant.until and term > max(grant.term, epoch << EPOCH)):
             grant.holder, grant.term, grant.until = holder, term, now + GRANT_S
             return {"t": "granted", "duty": duty, "term": term, "at": table["at"]}
-        return {"t": "taken", "duty": duty, "term": grant.term, "by": grant.holder, "free": now >= grant.until,
-                "at": table["at"]}
+        return {"t": "taken", "duty": duty, "term": max(grant.term, epoch << EPOCH), "free": now >= grant.until}
 
     def yielded(self, table: Table) -> None:
-        """A holder ends in order."""
+        """A holder ends in order, or has not got a majority and asks no more."""
         grant = self.grants.get(table["duty"])
-        if grant is not None and grant.holder == table["who"]:
+        if grant is not None and grant.holder == table["who"] and grant.term == table["term"]:
             grant.until = -1.0
 
 
 class Holder:
-    """One that would do a duty. `me` names this life of it."""
+    """One that would do a duty. `me` names this life of it.
+
+    An attempt is one term: asked of all, and given back after `ROUND_S` without a majority. Each minority would else
+    keep its grants from the others for ever. After that it waits for a while that is drawn.
+    """
 
     def __init__(self, duty: str, me: str, now: float, rng: random.Random) -> None:
         self.duty, self.me, self.rng = duty, me, rng
@@ -69,8 +71,10 @@
         self.highest = 0
         self.granted: dict[str, float] = {}
         self.electorate: frozenset[str] = frozenset()
+        self.begun: float | None = None  # of the present term
+        self.had = False  # it has had a majority's grant under it
         self.next = now
-        self.was = False
+        self.patience = 0.0  # waited for before an attempt, by one that had better not hold the duty
 
     def voters(self, electorate: Iterable[str]) -> None:
         """The grantors that count."""
@@ -92,18 +96,30 @@
         """Ask all grantors when it is time."""
         if now < self.next or not self.electorate:
             return
+        holds = self.holds(now)
+        self.had = self.had or holds
+        if self.begun is not None and not holds and (self.had or now - self.begun > ROUND_S):
+            self.give_back(send)
+            self.next = now + self.patience + self.rng.random() * ROUND_S
+            return
+        if self.begun is None:
+            self.term, self.granted, self.begun, self.had = self.highest + 1, {}, now, False
         self.next = now + RENEW_S
-        if not self.holds(now):
-            if self.was or self.term <= self.highest or not self.granted:
-                self.term, self.granted = self.highest + 1, {}
-            self.next = now + RENEW_S * (1 + self.rng.random())
-        self.was = self.holds(now)
         for ip in self.electorate:
             send(ip, {"t": "want", "duty": self.duty, "who": self.me, "term": self.term, "at": now})
 
+    def give_back(self, send: Callable[[str, Table], object]) -> None:
+        """Ask no more under this term."""
+        if self.begun is None:
+            return
+        for ip in self.electorate:
+            send(ip, {"t": "yield", "duty": self.duty, "who": self.me, "term": self.term})
+        self.begun, self.granted, self.had = None, {}, False
+        self.highest = max(self.highest, self.term)
+
     def heard(self, sender: str, table: Table) -> None:
         """A grantor's answer."""
-        if table["t"] == "granted" and table["term"] == self.term:
+        if table["t"] == "granted" and table["term"] == self.term and self.begun is not None:
             self.granted[sender] = max(self.granted.get(sender, float("-inf")), table["at"])
         elif table["t"] == "taken":
             self.highest = max(self.highest, table["term"])
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -173,7 +173,7 @@
     def _core(self) -> dict[str, Any]:
         view = self.control.view
         return {"t": "core", "ips": sorted(view.electorate) if view is not None else [],
-                "e": view.epoch if view is not None else 0}
+                "e": view.epoch if view is not None else 0, "primary": view.primary if view is not None else ""}
 
     def _gone(self, link: Link) -> None:
         if self.followers.get(link.name) is link:
--- /dev/null
+++ b/simnet/__main__.py
@@ -0,0 +1,44 @@
+"""`python -m simnet`: fresh seeds for some minutes, or one seed again."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+
+from simnet import core
+
+
+def main() -> int:
+    """Exit code 1 where a rule was broken."""
+    parser = argparse.ArgumentParser(prog="python -m simnet", description=__doc__)
+    parser.add_argument("--minutes", type=float, default=1.0, help="for how long to draw seeds (1)")
+    parser.add_argument("--first", type=int, default=None, help="the first seed; else the time of day")
+    parser.add_argument("--seed", type=int, default=None, help="play this one only, and print what happened")
+    options = parser.parse_args()
+    if options.seed is not None:
+        try:
+            done = core.run(options.seed)
+        except core.Broken as broken:
+            print("\n".join(getattr(broken, "__notes__", [])))
+            print(f"seed {options.seed}: {broken}")
+            for fault in core.shrink(options.seed):
+                print(f"  {fault}")
+            return 1
+        print("\n".join(done.log))
+        return 0
+    first = options.first if options.first is not None else time.time_ns() % 1_000_000_000
+    end, seed, found = time.monotonic() + options.minutes * 60, first, 0
+    while time.monotonic() < end:
+        try:
+            core.run(seed)
+        except core.Broken as broken:
+            found += 1
+            print(f"seed {seed}: {broken}; the fewest faults: {core.shrink(seed)}", flush=True)
+        seed += 1
+    print(f"{seed - first} days from seed {first}, {found} with a broken rule")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
