Nothing is sent any more once a request's time is up; promises only with proof

A late try whose time ended while its connection was opening: the driver's watchdog ended the attempt (never written), the decisions, a millisecond early by the clock, sent another one that was written at once, and the watchdog then refused, as only ended attempts counted as run.

Ruled out: the guard of last bytes (the bytes went out whole), duplicates in the waiting list, late surplus answers, the ending proxy (no SIGTERM then).

Change: the driver starts no attempt once a request's time is up, and counts one that is out and written as run; a backend's own 503, 429 or 408 without its proof is no longer passed on as such. Two tests of the driver fail without it.

--- a/roadspur/core/driver.py
+++ b/roadspur/core/driver.py
@@ -43,7 +43,7 @@
     """A request that is owed one final answer. `context` is the front's own."""
 
     __slots__ = ("request", "on_final", "context", "timer", "attempts", "attempt", "answered", "may_have_run",
-                 "deadline")
+                 "deadline", "over")
 
     def __init__(self, request: io.Request, on_final: Callable[[Final], None], context: Any,
                  deadline: float) -> None:
@@ -52,6 +52,7 @@
         self.attempts = 0
         self.attempt: AttemptPort | None = None
         self.answered = self.may_have_run = False
+        self.over = False  # its time is up: no attempt is started any more, whatever the module makes of the last one
 
 
 class Driver:
@@ -183,6 +184,7 @@
 
     def _overdue(self, held: Held) -> None:
         """The client's time is as good as up: end the attempt, and answer what the module does not."""
+        held.over = True
         if held.attempt is not None:
             held.attempt.expire()
         if not held.answered:
@@ -198,7 +200,8 @@
     def may_refuse(self, held: Held) -> bool:
         """A refusal says that trying again is harmless: so it is where nothing ran, or where repeats are."""
         cls = self.classes[held.request.class_name]
-        return (not held.may_have_run or cls.effect is io.Effect.SAFE
+        ran = held.may_have_run or (held.attempt is not None and held.attempt.written)
+        return (not ran or cls.effect is io.Effect.SAFE
                 or (cls.effect is io.Effect.KEYED and cls.group is io.Group.ALL))
 
     def _refusal(self, wait: float) -> Final:
@@ -229,10 +232,11 @@
         """Send a request to a backend."""
         held = self.held.get(a.request)
         now = self.scheduler.time()
-        if held is None or held.answered or held.attempt is not None:
-            log.error("request %s: an attempt that is not allowed was not sent", a.request)
+        if held is None or held.answered or held.over or held.attempt is not None:
+            log.log(logging.DEBUG if held is not None and held.over else logging.ERROR,
+                    "request %s: an attempt that is not allowed was not sent", a.request)
             number = held.attempts if held is not None else 0
-            done = held is None or held.answered
+            done = held is None or held.answered or held.over
             self.submit(io.AttemptEnded(a.request, number, a.backend, io.Outcome.MOOT, 0.0, done))
             return
         number, held.attempts = held.attempts, held.attempts + 1
@@ -272,6 +276,7 @@
             timer.cancel()
         self.timers.clear()
         for held in list(self.held.values()):
+            held.over = True
             if held.attempt is not None:
                 held.attempt.cancel()
             if not held.answered:
--- a/roadspur/desk/front.py
+++ b/roadspur/desk/front.py
@@ -27,6 +27,7 @@
 BARE = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")  # methods whose requests need not state a length
 NOT_SENT = OWN | {b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms"}
 ONCE = (b"host", b"x-attempt-id", b"x-deadline-ms", b"authorization")
+PROMISED = (408, 421, 429, 503)  # that it has not run; a backend's own, without its proof, is not passed on
 LONGEST_S = 120.0
 DOOR_S = 3.2    # after a planned end is told, in which clients may still come
 LAST_S = 0.5    # kept of the time before a kill
@@ -61,7 +62,7 @@
         return io.Outcome.FULL
     if 200 <= answer.status < 300:
         return io.Outcome.OK if SEAL in answer.headers else io.Outcome.ERROR
-    return io.Outcome.OK if answer.status < 500 else io.Outcome.ERROR
+    return io.Outcome.OK if answer.status < 500 and answer.status not in PROMISED else io.Outcome.ERROR
 
 
 def lines_of(answer: Answer) -> bytes:
@@ -136,7 +137,8 @@
         def ended(_: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
             if answer is not None and answer.status == 421:
                 self.decisions.stranger(backend)
-            if answer is not None and outcome is io.Outcome.ERROR and answer.status >= 500:
+            if answer is not None and outcome is io.Outcome.ERROR and not (
+                    answer.status < 500 or answer.status in PROMISED):
                 call.last = answer
             on_end(Ended(outcome, answer))
 
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -133,3 +133,26 @@
         rig.take()
         rig.tries[0].on_end(Ended(io.Outcome.OK, "answer", told))
         assert rig.finals[0].payload == "answer" and rig.script.ends()[0].true_units == heard
+
+
+def test_nothing_is_sent_any_more_once_a_refusal_is_on_its_way():
+    """At its deadline a request whose attempt never left is refused: the module's next try must not leave then either.
+
+    Found by a hunt: an answer of 503 at 36.215 s, and the request at a backend at 36.262 s (REFUSED).
+    """
+    def decide(e):
+        if isinstance(e, io.Request):
+            return [io.Attempt("r1", "b0")]
+        return [io.Attempt("r1", "b1")] if isinstance(e, io.AttemptEnded) and not e.done else []
+    rig = Rig(decide, writes=False)
+    rig.take(cls="once")
+    rig.writes = True  # the second one would be written at once
+    rig.clock.step(1003.0)
+    assert len(rig.tries) == 1
+    assert rig.verdicts() == [Verdict.NO_ROOM]
+
+
+def test_what_is_out_and_written_may_have_run():
+    rig = Rig(on_request(io.Attempt("r1", "b0")))
+    held = rig.take(cls="once")
+    assert rig.tries[0].written and not rig.driver.may_refuse(held)
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -171,6 +171,7 @@
     ("/p/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
     ("/e/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
     ("/e/", lambda a: answer(a, 421), 200, 2),
+    ("/e/", lambda a: answer(a, 503), 502, 1), ("/e/", lambda a: answer(a, 429), 502, 1),  # no proof, no promise
 ])
 def test_what_a_backend_does_to_a_request_ends_by_variant(path, step, status, runs):
     async def scenario(rig):
