--- a/roadspur/desk/decisions.py
+++ b/roadspur/desk/decisions.py
@@ -106,6 +106,7 @@
         self.counting: dict[str, float] = {}  # requests without a verdict, and since when
         self.waiting: list[str] = []  # requests that no backend could take just then
         self.config: Configuration | None = None
+        self.classes: dict[str, io.ClassSettings] = {}  # of the routes of the configuration in force
         self.ingresses: list[str] = []
         self.acts: list[Any] = []
         self.armed = False
@@ -133,6 +134,7 @@
     def configured(self, now: float, config: Configuration) -> None:
         """A configuration is in force."""
         self.config = config
+        self.classes = {name: class_of(Found(name, route)) for name, route in config.routes.items()}
         self.quota.follow({name: (t.rate_per_s, t.burst) for name, t in config.tenants.items()})
         self._listed(now)
 
@@ -186,7 +188,7 @@
         route, config = e.found.route, self.config
         assert config is not None
         tenant = config.tenants.get(e.tenant) if e.tenant is not None else None
-        cls = class_of(e.found)
+        cls = self.classes.get(e.found.name) or class_of(e.found)  # read ahead, and its route dropped since
         homes = homes_of(route.regions_allowed, tenant.regions_allowed if tenant is not None else ())
         flight = self.flights[request.id] = Flight(request, e, cls, now, self._service(e.found), homes)
         self._tries(flight.service).came(now)
--- a/roadspur/desk/front.py
+++ b/roadspur/desk/front.py
@@ -5,16 +5,16 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from roadspur import interface as io
-from roadspur.catalogue.configuration import Found, Index
+from roadspur.catalogue.configuration import Index
 from roadspur.catalogue.failures import ANSWERS, Failure, Kind, header_of
 from roadspur.core.driver import Held
 from roadspur.core.ports import Ended, Final, Verdict
 from roadspur.courier.doors import refusal
-from roadspur.desk.decisions import PLAN, Asked, Charge, Counted, Decisions, class_of
+from roadspur.desk.decisions import PLAN, Asked, Charge, Counted, Decisions
 from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress, Reply, Sent
 from roadspur.net.server import Bounds, ClientConnection, Server
@@ -46,7 +46,7 @@
     body: bytes
     came: float
     last: Answer | None = None  # the newest whole answer that was no success
-    framed: bool = field(default=True)
+    framed: bool = True  # whether it states a length
 
     def message(self, left_s: float, backend: str) -> bytes:
         """The request as a backend gets it, with what is left of its time."""
@@ -95,8 +95,7 @@
 
     def routes(self, index: Index) -> None:
         """The routes that requests may come by from now on; those of requests that are out stay known."""
-        for name, route in index.config.routes.items():
-            self.driver.classes[name] = class_of(Found(name, route))
+        self.driver.classes |= self.decisions.classes
         used = {held.request.class_name for held in self.held.values()}
         for name in self.driver.classes.keys() - index.config.routes.keys() - used:
             del self.driver.classes[name]
--- a/roadspur/stacks/control.py
+++ b/roadspur/stacks/control.py
@@ -113,11 +113,10 @@
     """A change that is being kept."""
 
     state: State
-    changes: list[Change]
+    change: Change
     since: float
     asked: float
     number: int
-    items: dict[str, Any]
     here: bool = False
     there: bool = False
 
@@ -406,8 +405,7 @@
             return
         self._note(Event.NO_OFFICE, office.view.epoch, why)
         if office.pending is not None:
-            for change in reversed(office.pending.changes):
-                self.queue.appendleft(change._replace(until=self.now + HOLD_S))
+            self.queue.appendleft(office.pending.change._replace(until=self.now + HOLD_S))
         for voter in office.view.electorate:
             if voter != self.me:
                 self._send(voter, "vacant", e=office.view.epoch)
@@ -429,8 +427,7 @@
         if office is not None:  # of its own accord: its voters still guard it, and know it as the one that asks
             self.office = None
             if office.pending is not None:
-                for change in reversed(office.pending.changes):
-                    self.queue.appendleft(change._replace(until=self.now + 2 * HOLD_S))
+                self.queue.appendleft(office.pending.change._replace(until=self.now + 2 * HOLD_S))
         self.attempt = Attempt(epoch, self.view, self.now, self.now)
         self._promise(epoch, {}, self._ask)
 
@@ -664,10 +661,9 @@
 
     def _keep(self, office: Office, change: Change) -> None:
         state = State(self.copy.state.number, self.copy.state.items, self.copy.state.floor)
-        items = change.items(state)
         number = state.number + 1
-        state.set(number, items)
-        pending = office.pending = Pending(state, [change], self.now, self.now, number, items)
+        state.set(number, change.items(state))
+        pending = office.pending = Pending(state, change, self.now, self.now, number)
         office.disk_since = self.now
         epoch = office.view.epoch
 
@@ -720,9 +716,8 @@
             return
         self.copy = Copy(office.view.epoch, pending.state)
         office.pending = None
-        for change in pending.changes:
-            self._note(Event.KEPT, pending.number, change.what)
-            self.out.append(Answer(change.call, None))
+        self._note(Event.KEPT, pending.number, pending.change.what)
+        self.out.append(Answer(pending.change.call, None))
         self.out.append(Publish(self.copy.state))
 
     # Calls that wait.
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import zlib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
-from roadspur.catalogue.boot import ACCESSION, STACKS
-from roadspur.catalogue.configuration import brief, read_configuration
+from roadspur.catalogue.boot import STACKS
+from roadspur.catalogue.configuration import read_configuration
 from roadspur.catalogue.events import Event, say
 from roadspur.catalogue.failures import Failure, Kind
 from roadspur.catalogue.process import Settings, serve
@@ -76,7 +77,8 @@
         kept = self.shelf.read()
         self.control = Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, self.loop.time(), random.Random())
         self.grantor = Grantor(self.loop.time(), kept.grants)
-        self.granting: dict[int, Callable[[], None]] = {}  # by the token of a write, below 0: the control's are above
+        self.granting: dict[int, Callable[[], None]] = {}  # by the token of a write
+        self.tokens = itertools.count(-1, -1)  # below 0: the control's are above
         self.publisher = Publisher(State())
         self.in_office = False
         self.dials: dict[str, Dial] = {}
@@ -168,9 +170,7 @@
         if not changed:
             link.send(answer)
             return
-        token = -1 - len(self.granting) - self.calls
-        while token in self.granting:
-            token -= 1
+        token = next(self.tokens)
         self.granting[token] = lambda: link.send(answer)
         self.shelf.write(token, {"grants": self.grantor.kept()})
 
@@ -257,7 +257,6 @@
             text = "; ".join(str(e) for e in group.exceptions)[:400]
             say(Event.INVALID, text)
             raise Failure(Kind.INVALID, text) from None
-        say(Event.CONFIG, brief(config)["version"], len(config.routes))
         self._call(lambda number: replacing(number, config.number, call.document), self._answered(done))
 
     def read(self, call: ReadConfiguration, done: Done) -> None:
@@ -279,6 +278,3 @@
 async def main(settings: Settings) -> None:
     """What `python -m roadspur.system stacks` runs."""
     await Stacks(settings).run()
-
-
-__all__ = ["ACCESSION", "Stacks", "main"]
--- a/simnet/core.py
+++ b/simnet/core.py
@@ -272,7 +272,6 @@
             held = (state.value("config") or {"v": -1})["v"]
             if held < call["least"]:
                 raise Broken(f"LOST: read {held}, acknowledged was {call['least']}")
-            call["held"] = held
             self.last_read = state
 
     # Rules.
--- a/tests/system/test_commands.py
+++ b/tests/system/test_commands.py
@@ -12,10 +12,9 @@
 
 
 def printed(capsys, *argv):
-    with pytest.raises(SystemExit) as caught:
-        raise SystemExit(invoke(list(argv)))
+    code = invoke(list(argv))
     got = capsys.readouterr()
-    return caught.value.code, got.out, got.err
+    return code, got.out, got.err
 
 
 def test_checks_say_what_is_wrong_one_line_each(capsys, tmp_path, snapshot):
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -58,7 +58,6 @@
 
     def end(self, name, acts, outcome, done=False):
         sent = attempt(acts)
-        self.number = getattr(self, "number", -1) + 1
         return self.do(io.AttemptEnded(name, 0, sent.backend, outcome, 0.1, done), 0.1)
 
 
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -23,10 +23,9 @@
     """A reading of some pages; what changed."""
     changes = None
     for body in pages:
-        while (target := survey.due(now)) is None:
+        while survey.due(now) is None:
             now += 0.05
         changes = survey.page(now, body)
-        target  # noqa: B018
     return now, changes
 
 
