Back sooner after a loss of all: questions repeated, dials tried again, duty at once

Cause, by the core's log of a closing loss of power: a primary that was up first asked its voters while they were dark; its repeated question was refused, as the voter had promised that very epoch to it, and the attempt began anew 0.6 s later; answers went over dials whose opening packet was lost and which waited 1.5 s; a registry that knew no term was told the highest one and waited 0.15 s and two ticks; a new life's shares began empty at its first echo, and two halves of a request in two stores let nobody in. Ruled out: the lease's guard (0.13 s after the start it asked), the platform's list (20 ms).

Change: a promise is told again to its asker; voters whose connection stands anew are asked at once; a dial opens within 0.3 s and is tried again when the other side shows; a free duty is asked again at once and begun by the grant itself; a standing share fills from the process's birth, begins with its part of half of the rule's slack, and both stores are spent together; watchers hand over to one that is stuck, not to one that is a beat behind.

--- a/roadspur/accession/program.py
+++ b/roadspur/accession/program.py
@@ -86,14 +86,18 @@
                 self.stacks[ip] = Dial(self.loop, ip, self.boot.port(STACKS), self._follow_stacks, self._from_stacks)
             if ip != self.boot.ip and ip not in self.fellows:
                 self.fellows[ip] = Dial(self.loop, ip, self.boot.port(ACCESSION), self._follow_list, self._from_fellow)
+        self._duty(now)
+        if self.on_duty:
+            self._work(now)
+
+    def _duty(self, now: float) -> None:
+        """Ask for the duty when it is time; begin it as soon as it is held, end it as soon as it is not."""
         self.holder.tick(now, self._to_stacks)
         holds = self.holder.holds(now)
         if holds and not self.on_duty and self.kept.state.number > 0:
             self._begin_duty(now)
         elif self.on_duty and not holds:
             self._end_duty("the lease has ended")
-        if self.on_duty:
-            self._work(now)
 
     def _to_stacks(self, ip: str, table: dict[str, Any]) -> None:
         if ip in self.stacks:
@@ -182,6 +186,7 @@
         kind = table["t"]
         if kind in ("granted", "taken"):
             self.holder.heard(dial.host, table)
+            self._duty(self.loop.time())
         elif kind == "core":
             self.cores |= set(table["ips"])
             if table["ips"]:
@@ -240,6 +245,9 @@
                 link.send({"t": "echo", "by": self.me, "at": table["at"], "now": now, "share": ingress.share})
         elif kind == "follow":
             self.followers[link.name] = link
+            for dials in (self.stacks, self.fellows):  # a registry's machine: both of its programs are up
+                if link.peer in dials:
+                    dials[link.peer].poke()
             if self.on_duty:
                 for name, message in self.publisher.follow(link.name, table["n"]):
                     if self.survey.read or self.list.state.values("b:"):
--- a/roadspur/catalogue/process.py
+++ b/roadspur/catalogue/process.py
@@ -62,8 +62,8 @@
     loop.add_signal_handler(signal.SIGINT, end, "SIGINT")
     loop.add_signal_handler(signal.SIGHUP, look)
     say(Event.STARTED, settings.boot.node_name, name)
-    gc.collect()
     gc.freeze()
+    gc.enable()
 
     async def beat() -> None:
         next_look = loop.time() + LOOK_S
--- a/roadspur/catalogue/shares.py
+++ b/roadspur/catalogue/shares.py
@@ -11,6 +11,7 @@
 
 COUNTED = 0.65   # of a burst, that the count gives out in a window
 STANDING = 0.42  # of a burst, that shares of it give out in one
+BEGIN = 0.5      # of the rule's slack, that all lives beginning at once have together at their start
 PROMPT_S = 0.25  # without the counter's verdict, after which an ingress looks to its standing share
 HERE_S = 0.12    # between an ingress's beats to the counter
 TOLD_S = 0.6     # between beats in full, and to registries that do not hold the duty
--- a/roadspur/courier/links.py
+++ b/roadspur/courier/links.py
@@ -22,6 +22,8 @@
 
 BEAT_S = 0.4
 SILENT_S = 1.5
+OPEN_S = 0.3     # for a connection to stand: the opening packet to a machine that is dark is lost, and not sent again
+PATIENT = 4      # each so many attempts one gets `SILENT_S`, as the way may be that slow
 REDIAL_S = 0.1
 MOST = 64 * 1024 * 1024  # bytes of one message
 FULL = 16 * 1024 * 1024  # bytes waiting to be sent, beyond which a peer that does not read is given up
@@ -40,6 +42,7 @@
         self.unpacker = msgpack.Unpacker(max_buffer_size=MOST, strict_map_key=False)
         self.heard = self.said = loop.time()
         self.name = ""  # who is at the other end, once it has said so
+        self.peer = ""  # the address that it came from
         self.open = False
         self.why = "closed"
         self.beater: asyncio.TimerHandle | None = None
@@ -74,6 +77,9 @@
         """Send a table that is packed already."""
         if not self.open or self.transport is None:
             return
+        if self.transport.is_closing():  # given up while it was being opened: nothing else tells
+            self._ended()
+            return
         self.said = self.loop.time()
         self.transport.write(data)
         if self.transport.get_write_buffer_size() > FULL:
@@ -120,6 +126,8 @@
         self.ended = on_end
         self.link: Link | None = None
         self.closed = False
+        self.opening: asyncio.Task[Link] | None = None
+        self.there = asyncio.Event()  # the other side has shown that it is up
         self.task = loop.create_task(self._run())
 
     @property
@@ -128,21 +136,26 @@
         return self.link is not None and self.link.open
 
     async def _run(self) -> None:
+        tries = 0
         while not self.closed:
+            tries += 1
             over = self.loop.create_future()
 
             def end(link: Link, why: str, over: asyncio.Future[str] = over) -> None:
                 if not over.done():
                     over.set_result(why)
 
+            self.opening = self.loop.create_task(self._open(end, SILENT_S if tries % PATIENT == 0 else OPEN_S))
             try:
-                async with asyncio.timeout(SILENT_S):
-                    _, protocol = await self.loop.create_connection(
-                        lambda end=end: Link(self.loop, lambda k: None, self._table, end),  # type: ignore[misc]
-                        self.host, self.port)
+                protocol = await self.opening
+            except asyncio.CancelledError:
+                if self.closed:
+                    raise
+                continue
             except (OSError, TimeoutError):
-                await asyncio.sleep(REDIAL_S)
+                await self._pause()
                 continue
+            self.opening, tries = None, 0
             self.link = protocol
             self.link.name = f"{self.host}:{self.port}"
             self.link.send(self.hello())
@@ -150,7 +163,29 @@
             self.link = None
             if self.ended is not None and not self.closed:
                 self.ended(self)
-            await asyncio.sleep(REDIAL_S)
+            await self._pause()
+
+    async def _open(self, end: Callable[[Link, str], None], for_s: float) -> Link:
+        async with asyncio.timeout(for_s):
+            _, link = await self.loop.create_connection(
+                lambda: Link(self.loop, lambda k: None, self._table, end), self.host, self.port)
+            return link
+
+    async def _pause(self) -> None:
+        self.there.clear()
+        try:
+            async with asyncio.timeout(REDIAL_S):
+                await self.there.wait()
+        except TimeoutError:
+            pass
+
+    def poke(self) -> None:
+        """The other side is up, as something has come from it: what waits for it is tried again at once."""
+        if self.up:
+            return
+        self.there.set()
+        if self.opening is not None:
+            self.opening.cancel()
 
     def _table(self, link: Link, table: Table) -> None:
         self.on_table(self, table)
@@ -166,6 +201,8 @@
         """End it for good."""
         self.closed = True
         self.task.cancel()
+        if self.opening is not None:
+            self.opening.cancel()
         if self.link is not None:
             self.link.close()
 
@@ -187,6 +224,9 @@
 
     def _opened(self, link: Link) -> None:
         self.links.add(link)
+        assert link.transport is not None
+        peer = link.transport.get_extra_info("peername")
+        link.peer = peer[0] if peer else ""
         if len(self.links) > self.most:
             link.close("too many connections")
 
--- a/roadspur/courier/ring.py
+++ b/roadspur/courier/ring.py
@@ -36,7 +36,8 @@
         self.heard: dict[str, float] = {}  # of those watched, when last
         self.met: set[str] = set()  # of those watched, heard at least once
         self.next_beat = now
-        self.lacking: dict[str, float] = {}  # of those watched, who lacks news, and since when
+        # Of those watched, who lacks news: with which numbers, and since when it has had these.
+        self.lacking: dict[str, tuple[tuple[int, int], float]] = {}
 
     def members(self, now: float, names: Iterable[str]) -> None:
         """Who is in the ring now, itself included or not."""
@@ -75,15 +76,15 @@
         return [*self.watchers(), *sorted(self.silent(now) - set(self.watchers()))]
 
     def behind(self, now: float, name: str, theirs: tuple[int, int], mine: tuple[int, int]) -> bool:
-        """Whether one that is watched has lacked news for `LACKS_S`, and its watcher hands them over."""
+        """Whether one that is watched has lacked news for `LACKS_S` and got none, and its watcher hands them over."""
         if name not in self.heard or (theirs[0] >= mine[0] and theirs[1] >= mine[1]):
             self.lacking.pop(name, None)
             return False
-        since = self.lacking.setdefault(name, now)
-        if now - since < LACKS_S:
-            return False
-        self.lacking[name] = now
-        return True
+        had, since = self.lacking.get(name, (theirs, now))
+        stuck = had == theirs and now - since >= LACKS_S
+        if stuck or had != theirs or name not in self.lacking:
+            self.lacking[name] = theirs, now
+        return stuck
 
     def silent(self, now: float) -> set[str]:
         """Those watched that have not been heard of for `SILENT_S`."""
--- a/roadspur/desk/decisions.py
+++ b/roadspur/desk/decisions.py
@@ -92,10 +92,12 @@
 class Decisions:
     """One proxy's."""
 
-    def __init__(self, node: str, zone: str, region: str, bounds: Bounds, rng: random.Random, now: float) -> None:
+    def __init__(self, node: str, zone: str, region: str, bounds: Bounds, rng: random.Random, now: float,
+                 born: float | None = None) -> None:
+        """`born`: when this process began; `now` where it is not known."""
         self.node, self.bounds, self.rng = node, bounds, rng
         self.ground = Ground(zone, region)
-        self.quota = Quota(now)
+        self.quota = Quota(now, bounds.quota_slack, born)
         self.colds = Colds(node, bounds.cold_excess, bounds.cold_slack)
         self.tries: dict[str, Tries] = {}
         self.fleets: dict[str, Fleet] = {}
--- a/roadspur/desk/program.py
+++ b/roadspur/desk/program.py
@@ -10,6 +10,7 @@
 
 import msgpack
 
+from roadspur.catalogue.birth import BORN
 from roadspur.catalogue.boot import ACCESSION, DESK, RING, STACKS
 from roadspur.catalogue.configuration import Index, read_configuration
 from roadspur.catalogue.events import Event, say
@@ -67,7 +68,8 @@
         loop = self.loop = asyncio.get_running_loop()
         now = loop.time()
         self.life = life()
-        self.decisions = Decisions(boot.node_name, boot.zone, boot.region, boot.bounds, random.Random(), now)
+        self.decisions = Decisions(boot.node_name, boot.zone, boot.region, boot.bounds, random.Random(), now,
+                                   BORN)
         share = max(32, (boot.limits.fd_limit - 200 - SPARE) // 2)
         self.upstream = Upstream(loop, CONNECT_S, IDLE_S, share, Terms(BODY_MOST, ATTEMPT, SILENT_S, outcome_of))
         self.ingress = DeskIngress(loop, self.decisions, self.upstream, self._charge)
--- a/roadspur/desk/quota.py
+++ b/roadspur/desk/quota.py
@@ -6,6 +6,10 @@
 store that refills at its part of the rate, empty at first, as the window before may be spent. It never fails open:
 without a share, or `SHARE_S` after the last echo, nothing is let in.
 
+A new life's standing share fills from its birth on, and begins with its part of half of the rule's slack: all lives
+that begin at once have half of that together, and few tenants ask so little that this is more than their last
+lives left unspent while they were down.
+
 Pure; seconds on the steady clock.
 """
 
@@ -14,7 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from roadspur.catalogue.shares import ALONE_S, COUNTED, HERE_S, MISSED_S, SHARE_S, STANDING, TOLD_S
+from roadspur.catalogue.shares import ALONE_S, BEGIN, COUNTED, HERE_S, MISSED_S, SHARE_S, STANDING, TOLD_S
 
 
 @dataclass(slots=True)
@@ -24,23 +28,22 @@
     level: float
     at: float
 
-    def spend(self, now: float, rate: float, most: float) -> bool:
-        """Take one, if there is one; refills at `rate` up to `most`."""
+    def fill(self, now: float, rate: float, most: float) -> float:
+        """What is there now; refills at `rate` up to `most`."""
         self.level = min(most, self.level + max(0.0, now - self.at) * rate)
         self.at = max(self.at, now)
-        if self.level < 1.0:
-            return False
-        self.level -= 1.0
-        return True
+        return self.level
 
 
 class Quota:
     """Echoes, shares, and the stores of tenants."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, slack: float = 0.0, born: float | None = None) -> None:
+        """`slack`: requests that the rule allows beyond its sum; `born`: since when no earlier life spends (`now`)."""
         self.limits: dict[str, tuple[float, float]] = {}
         self.share = 0.0
-        self.begun = now  # of the share: what this machine's last life spent of it is not known
+        self.slack = slack
+        self.born = now if born is None else born  # what this machine's last life spent of its share is not known
         self.echo: list[object] | None = None  # [who, its time] of the newest echo
         self.asked = float("-inf")  # when the beat was sent that was echoed last
         self.next_beat = self.next_full = now
@@ -73,8 +76,6 @@
         """An echo of the beat sent `at`, by a counter at its time `their`."""
         if now - at >= ALONE_S:
             return  # too old to end being alone
-        if share > 0 and self.share <= 0:
-            self.begun = now
         self.echo, self.share = [by, their], share
         self.asked = max(self.asked, at)
 
@@ -99,9 +100,17 @@
             return False
         if self.alone(now):
             self.apart.setdefault(tenant, Store(0.0, self.asked + ALONE_S))
-        store = self.apart.get(tenant)
-        part = self.share * COUNTED
-        if store is not None and store.spend(now, part * rate, max(1.0, part * burst)):
-            return True
-        part = self.share * STANDING
-        return self.standing.setdefault(tenant, Store(0.0, self.begun)).spend(now, part * rate, max(1.0, part * burst))
+        stores = []
+        for kept, part in ((self.apart, COUNTED), (self.standing, STANDING)):
+            if kept is self.standing and tenant not in kept:
+                kept[tenant] = Store(min(1.0, self.share * self.slack * BEGIN), self.born)
+            if (store := kept.get(tenant)) is not None:
+                store.fill(now, part * self.share * rate, max(1.0, part * self.share * burst))
+                stores.append(store)
+        if sum(store.level for store in stores) < 1.0:
+            return False
+        owed = 1.0
+        for store in stores:
+            taken = min(owed, store.level)
+            store.level, owed = store.level - taken, owed - taken
+        return True
--- a/roadspur/stacks/control.py
+++ b/roadspur/stacks/control.py
@@ -163,6 +163,7 @@
         self.forgot = kept.view is None and not self.founding
         self.founders: dict[str, tuple[str, float]] = {}
         self.taught: dict[str, tuple[View | None, int]] = {}
+        self.asker, self.told = "", False  # to whom the newest promise was given in this life, and whether it was told
         self.born = now
         self.now = now
         self.beat_at = now  # when a primary was last heard; a voter that starts may have heard one just before
@@ -207,6 +208,14 @@
             handle(sender, table)
         return self._flush()
 
+    def linked(self, now: float, other: str) -> Outputs:
+        """A connection to a machine of the core stands anew: what was said to it before may be lost."""
+        self.now = max(self.now, now)
+        attempt = self.attempt
+        if not self.stopped and attempt is not None and attempt.stage == "ask" and other not in attempt.said:
+            self._ask()
+        return self._flush()
+
     def written(self, now: float, token: int, ok: bool) -> Outputs:
         """A write has ended; `ok`: it is on disk."""
         self.now = max(self.now, now)
@@ -263,7 +272,7 @@
 
     def _promise(self, epoch: int, records: dict[str, Any], after: Callable[[], None]) -> None:
         """Write a promise and what goes with it; `after` follows only if it is on disk and nothing higher came."""
-        self.promised = epoch
+        self.promised, self.asker, self.told = epoch, "", False
         if self.office is not None and epoch > self.office.view.epoch:
             self._leave(f"epoch {epoch} was promised")
 
@@ -444,6 +453,10 @@
         epoch = table["e"]
         if self.view is None or self.forgot or sender not in self.view.electorate:
             return
+        if epoch == self.promised and sender == self.asker:  # the answer to its first question was lost, or is coming
+            if self.told:
+                self._send(sender, "promised", e=epoch, view=self.view.packed())
+            return
         guarded = self.now - self.beat_at < GUARD_S and sender != self.view.primary
         mine = self.office is not None and self.now < self.office.until()
         if epoch <= self.promised or guarded or mine:
@@ -451,7 +464,12 @@
             return
         self.attempt = None
         view = self.view
-        self._promise(epoch, {}, lambda: self._send(sender, "promised", e=epoch, view=view.packed()))
+
+        def tell() -> None:
+            self.told = True
+            self._send(sender, "promised", e=epoch, view=view.packed())
+        self._promise(epoch, {}, tell)
+        self.asker = sender
 
     def _on_refused(self, sender: str, table: dict[str, Any]) -> None:
         attempt = self.attempt
--- a/roadspur/stacks/leases.py
+++ b/roadspur/stacks/leases.py
@@ -138,6 +138,7 @@
         if table["t"] == "granted" and table["term"] == self.term and self.begun is not None:
             self.granted[sender] = max(self.granted.get(sender, float("-inf")), table["at"])
         elif table["t"] == "taken":
-            self.hinted = self.hinted or (table["free"] and self.begun is not None and table["term"] >= self.term)
+            if table["free"] and self.begun is not None and table["term"] >= self.term and not self.hinted:
+                self.hinted, self.next = True, self.next - RENEW_S  # due at once
             self.highest = max(self.highest, table["term"])
             self.granted.pop(sender, None)
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -121,11 +121,13 @@
         """A tick of the machine; connections to all of the core that is known."""
         for ip in self.control._others():
             if ip not in self.dials:
-                self.dials[ip] = Dial(self.loop, ip, self.boot.port(STACKS), self._hello, self._from_dial)
+                self.dials[ip] = Dial(self.loop, ip, self.boot.port(STACKS), lambda ip=ip: self._hello(ip),  # type: ignore[misc]
+                                     self._from_dial)
         self._carry(self.control.tick(self.loop.time()))
         self._office()
 
-    def _hello(self) -> dict[str, Any]:
+    def _hello(self, ip: str) -> dict[str, Any]:
+        self.loop.call_soon(lambda: self._carry(self.control.linked(self.loop.time(), ip)))
         return {"t": "hello", "me": self.boot.ip}
 
     def _office(self) -> None:
@@ -162,7 +164,10 @@
             self.publisher.ack(link.name, table["n"])
         elif kind == "keep":  # from the registry: what it must not forget
             self._keep(link, table)
-        elif kind != "hello" and link.name:
+        elif kind == "hello":
+            if link.name in self.dials:
+                self.dials[link.name].poke()
+        elif link.name:
             self._carry(self.control.message(self.loop.time(), link.name, table))
 
     def _grant(self, link: Link, table: dict[str, Any], epoch: int) -> None:
--- a/simnet/core.py
+++ b/simnet/core.py
@@ -105,6 +105,14 @@
         for name, follower in self.followers.items():
             machine.publisher.sent[name] = machine.publisher.acked[name] = follower.state.number
         self._tick(machine, machine.life)
+        for other in self.machines.values():  # connections to it stand again
+            if other is not machine and other.control is not None and self.wires.open(other.ip, machine.ip):
+                self.clock.later(2 * self._delay(other.ip, machine.ip),
+                                 lambda other=other: self._linked(other, machine.ip))  # type: ignore[misc]
+
+    def _linked(self, machine: Machine, ip: str) -> None:
+        if machine.control is not None and self.clock.now >= machine.paused_until:
+            self._carry(machine, machine.control.linked(self.clock.now, ip))
 
     def _tick(self, machine: Machine, life: int) -> None:
         if machine.life != life or machine.control is None:
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from roadspur.stacks.control import Control
+from roadspur.stacks.control import Control, Send
 from roadspur.stacks.views import Copy, Kept, View
 from simnet.core import Broken, Core, Fault, draw, run
 
@@ -239,6 +239,43 @@
     assert {"10.0.0.2", "10.0.0.3", "10.0.9.9"} <= set(control._others())
 
 
+def voter() -> Control:
+    """A witness of the first epoch whose primary is silent."""
+    import random
+    view = View(1, "10.0.0.1", "10.0.0.2", {"10.0.0.1": "a", "10.0.0.2": "b", "10.0.0.3": "a"})
+    return Control("10.0.0.3", "a", ["10.0.0.1", "10.0.0.2"], False, Kept(1, view, Copy()), 0.0, random.Random(1))
+
+
+def said(outputs) -> list[str]:
+    return [out.table["t"] for out in outputs if isinstance(out, Send)]
+
+
+def test_a_promise_whose_answer_was_lost_is_told_again_to_its_asker_only():
+    control = voter()
+    ask = {"t": "ask", "e": 2, "was": 1}
+    [write] = control.message(1.0, "10.0.0.1", ask)
+    assert control.message(1.01, "10.0.0.1", ask) == []        # not on disk yet: no answer, and no refusal
+    assert said(control.written(1.02, write.token, True)) == ["promised"]
+    assert said(control.message(1.3, "10.0.0.1", ask)) == ["promised"]
+    assert said(control.message(1.3, "10.0.0.2", ask)) == ["refused"]
+
+
+def test_a_voter_that_comes_up_after_the_question_is_asked_at_once():
+    core = calm()
+    first, backup, witness = by_role(core)
+    for machine in core.machines.values():
+        core.stop(machine, 60.0)
+    core._start(first)
+    core.clock.run(core.clock.now + 0.2)  # it has asked, and nobody was there
+    at = core.clock.now
+    core._start(witness)
+    core._start(backup)
+    while leader_or_none(core) is None:
+        core.clock.run(core.clock.now + 0.005)
+    assert core.clock.now - at < 0.1
+    end(core)
+
+
 @pytest.mark.parametrize("first", range(0, 80, 10))
 def test_drawn_days_break_no_rule(first):
     for seed in range(first, first + 10):
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -78,6 +78,7 @@
 
 def test_over_the_allowance_it_is_refused_at_once_and_the_charge_given_back():
     rig = Rig()
+    rig.d.quota.born, rig.d.quota.slack = rig.now, 0.0  # nothing of its own is left
     name, _ = rig.ask(tenant="t")
     back, refused = [a for a in rig.do(Counted(name, OVER, 0.5, 3)) if not isinstance(a, io.SetTimer)]
     assert back == Charge(name, "t", -1, 3)
@@ -86,7 +87,7 @@
 
 def test_no_verdict_never_opens_and_a_late_one_changes_nothing():
     rig = Rig()
-    rig.d.quota.begun = rig.now  # a standing share that has had no time to fill
+    rig.d.quota.born, rig.d.quota.slack = rig.now, 0.0  # a standing share that has had no time to fill
     name, _ = rig.ask(tenant="t")
     assert kinds(rig.do(io.TimerFired(1), PROMPT_S + 0.01)) == []          # no answer, no share: it waits
     acts = rig.do(io.TimerFired(1), ALONE_S)
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -98,3 +98,16 @@
     assert grantor.wanted(GRANT_S + 0.2, wish, 2)[0]["t"] == "granted"
     other = {"duty": "d", "who": "y", "term": (1 << 20) + 4, "at": 1.0}
     assert grantor.wanted(3 * GRANT_S, other, 2)[0]["t"] == "taken"  # a term of an epoch that is over
+
+
+def test_one_that_knows_no_term_has_a_free_duty_within_two_ticks():
+    duty = Duty(1)
+    duty.clock.run(3.0)
+    duty.grantors = {ip: Grantor(0.0, {"d": ("a", 9 << 20)}) for ip in IPS}  # of an earlier life, and long over
+    duty.rng = random.Random(5)
+    for n, ip in enumerate(IPS):
+        duty.holders[ip] = Holder("d", f"{ip}/2", duty.clock.now, random.Random(n))
+    duty.terms.clear()
+    duty.holders["a"].voters(IPS)
+    duty.clock.run(duty.clock.now + 0.13)
+    assert duty.holders["a"].holds(duty.clock.now) and duty.holders["a"].term > 9 << 20
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -11,11 +11,12 @@
 from simnet.clock import Clock
 
 RATE = BURST = 100.0
+SLACK = 20.0
 
 
 class Ingress:
     def __init__(self, name, now):
-        self.name, self.life, self.quota = name, f"{name}/{now}", Quota(now)
+        self.name, self.life, self.quota = name, f"{name}/{now}", Quota(now, SLACK)
         self.quota.follow({"t": (RATE, BURST)})
 
 
@@ -117,7 +118,7 @@
             while times[first] <= at - 5.0:
                 first += 1
             most = max(most, n - first + 1)
-        return most / ((RATE * 5 + BURST) * 1.1 + 20)
+        return most / ((RATE * 5 + BURST) * 1.1 + SLACK)
 
 
 def test_calm_days_give_about_a_burst_a_window():
@@ -166,6 +167,24 @@
     assert late == []  # it does not fail open: a share ends
 
 
+def test_a_new_life_lets_the_first_of_a_small_tenant_in_at_once():
+    quota = Quota(10.0, SLACK, born=9.5)
+    quota.follow({"small": (4.0, 4.0)})
+    quota.echoed(10.0, "c", 9.9, 5.0, 0.1)
+    assert quota.spend(10.0, "small")      # its part of half of the slack
+    assert not quota.spend(10.1, "small")  # and no more of that: 0.1 of 0.42 of 4 a second since its birth
+    quota.uncounted(10.1, "small", 1.0)
+    assert quota.spend(12.0, "small")      # parts of both stores together make one
+
+
+def test_all_that_begin_at_once_have_half_of_the_slack_together():
+    lives = [Quota(0.0, SLACK, born=0.0) for _ in range(40)]
+    for quota in lives:
+        quota.follow({"t": (0.001, 0.001)})
+        quota.echoed(0.0, "c", 0.0, 1.0, 0.8 / 40)
+    assert sum(quota.spend(0.0, "t") for quota in lives) <= SLACK / 2
+
+
 def test_an_ingress_without_a_share_lets_nothing_in():
     quota = Quota(0.0)
     quota.follow({"t": (RATE, BURST)})
