Programs start without pydantic: settings and kept configurations are read plainly

Cause: of 0.40 s of imports of a proxy 0.15 s were pydantic and its models, at every start while clients wait; a build of site packages 0.02 to 0.05 s more. Ruled out: a cache of what was read (front machines have no disk), models built late (the settings need theirs at once), reading settings twice (fast now, checked later: a wrong file would serve for a while).

Change: records are named tuples; catalogue/tables.py makes them out of tables, catalogue/checks.py has all of pydantic: configurations at the store's door and offline, and what is wrong with a settings file that cannot be read. Ranges and addresses of settings are checked at the start as before.

--- a/roadspur/accession/program.py
+++ b/roadspur/accession/program.py
@@ -12,7 +12,7 @@
 from roadspur.accession.members import Members
 from roadspur.accession.platform import Platform
 from roadspur.catalogue.boot import ACCESSION, STACKS
-from roadspur.catalogue.configuration import read_configuration
+from roadspur.catalogue.configuration import kept_configuration
 from roadspur.catalogue.events import Event, say
 from roadspur.catalogue.process import Settings, life, serve
 from roadspur.courier.links import Dial, Link, Listener
@@ -208,7 +208,7 @@
         held = state.value("config")
         if held is not None and held["v"] != self.config or not self.counts.limits:
             self.config = held["v"] if held is not None else -1
-            tenants = read_configuration(zlib.decompress(held["z"])).tenants if held is not None else {}
+            tenants = kept_configuration(zlib.decompress(held["z"])).tenants if held is not None else {}
             self.limits = {name: (t.rate_per_s, t.burst) for name, t in tenants.items()}
         self.counts.follow(self.limits, state.values("share:"))
 
--- a/roadspur/catalogue/boot.py
+++ b/roadspur/catalogue/boot.py
@@ -1,17 +1,18 @@
-"""The settings file of a process (`boot.conf`): lines `a.b=value`, read whole and checked.
+"""The settings file of a process (`boot.conf`): lines `a.b=value`, and the record that they make.
 
 Unknown fields are ignored, as the users' page asks. What is wrong is told all at once: an exception group with one
-`BadSetting` a fault, each of them one line.
+`BadSetting` a fault, each of them one line. A file that can be used is read without the library that explains what
+is wrong with one that cannot (`roadspur.catalogue.checks`).
 """
 
 from __future__ import annotations
 
 import os
+from collections.abc import Iterable
 from pathlib import Path
-from typing import Any
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from typing import Any, NamedTuple
 
+from roadspur.catalogue.tables import BadTable, record
 from roadspur.services.wire import read_address
 
 VARIABLE = "THISTLEUSHER_NODE_FILE"
@@ -24,11 +25,7 @@
     """One field of a settings file that cannot be used: which, what was found, what was expected."""
 
 
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class Binds(_Part):
+class Binds(NamedTuple):
     """Where a process listens for the outside, `host:port`; empty where it serves nothing of the kind."""
 
     front: str = ""
@@ -37,34 +34,34 @@
     directory: str = ""
 
 
-class Limits(_Part):
+class Limits(NamedTuple):
     """The machine: `cpu_share` of a core, memory in MB, descriptors, link in Mbit/s, disk in MB."""
 
-    cpu_share: float = Field(default=1.0, gt=0)
-    cores: float = Field(default=1.0, gt=0)
-    mem_mb: float = Field(default=256.0, gt=0)
-    fd_limit: int = Field(default=1024, ge=64)
-    link_mbps: float = Field(default=1000.0, gt=0)
-    disk_mb: float = Field(default=0.0, ge=0)
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    mem_mb: float = 256.0
+    fd_limit: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0.0
 
 
-class Cloud(_Part):
+class Cloud(NamedTuple):
     """The platform: address, calls a second that all may make together, and by how many ms its list lags."""
 
     address: str = ""
-    rate_per_s: float = Field(default=10.0, gt=0)
-    lag_ms: float = Field(default=0.0, ge=0)
+    rate_per_s: float = 10.0
+    lag_ms: float = 0.0
 
 
-class Tolerance(_Part):
+class Tolerance(NamedTuple):
     """What may be lost at once while all rules still hold."""
 
-    machines: int = Field(default=1, ge=0)
-    zones: int = Field(default=0, ge=0)
-    regions: int = Field(default=0, ge=0)
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
 
 
-class Bounds(_Part):
+class Bounds(NamedTuple):
     """Figures of the rules, in the unit that their names end with."""
 
     seed_lag_s: float = 3.0
@@ -87,20 +84,20 @@
     ttl_max_s: float = 5.0
 
 
-class Boot(_Part):
+class Boot(NamedTuple):
     """All that a process is told at its start."""
 
-    node_name: str = Field(min_length=1)
-    ip: str = Field(min_length=1)
-    zone: str = Field(min_length=1)
+    node_name: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    seed_nodes: tuple[str, ...]
     role: str = ""
     machine_class: str = ""
     region: str = ""
     serves: tuple[str, ...] = ()
-    zones: dict[str, str] = Field(default_factory=dict)
+    zones: dict[str, str] = {}
     binds: Binds = Binds()
-    port_range: tuple[int, int]
-    seed_nodes: tuple[str, ...] = Field(min_length=1)
     bootstrap: bool = False
     counted: bool = False
     limits: Limits = Limits()
@@ -150,34 +147,46 @@
     return tables
 
 
-def faults_of(error: ValidationError) -> list[BadSetting]:
-    """One line a fault: where, what was expected, what was found."""
-    faults = []
-    for e in error.errors():
-        found = "" if e["type"] == "missing" else f", found {str(e.get('input'))[:60]!r}"
-        faults.append(BadSetting(f"{'.'.join(str(p) for p in e['loc']) or 'file'}: {e['msg']}{found}"))
-    return faults
+MORE_THAN_0 = ("limits.cpu_share", "limits.cores", "limits.mem_mb", "limits.link_mbps", "cloud_api.rate_per_s")
+AT_LEAST = {"limits.fd_limit": 64, "limits.disk_mb": 0, "cloud_api.lag_ms": 0, "tolerance.machines": 0,
+            "tolerance.zones": 0, "tolerance.regions": 0}
+
+
+def faults_of(boot: Boot) -> Iterable[str]:
+    """What is wrong with settings that have all fields and types: one line each."""
+    def value(name: str) -> Any:
+        part, _, field = name.partition(".")
+        return getattr(getattr(boot, part), field)
+    for name in ("node_name", "ip", "zone", "seed_nodes"):
+        if not getattr(boot, name):
+            yield f"{name}: expected one at least, found none"
+    for name in MORE_THAN_0:
+        if not value(name) > 0:
+            yield f"{name}: expected more than 0, found {value(name):g}"
+    for name, least in AT_LEAST.items():
+        if not value(name) >= least:
+            yield f"{name}: expected {least} or more, found {value(name):g}"
+    for name, address in [("seed_nodes", s) for s in boot.seed_nodes] + [
+            (f"binds.{n}", v) for n, v in boot.binds._asdict().items() if v]:
+        try:
+            read_address(address)
+        except ValueError as error:
+            yield f"{name}: {error}"
+    low, high = boot.port_range
+    if not 0 < low <= high - RING <= 65535 - RING:
+        yield f"port_range: expected {RING + 1} ports at least, found {low},{high}"
 
 
 def read_boot(text: str) -> Boot:
-    """A settings file's text, checked. ExceptionGroup of `BadSetting` with all that is wrong."""
+    """A settings file's text as a record. ExceptionGroup of `BadSetting` with all that is wrong."""
     try:
-        boot = Boot.model_validate(nested(text))
-    except ValidationError as error:
-        raise ExceptionGroup("settings", faults_of(error)) from None
+        boot = record(Boot, nested(text))
     except BadSetting as error:
         raise ExceptionGroup("settings", [error]) from None
-    wrong: list[BadSetting] = []
-    named = [("seed_nodes", s) for s in boot.seed_nodes] + [
-        (f"binds.{n}", v) for n, v in boot.binds.model_dump().items() if v]
-    for name, value in named:
-        try:
-            read_address(value)
-        except ValueError as error:
-            wrong.append(BadSetting(f"{name}: {error}"))
-    low, high = boot.port_range
-    if not 0 < low <= high - RING <= 65535 - RING:
-        wrong.append(BadSetting(f"port_range: expected {RING + 1} ports at least, found {low},{high}"))
+    except BadTable:
+        from roadspur.catalogue.checks import explain_boot  # takes a while to load, and is not needed otherwise
+        raise ExceptionGroup("settings", explain_boot(nested(text))) from None
+    wrong = [BadSetting(text) for text in faults_of(boot)]
     if wrong:
         raise ExceptionGroup("settings", wrong)
     return boot
--- a/roadspur/catalogue/commands.py
+++ b/roadspur/catalogue/commands.py
@@ -13,7 +13,8 @@
 import cappa
 
 from roadspur.catalogue.boot import read_boot
-from roadspur.catalogue.configuration import brief, read_configuration
+from roadspur.catalogue.checks import read_configuration
+from roadspur.catalogue.configuration import brief
 from roadspur.catalogue.events import page
 from roadspur.catalogue.start import start
 
--- a/roadspur/desk/program.py
+++ b/roadspur/desk/program.py
@@ -12,7 +12,7 @@
 
 from roadspur.catalogue.birth import BORN
 from roadspur.catalogue.boot import ACCESSION, DESK, RING, STACKS
-from roadspur.catalogue.configuration import Index, read_configuration
+from roadspur.catalogue.configuration import Index, kept_configuration
 from roadspur.catalogue.events import Event, say
 from roadspur.catalogue.failures import Failure, Kind
 from roadspur.catalogue.process import Settings, life, serve
@@ -233,7 +233,7 @@
         now = self.loop.time()
         held = changed.get("config")
         if held is not None and (self.server.index is None or held["v"] > self.server.index.config.number):
-            index = Index(read_configuration(zlib.decompress(held["z"])))
+            index = Index(kept_configuration(zlib.decompress(held["z"])))
             self.decisions.configured(now, index.config)
             self.server.follow(index)
             say(Event.CONFIG, index.config.version, len(index.config.routes))
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import itertools
 import random
 import zlib
 from collections.abc import Callable
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 from roadspur.catalogue.boot import STACKS
-from roadspur.catalogue.configuration import read_configuration
 from roadspur.catalogue.events import Event, say
 from roadspur.catalogue.failures import Failure, Kind
 from roadspur.catalogue.process import Settings, serve
@@ -35,10 +36,16 @@
 
 BODY_MOST = 64 * 1024 * 1024
 LEAVE_S = 0.15  # for last words to go out
+LOAD_S = 2.0    # after its start, when this process loads what configurations are checked by, if none has come
 
 Done = Callable[[Any], None]
 
 
+def checks() -> ModuleType:
+    """What configurations are checked by: loaded late, as an office that is empty waits for this process's start."""
+    return importlib.import_module("roadspur.catalogue.checks")
+
+
 def number_of(state: State) -> int:
     """The number of the configuration in a state, -1 where there is none."""
     held = state.value("config")
@@ -100,6 +107,7 @@
         if boot.binds.control:
             await self.door.listen(*read_address(boot.binds.control))
         self.tick()
+        self.loop.call_later(LOAD_S, checks)
         await serve("stacks", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
@@ -257,7 +265,7 @@
     def replace(self, call: ReplaceConfiguration, done: Done) -> None:
         """Checked whole before anything else; INVALID with all faults in one line."""
         try:
-            config = read_configuration(call.document)
+            config = checks().read_configuration(call.document)
         except ExceptionGroup as group:
             text = "; ".join(str(e) for e in group.exceptions)[:400]
             say(Event.INVALID, text)
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -4,9 +4,11 @@
 import json
 
 import pytest
+from hypothesis import given, settings, strategies
 
 from roadspur.catalogue.boot import read_boot
-from roadspur.catalogue.configuration import Index, read_configuration
+from roadspur.catalogue.checks import read_configuration
+from roadspur.catalogue.configuration import Index, kept_configuration
 from roadspur.catalogue.failures import ANSWERS, PROMISES, Kind
 
 SOUND = {
@@ -43,6 +45,23 @@
     assert config.number == 7 and config.routes["r1"].shares[0].weight == 90 and config.tenants["t2"].rate_per_s == 0
 
 
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(strategies.data())
+def test_what_passes_the_checks_reads_the_same_without_them(data):
+    """Also where a number comes as text, a whole one with a point, a switch as a word."""
+    def change(table):
+        for part in (*table["routes"].values(), *table["tenants"].values(), *table["services"].values()):
+            for name, value in list(part.items()):
+                if isinstance(value, bool):
+                    part[name] = data.draw(strategies.sampled_from([value, str(value).lower(), int(value)]))
+                elif isinstance(value, int):
+                    part[name] = data.draw(strategies.sampled_from([value, float(value), str(value)]))
+                elif value == [] and data.draw(strategies.booleans()):
+                    del part[name]
+    sent = body(change)
+    assert kept_configuration(sent) == read_configuration(sent)
+
+
 @pytest.mark.parametrize("change, told", [
     (lambda t: t["routes"]["r2"].update(target="nobody"), "unknown service 'nobody'"),
     (lambda t: t["routes"]["r2"].update(path_prefix="/x/"), "the same host and prefix as routes.r1"),
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -8,12 +8,13 @@
 from roadspur.catalogue.boot import Bounds
 from roadspur.catalogue.configuration import Configuration, Found
 from roadspur.catalogue.shares import ALONE_S, OK, OVER, PROMPT_S
+from roadspur.catalogue.tables import record
 from roadspur.desk.budgets import Colds, Tries
 from roadspur.desk.decisions import Asked, Charge, Counted, Decisions
 from roadspur.desk.directory import addresses
 from roadspur.desk.placement import Place, homes_of
 
-CONFIG = Configuration.model_validate({
+CONFIG = record(Configuration, {
     "version": "00000001",
     "routes": {
         "pure": {"hostname": "h", "path_prefix": "/p/", "variant": "pure", "deadline_ms": 3000, "target_ms": 800,
@@ -171,7 +172,7 @@
 def test_a_route_that_is_gone_still_ends_its_requests():
     rig = Rig()
     name, acts = rig.ask()
-    rig.d.configured(rig.now, CONFIG.model_copy(update={"routes": {}}))
+    rig.d.configured(rig.now, CONFIG._replace(routes={}))
     assert io.Attempt in kinds(rig.end(name, acts, io.Outcome.RESET))
 
 
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -8,6 +8,7 @@
 
 from roadspur.catalogue.boot import Bounds
 from roadspur.catalogue.configuration import Configuration, Index
+from roadspur.catalogue.tables import record
 from roadspur.desk.decisions import Decisions
 from roadspur.desk.front import ATTEMPT, DeskFarewell, DeskIngress, DeskServer, outcome_of
 from roadspur.desk.placement import Place
@@ -18,7 +19,7 @@
 
 
 def config(**tenants):
-    return Configuration.model_validate({
+    return record(Configuration, {
         "version": "00000001",
         "routes": {"p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
                    "e": {**ROUTE, "path_prefix": "/e/", "variant": "effectful"},
@@ -238,7 +239,7 @@
         asked = asyncio.ensure_future(client.ask("/p/", attempt="slow"))
         while not backend.got:
             await asyncio.sleep(0)
-        rig.follow(config().model_copy(update={"routes": {}}))
+        rig.follow(config()._replace(routes={}))
         assert (await rig.ask("/p/")).status == 404
         connection = next(iter(rig.upstream.connections))
         connection.data_received(answer("slow"))
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -141,5 +141,7 @@
     assert not watcher.behind(6.0, "n0", (0, 0), mine)          # the core may bring it itself
     assert watcher.behind(6.01 + LACKS_S, "n0", (0, 0), mine)    # it did not
     assert not watcher.behind(6.1 + LACKS_S, "n0", (0, 0), mine)  # not at every beat
+    for n in range(20):  # news that come all the time: it is a beat behind, and lacks nothing
+        assert not watcher.behind(7.0 + LACKS_S * n / 2, "n0", (n, n), (n + 1, n + 1))
     assert not watcher.behind(9.0, "n0", mine, mine) and not watcher.behind(9.0, "nobody", (0, 0), mine)
     assert "n0" in watcher.due(5.0)  # a silent one is called: it may come back knowing nothing
