--- a/roadspur/stacks/control.py
+++ b/roadspur/stacks/control.py
@@ -2,11 +2,12 @@
 
 What is guaranteed, with at most the losses of the settings' `tolerance`:
 
-1. A change is acknowledged only once it is on the disks of the primary and of its backup, in the present epoch, and
-   the primary's lease stands at that moment.
+1. A change is acknowledged only once it is on the disks of the primary and of all its backups (as many as machines
+   may be lost), in the present epoch, and the primary's lease stands at that moment.
 2. An epoch begins only when a majority of the electorate has written it down, and only a *holder* of the newest epoch
-   that this majority knows (its primary or its backup, with its copy on disk) may begin the next one, after its new
-   backup has the whole copy on disk. So whoever is primary has everything that was ever acknowledged.
+   that this majority knows (its primary or a backup, with its copy on disk) may begin the next one, after its new
+   backups have the whole copy on disk. So whoever is primary has everything that was ever acknowledged. An epoch with
+   another electorate needs a majority of the one before as well: who asks that one learns of it, or prevents it.
 3. A machine that has promised an epoch takes no part in a lower one; what it promised is on its disk before it says
    so.
 4. A machine whose disk is empty and that is not founding has *forgotten*: it votes, holds and answers for nothing
@@ -27,7 +28,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -39,6 +40,9 @@
 BEAT_S = 0.12
 LEASE_S = 0.6      # of a primary, from when it asked
 GUARD_S = 0.8      # of a voter, from when it heard
+GROW_S = 2.0       # for which a machine without a vote must have been heard before it gets one
+SHRINK_S = 20.0    # without a word, after which a voter is taken out of the electorate
+LEAST = 3          # voters that are always left
 FOUND_S = 1.2      # in which all founders come
 AGAIN_S = 0.25     # between repeats of what has no answer yet
 TURN_S = 0.15     # by which the backup asks later than the old primary
@@ -118,7 +122,7 @@
     asked: float
     number: int
     here: bool = False
-    there: bool = False
+    there: set[str] = field(default_factory=set)  # backups that have it on disk
 
 
 @dataclass(slots=True)
@@ -127,7 +131,8 @@
 
     view: View
     heard: dict[str, float]  # when each voter was asked what it has answered
-    backup_heard: float
+    since: float
+    backups_heard: dict[str, float]
     pending: Pending | None = None
     disk_since: float | None = None
 
@@ -149,13 +154,19 @@
     said: dict[str, View | None] = field(default_factory=dict)
     next: View | None = None
     tried: set[str] = field(default_factory=set)
+    synced: set[str] = field(default_factory=set)
+    wanted: Mapping[str, str] | None = None  # another electorate than that of `view`
 
 
 class Control:
     """One machine of the core."""
 
     def __init__(self, me: str, zone: str, seeds: Iterable[str], bootstrap: bool, kept: Kept, now: float,
-                 rng: random.Random) -> None:
+                 rng: random.Random, tolerance: int = 1) -> None:
+        """`tolerance`: machines that may be lost at once, as the settings say."""
+        self.tolerance = tolerance
+        self.guests: dict[str, tuple[str, float, float]] = {}  # without a vote: zone, heard first and last
+        self.admitted = False  # it has no vote, and knows by a majority what is promised: it may be given one
         self.me, self.zone, self.rng = me, zone, rng
         self.seeds = set(seeds)
         self.promised, self.view, self.copy = kept.promised, kept.view, kept.copy
@@ -257,6 +268,9 @@
     def _note(self, event: Event, *fields: object) -> None:
         self.out.append(Note(event, fields))
 
+    def _note_view(self, view: View) -> None:
+        self._note(Event.VIEW, view.epoch, view.primary, ", ".join(view.backups))
+
     def _write(self, records: dict[str, Any], after: Callable[[bool], None]) -> None:
         self.token += 1
         self.after[self.token] = after
@@ -299,11 +313,11 @@
         whole = self.seeds <= self.founders.keys()
         if self.attempt is None and whole and self.now - self.born > FOUND_S and self.now - last > FOUND_S / 2:
             electorate = {ip: zone for ip, (zone, _) in self.founders.items()}
-            nothing = View(0, self.me, "", electorate)
+            nothing = View(0, self.me, (), electorate)
             self.attempt = Attempt(1, nothing, self.now, self.now)
             self.copy = Copy(1, State())
             self._note(Event.CANDIDATE, 1, "founding")
-            self._promise(1, {"copy": self.copy.packed()}, self._sync_backup)
+            self._promise(1, {"copy": self.copy.packed()}, self._sync_backups)
         elif self.attempt is not None:
             self._press()
 
@@ -320,11 +334,15 @@
             return
         self.next_learn = self.now + AGAIN_S
         for other in self._others():
-            self._send(other, "learn")
+            self._send(other, "learn", z=self.zone, ok=self.admitted)
 
     def _on_learn(self, sender: str, table: dict[str, Any]) -> None:
-        if self.view is not None and not self.forgot:
-            self._teach(sender)
+        if self.view is None or self.forgot:
+            return
+        self._teach(sender)
+        if sender not in self.view.electorate and table["ok"]:
+            zone, first, last = self.guests.get(sender, (table["z"], self.now, self.now))
+            self.guests[sender] = table["z"], first if self.now - last < GROW_S else self.now, self.now
 
     def _teach(self, sender: str) -> None:
         assert self.view is not None
@@ -333,19 +351,25 @@
 
     def _on_taught(self, sender: str, table: dict[str, Any]) -> None:
         view = View.unpacked(table["view"])
-        if self.founding and self.me in view.electorate and self.promised == 0:
-            self.founding, self.forgot = False, True  # founded without this one's knowing
+        if self.founding and self.promised == 0:
+            self.founding, self.forgot = False, True  # founded without this one's knowing, or without this one
+        for other in view.electorate:  # the seeds are three: who forgot must ask those that they name, too
+            self.known.setdefault(other, self.now)
         if table["heard"]:
             self.primary_at = self.now
         if self.view is not None and self.me not in self.view.electorate and view.epoch > self.view.epoch:
             self.view = view
-        if not self.forgot:
+        if not self.forgot and (self.view is None or self.me in self.view.electorate):
             return
         self.taught[sender] = (view, table["e"])
         newest = max((v for v, _ in self.taught.values() if v is not None), key=lambda v: v.epoch)
         told = [ip for ip in self.taught if ip in newest.electorate and ip != self.me]
         if self.me not in newest.electorate:
             self.view = newest  # it has no vote, and sends callers on
+            if newest.has_majority(told):
+                self.admitted = True
+                self.promised = max(self.promised, *(e for _, e in self.taught.values()))
+                self.taught = {}
         elif len(told) >= len(newest.electorate) - newest.majority + 1:
             promised = max(e for _, e in self.taught.values())
             self.view, self.promised, self.copy = newest, promised, Copy()
@@ -354,7 +378,7 @@
             def learned(ok: bool) -> None:
                 if ok:
                     self.forgot = False
-                    self._note(Event.VIEW, newest.epoch, newest.primary, newest.backup)
+                    self._note_view(newest)
                 else:
                     self.view, self.taught = None, {}
             self.taught = {}
@@ -376,8 +400,8 @@
             self._stand("the primary is silent")
 
     def _turn(self) -> float:
-        """Of two that may take the office the backup comes second: both asking at once would only hinder each other."""
-        return TURN_S if self.view is not None and self.view.primary != self.me else 0.0
+        """Of those that may take the office each comes in its turn: all asking at once would only hinder each other."""
+        return TURN_S * self.view.holders.index(self.me) if self.view is not None else 0.0
 
     def _keep_office(self) -> None:
         office = self.office
@@ -388,23 +412,59 @@
             for voter in office.view.electorate:
                 if voter != self.me:
                     self._send(voter, "lead", view=office.view.packed(), at=self.now)
+        if self.now >= self.next_learn:  # machines that have no vote must know of whom to ask for one
+            self.next_learn = self.now + 2 * AGAIN_S
+            for other in self._others():
+                if other not in office.view.electorate:
+                    self._teach(other)
         pending = office.pending
         if self.now > office.until() + LEASE_S:
             self._leave("no majority")
         elif office.disk_since is not None and self.now - office.disk_since > DISK_S:
             self._leave("the disk is slow")
-        elif self.now < office.until() and (self.now - office.backup_heard > BACKUP_S or (
-                pending is not None and not pending.there and self.now - pending.since > BACKUP_S)):
-            others = [v for v in office.view.electorate if v not in (self.me, office.view.backup)
+        elif self.now < office.until():
+            self._mind_backups(office)
+            if self.office is office and pending is None:
+                self._change_electorate(office)
+        if self.office is not None:
+            self._serve()
+
+    def _mind_backups(self, office: Office) -> None:
+        """Press the backups for what is pending; have others in place of those that are silent."""
+        pending, backups = office.pending, office.view.backups
+        late = [b for b in backups if self.now - office.backups_heard.get(b, -1e9) > BACKUP_S or (
+            pending is not None and b not in pending.there and self.now - pending.since > BACKUP_S)]
+        if late:
+            others = [v for v in office.view.electorate if v not in office.view.holders
                       and self.now - office.heard.get(v, -1e9) < LEASE_S]
             if others:
-                self.shunned[office.view.backup] = self.now + SHUN_S
-                self._stand("its backup is silent")
-        elif pending is not None and not pending.there and self.now - pending.asked > AGAIN_S:
+                for backup in late:
+                    self.shunned[backup] = self.now + SHUN_S
+                self._stand("a backup is silent")
+        elif pending is not None and len(pending.there) < len(backups) and self.now - pending.asked > AGAIN_S:
             pending.asked = self.now
             self._store(pending)
-        if self.office is not None:
-            self._serve()
+
+    def _change_electorate(self, office: Office) -> None:
+        """Give a vote to a machine that has come to stay, take it from one that is gone; one at a time."""
+        electorate = dict(office.view.electorate)
+        here = [v for v in electorate if self.now - office.heard.get(v, -1e9) < LEASE_S]
+        for guest, (_, _, last) in list(self.guests.items()):
+            if self.now - last > GROW_S or guest in electorate:
+                del self.guests[guest]
+        gone = [v for v in electorate if self.now - max(office.heard.get(v, -1e9), office.since) > SHRINK_S]
+        come = [g for g, (_, first, _) in self.guests.items() if self.now - first > GROW_S]
+        if len(here) < office.view.majority or self.now - office.since < GROW_S:
+            return
+        if come:
+            electorate[come[0]] = self.guests.pop(come[0])[0]
+            why = f"{come[0]} gets a vote"
+        elif gone and len(electorate) > LEAST:
+            del electorate[gone[0]]
+            why = f"{gone[0]} is gone and loses its vote"
+        else:
+            return
+        self._stand(why, electorate)
 
     def _leave(self, why: str) -> None:
         """Give the office up; what is pending goes back to the queue, and may be in force later or not."""
@@ -427,8 +487,8 @@
             if self.eligible() and self.office is None and self.attempt is None:
                 self._stand("the office is vacant")
 
-    def _stand(self, why: str) -> None:
-        """Ask for the next epoch."""
+    def _stand(self, why: str, electorate: Mapping[str, str] | None = None) -> None:
+        """Ask for the next epoch, with another electorate where one is given."""
         assert self.view is not None
         office = self.office
         epoch = max(self.promised, self.view.epoch) + 1
@@ -437,7 +497,7 @@
             self.office = None
             if office.pending is not None:
                 self.queue.appendleft(office.pending.change._replace(until=self.now + 2 * HOLD_S))
-        self.attempt = Attempt(epoch, self.view, self.now, self.now)
+        self.attempt = Attempt(epoch, self.view, self.now, self.now, wanted=electorate)
         self._promise(epoch, {}, self._ask)
 
     def _ask(self) -> None:
@@ -447,11 +507,17 @@
         attempt.said[self.me] = self.view
         for voter in attempt.view.electorate:
             if voter not in attempt.said:
-                self._send(voter, "ask", e=attempt.epoch, was=attempt.view.epoch)
+                self._send(voter, "ask", e=attempt.epoch, view=attempt.view.packed())
 
     def _on_ask(self, sender: str, table: dict[str, Any]) -> None:
         epoch = table["e"]
-        if self.view is None or self.forgot or sender not in self.view.electorate:
+        if self.view is None or self.forgot:
+            return
+        self._adopt(View.unpacked(table["view"]))
+        if self.me not in self.view.electorate:
+            return
+        if sender not in self.view.electorate:
+            self._send(sender, "refused", e=epoch, promised=self.promised, view=self.view.packed())
             return
         if epoch == self.promised and sender == self.asker:  # the answer to its first question was lost, or is coming
             if self.told:
@@ -499,39 +565,50 @@
         assert attempt is not None
         newest = max((v for v in attempt.said.values() if v is not None), key=lambda v: v.epoch)
         self._adopt(newest)
-        if len(attempt.said) < newest.majority or not set(attempt.said) <= set(newest.electorate):
+        if newest.epoch > attempt.view.epoch:  # others may vote by now: they are asked too
+            attempt.view, attempt.wanted = newest, None
+            self._ask()
+        if not newest.has_majority(attempt.said):
             return
         if not self.eligible():
             self.attempt = None
             self.try_at = self.now + GUARD_S + self.rng.random()
             return
-        attempt.view = newest
         self.copy = Copy(attempt.epoch, self.copy.state)
         attempt.stage = "copy"
         epoch = attempt.epoch
 
         def done(ok: bool) -> None:
             if ok and self.attempt is not None and self.attempt.epoch == epoch == self.promised:
-                self._sync_backup()
+                self._sync_backups()
         self._write({"copy": self.copy.packed()}, done)
 
-    def _sync_backup(self) -> None:
-        """Choose a backup, in another zone where there is one that answers, and give it the whole copy."""
+    def _sync_backups(self) -> None:
+        """Choose the backups, in another zone where one answers, and give them the whole copy."""
         attempt = self.attempt
         if attempt is None:
             return
         attempt.stage = "sync"
-        electorate = attempt.view.electorate
-        there = set(attempt.said) if attempt.said else set(electorate)
-
-        def rank(ip: str) -> tuple[bool, bool, bool, bool, str]:
-            return (ip in attempt.tried, self.shunned.get(ip, -1e9) > self.now, ip not in there,
-                    electorate[ip] == self.zone, ip)
-        backup = min((ip for ip in electorate if ip != self.me), key=rank)
-        attempt.tried.add(backup)
+        voters = attempt.view.electorate
+        electorate = attempt.wanted if attempt.wanted is not None else voters
+        there = set(attempt.said) if attempt.said else set(voters)
+        count = attempt.view.copies(self.tolerance)
+
+        def rank(ip: str) -> tuple[bool, bool, bool, bool, bool, str]:
+            return (ip not in attempt.synced, ip in attempt.tried, self.shunned.get(ip, -1e9) > self.now,
+                    ip not in there, voters[ip] == self.zone, ip)
+        # Of the old electorate alone: a machine that is new votes by the record of the view that names it.
+        order = sorted((ip for ip in voters if ip != self.me and ip in electorate), key=rank)
+        backups = order[:count]
+        abroad = next((ip for ip in order if voters[ip] != self.zone and ip in there and ip not in attempt.tried), None)
+        if abroad is not None and all(voters[ip] == self.zone for ip in backups):
+            backups[-1] = abroad
+        attempt.tried |= set(backups)
         attempt.asked = self.now
-        attempt.next = View(attempt.epoch, self.me, backup, electorate)
-        self._send(backup, "sync", e=attempt.epoch, copy=self.copy.packed(), view=attempt.next.packed())
+        attempt.next = View(attempt.epoch, self.me, tuple(backups), electorate)
+        for backup in backups:
+            if backup not in attempt.synced:
+                self._send(backup, "sync", e=attempt.epoch, copy=self.copy.packed())
 
     def _on_sync(self, sender: str, table: dict[str, Any]) -> None:
         epoch = table["e"]
@@ -547,8 +624,10 @@
 
     def _on_synced(self, sender: str, table: dict[str, Any]) -> None:
         attempt = self.attempt
-        if (attempt is None or attempt.epoch != table["e"] or attempt.stage != "sync" or attempt.next is None
-                or attempt.next.backup != sender):
+        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "sync" or attempt.next is None:
+            return
+        attempt.synced.add(sender)
+        if not attempt.synced >= set(attempt.next.backups):
             return
         attempt.stage, attempt.asked = "record", self.now
         attempt.said = {}
@@ -564,22 +643,29 @@
     def _record(self) -> None:
         attempt = self.attempt
         assert attempt is not None and attempt.next is not None
-        for voter in attempt.next.electorate:
+        for voter in {**attempt.view.electorate, **attempt.next.electorate}:
             if voter not in attempt.said and voter != self.me:
                 self._send(voter, "record", view=attempt.next.packed())
 
     def _on_record(self, sender: str, table: dict[str, Any]) -> None:
         view = View.unpacked(table["view"])
-        if self.forgot or view.epoch < self.promised or self.me not in view.electorate:
+        if (self.forgot and not self.admitted) or view.epoch < self.promised:
             return
-        if view.epoch == self.promised and self.view is not None and self.view.epoch == view.epoch:
+        was = self.view is not None and self.me in self.view.electorate
+        if self.me not in view.electorate and not was:
+            return  # one that loses its vote records that too, as the electorate before decides with the new one
+        if self.view is not None and view.epoch == self.promised and self.view.epoch == view.epoch:
             self._send(sender, "recorded", e=view.epoch)
             return
         self.attempt = None
+        records: dict[str, Any] = {"view": view.packed()}
+        if self.forgot or (self.view is not None and not was):  # its first vote: it holds nothing
+            self.copy, self.forgot, self.admitted = Copy(), False, False
+            records["copy"] = self.copy.packed()
         self.view, self.founding = view, False
         self.beat_at = self.primary_at = self.now
-        self._promise(view.epoch, {"view": view.packed()}, lambda: self._send(sender, "recorded", e=view.epoch))
-        self._note(Event.VIEW, view.epoch, view.primary, view.backup)
+        self._promise(view.epoch, records, lambda: self._send(sender, "recorded", e=view.epoch))
+        self._note_view(view)
 
     def _on_recorded(self, sender: str, table: dict[str, Any]) -> None:
         attempt = self.attempt
@@ -593,17 +679,19 @@
         attempt = self.attempt
         assert attempt is not None and attempt.next is not None
         view = attempt.next
-        need = len(view.electorate) if self.founding and self.now - attempt.since < TRY_S else view.majority
-        if self.me not in attempt.said or len(attempt.said) < need:
+        if self.me not in attempt.said or not (
+                view.has_majority(attempt.said) and attempt.view.has_majority(attempt.said)):
+            return
+        if self.founding and self.now - attempt.since < TRY_S and len(attempt.said) < len(view.electorate):
             return
         if self.founding:
             self._note(Event.FOUNDED, ", ".join(sorted(view.electorate)))
         self.view, self.attempt, self.founding = view, None, False
-        self.office = Office(view, {self.me: self.now}, self.now)
+        self.office = Office(view, {self.me: self.now}, self.now, dict.fromkeys(view.backups, self.now))
         for voter in attempt.said:  # they guard it from when they recorded; what they say to the next beat is the lease
             self.office.heard.setdefault(voter, attempt.asked)
         self.next_beat = self.now
-        self._note(Event.OFFICE, view.epoch, view.backup)
+        self._note(Event.OFFICE, view.epoch, ", ".join(view.backups))
         self.out.append(Publish(self.copy.state))
         self._keep_office()
 
@@ -619,7 +707,7 @@
             if attempt.stage == "ask":
                 self._ask()
             elif attempt.stage == "sync":
-                self._sync_backup()
+                self._sync_backups()
             elif attempt.stage == "record":
                 self._record()
                 if self.founding:
@@ -631,6 +719,9 @@
         view = View.unpacked(table["view"])
         if self.forgot or self.me not in view.electorate or view.epoch < self.promised:
             if not self.forgot and view.epoch < self.promised and self.view is not None:
+                self._adopt(view)
+                if view.epoch >= self.view.epoch:
+                    self.primary_at = self.now  # it has promised more, but callers are answered there
                 self._send(sender, "deposed", e=view.epoch, promised=self.promised, view=self.view.packed())
             return
         self.beat_at = self.primary_at = self.now
@@ -642,8 +733,8 @@
         office = self.office
         if office is not None and table["e"] == office.view.epoch:
             office.heard[sender] = max(office.heard.get(sender, -1e9), table["at"])
-            if sender == office.view.backup:
-                office.backup_heard = self.now
+            if sender in office.view.backups:
+                office.backups_heard[sender] = self.now
             self._commit()
             self._serve()
 
@@ -655,8 +746,9 @@
             self._adopt(view)
             self.beat_at = self.now
         elif self.office is not None and table["e"] == self.office.view.epoch:
-            # It is lost to this epoch: the office goes on with the others, or anew under a higher one.
-            if self.now > self.office.until():
+            # It is lost to this epoch: the office goes on with the others until it may begin anew under a higher one.
+            if self.now > self.office.until() or (
+                    self.office.pending is None and self.now - self.office.since > GROW_S):
                 self.promised = max(self.promised, table["promised"])
                 self._stand("a voter has promised more")
 
@@ -699,8 +791,10 @@
 
     def _store(self, pending: Pending) -> None:
         assert self.office is not None
-        self._send(self.office.view.backup, "store", e=self.office.view.epoch, n=pending.number,
-                   copy=Copy(self.office.view.epoch, pending.state).packed())
+        for backup in self.office.view.backups:
+            if backup not in pending.there:
+                self._send(backup, "store", e=self.office.view.epoch, n=pending.number,
+                           copy=Copy(self.office.view.epoch, pending.state).packed())
 
     def _on_store(self, sender: str, table: dict[str, Any]) -> None:
         epoch, number = table["e"], table["n"]
@@ -718,19 +812,19 @@
         office = self.office
         if office is None or office.view.epoch != table["e"] or office.pending is None:
             return
-        office.backup_heard = self.now
-        if table["n"] == office.pending.number:
-            office.pending.there = True
+        office.backups_heard[sender] = self.now
+        if table["n"] == office.pending.number and sender in office.view.backups:
+            office.pending.there.add(sender)
             self._commit()
             self._serve()
 
     def _commit(self) -> None:
-        """On both disks, and the lease stands: it is in force, and acknowledged."""
+        """On all disks that it is to be on, and the lease stands: it is in force, and acknowledged."""
         office = self.office
         if office is None or office.pending is None:
             return
         pending = office.pending
-        if not (pending.here and pending.there) or self.now >= office.until():
+        if not (pending.here and pending.there >= set(office.view.backups)) or self.now >= office.until():
             return
         self.copy = Copy(office.view.epoch, pending.state)
         office.pending = None
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -82,12 +82,14 @@
         self.shelf = Shelf(Path(boot.data_dir or "."), boot.limits.disk_mb, self._written)
         seeds = boot.core_ips
         kept = self.shelf.read()
-        self.control = Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, self.loop.time(), random.Random())
+        self.control = Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, self.loop.time(), random.Random(),
+                               boot.tolerance.machines)
         self.grantor = Grantor(self.loop.time(), kept.grants)
         self.granting: dict[int, Callable[[], None]] = {}  # by the token of a write
         self.tokens = itertools.count(-1, -1)  # below 0: the control's are above
         self.publisher = Publisher(State())
         self.in_office = False
+        self.told = -1  # epoch of the view that followers know
         self.dials: dict[str, Dial] = {}
         self.followers: dict[str, Link] = {}
         self.listener = Listener(self.loop, self._heard, self._gone)
@@ -140,12 +142,13 @@
 
     def _office(self) -> None:
         """Followers are told by a holder of the office only."""
+        view = self.control.view
         holds = self.control.office is not None and self.loop.time() < self.control.office.until()
-        if holds != self.in_office:
-            self.in_office = holds
-            if holds:
-                for link in self.followers.values():
-                    link.send(self._core())
+        if (holds and not self.in_office) or (view is not None and view.epoch != self.told):
+            self.told = view.epoch if view is not None else -1
+            for link in self.followers.values():
+                link.send(self._core())
+        self.in_office = holds
 
     # Messages.
 
--- a/roadspur/stacks/views.py
+++ b/roadspur/stacks/views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,11 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """One epoch: who is primary, who its backup, and who votes (address -> zone)."""
+    """One epoch: who is primary, who its backups, and who votes (address -> zone)."""
 
     epoch: int
     primary: str
-    backup: str
+    backups: tuple[str, ...]
     electorate: Mapping[str, str]
 
     @property
@@ -24,16 +24,24 @@
         return len(self.electorate) // 2 + 1
 
     @property
-    def holders(self) -> tuple[str, str]:
+    def holders(self) -> tuple[str, ...]:
         """Who has all that was acknowledged in this epoch."""
-        return self.primary, self.backup
+        return self.primary, *self.backups
+
+    def copies(self, tolerance: int) -> int:
+        """How many backups there are to be: one a machine that may be lost, and what a bare majority can still have."""
+        return max(1, min(tolerance, len(self.electorate) // 2))
+
+    def has_majority(self, voters: Iterable[str]) -> bool:
+        """Whether a majority of the electorate is among some machines."""
+        return len(self.electorate.keys() & set(voters)) >= self.majority
 
     def packed(self) -> dict[str, Any]:
-        return {"e": self.epoch, "p": self.primary, "b": self.backup, "v": dict(self.electorate)}
+        return {"e": self.epoch, "p": self.primary, "b": list(self.backups), "v": dict(self.electorate)}
 
     @staticmethod
     def unpacked(packed: Mapping[str, Any]) -> View:
-        return View(packed["e"], packed["p"], packed["b"], dict(packed["v"]))
+        return View(packed["e"], packed["p"], tuple(packed["b"]), dict(packed["v"]))
 
 
 @dataclass(slots=True)
