--- a/roadspur/stacks/control.py
+++ b/roadspur/stacks/control.py
@@ -152,7 +152,7 @@
                     self._send(voter, "lead", view=office.view.packed(), at=self.now)
         if self.now >= self.next_learn:  # machines that have no vote must know of whom to ask for one
             self.next_learn = self.now + 2 * AGAIN_S
-            for other in self._others():
+            for other in self.others():
                 if other not in office.view.electorate:
                     self._teach(other)
         pending = office.pending
--- a/roadspur/stacks/electorate.py
+++ b/roadspur/stacks/electorate.py
@@ -64,7 +64,7 @@
         if self.now < self.next_learn:
             return
         self.next_learn = self.now + AGAIN_S
-        for other in self._others():
+        for other in self.others():
             self._send(other, "learn", z=self.zone, ok=self.admitted)
 
     def _on_learn(self, sender: str, table: dict[str, Any]) -> None:
--- a/roadspur/stacks/machine.py
+++ b/roadspur/stacks/machine.py
@@ -69,7 +69,7 @@
     def _send(self, to: str, kind: str, **fields: Any) -> None:
         self.out.append(Send(to, {"t": kind, **fields}))
 
-    def _others(self) -> list[str]:
+    def others(self) -> list[str]:
         """All machines of the core that are known, but this one."""
         voters = self.view.electorate if self.view is not None else {}
         return sorted(({*self.seeds, *self.known, *voters}) - {self.me})
--- a/roadspur/stacks/program.py
+++ b/roadspur/stacks/program.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import importlib
-import itertools
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from types import ModuleType
 from typing import Any
@@ -27,13 +26,14 @@
     ReplaceConfiguration,
 )
 from roadspur.courier.links import Dial, Link, Listener
-from roadspur.courier.news import Publisher, State
+from roadspur.courier.news import State
 from roadspur.net.server import Bounds
 from roadspur.services.wire import read_address
 from roadspur.stacks.control import Control
 from roadspur.stacks.leases import Grantor
-from roadspur.stacks.parts import Answer, Change, Note, Outputs, Publish, Read, Send, Write
+from roadspur.stacks.parts import Answer, Change, Note, Read, Send, Write
 from roadspur.stacks.shelf import Shelf
+from roadspur.stacks.store import Outward, Store, Tell
 
 BODY_MOST = 64 * 1024 * 1024
 LEAVE_S = 0.15  # for last words to go out
@@ -83,16 +83,11 @@
         self.shelf = Shelf(Path(boot.data_dir or "."), boot.limits.disk_mb, self._written)
         seeds = boot.core_ips
         kept = self.shelf.read()
-        self.control = Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, self.loop.time(), random.Random(),
-                               boot.tolerance.machines)
-        self.grantor = Grantor(self.loop.time(), kept.grants)
-        self.granting: dict[int, Callable[[], None]] = {}  # by the token of a write
-        self.tokens = itertools.count(-1, -1)  # below 0: the control's are above
-        self.publisher = Publisher(State())
-        self.in_office = False
-        self.told = -1  # epoch of the view that followers know
+        now = self.loop.time()
+        self.store = Store(Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, now, random.Random(),
+                                   boot.tolerance.machines), Grantor(now, kept.grants))
         self.dials: dict[str, Dial] = {}
-        self.followers: dict[str, Link] = {}
+        self.links: dict[str, Link] = {}  # those that came, by name
         self.listener = Listener(self.loop, self._heard, self._gone)
         handlers: list[Handler[Any]] = [
                     Handler(ReplaceConfiguration, self.replace), Handler(ReadConfiguration, self.read),
@@ -100,7 +95,6 @@
                     Handler(FinishEvacuation, lambda c, d: self.evacuate(c.zone, False, d))]
         self.door = CallServer(self.loop, handlers, Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
         self.waiting: dict[int, Done] = {}
-        self.calls = 0
         self.control_port = read_address(boot.binds.control)[1] if boot.binds.control else 0
 
     async def run(self) -> None:
@@ -116,7 +110,7 @@
     async def leave(self) -> None:
         """Hand the office over, answer what waits, close."""
         self.door.stopping = self.door.leaving = True
-        self._carry(self.control.stop(self.loop.time()))
+        self._carry(self.store.stop(self.loop.time()))
         await asyncio.sleep(LEAVE_S)
         self.door.close()
         self.listener.close()
@@ -126,137 +120,73 @@
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
-        self.control.reseed(self.boot.core_ips)
+        self.store.control.reseed(self.boot.core_ips)
 
     def tick(self) -> None:
         """A tick of the machine; connections to all of the core that is known."""
-        for ip in self.control._others():
+        for ip in self.store.control.others():
             if ip not in self.dials:
                 self.dials[ip] = Dial(self.loop, ip, self.boot.port(STACKS), lambda ip=ip: self._hello(ip),  # type: ignore[misc]
                                      self._from_dial)
-        self._carry(self.control.tick(self.loop.time()))
-        self._office()
+        self._carry(self.store.tick(self.loop.time()))
 
     def _hello(self, ip: str) -> dict[str, Any]:
-        self.loop.call_soon(lambda: self._carry(self.control.linked(self.loop.time(), ip)))
+        self.loop.call_soon(lambda: self._carry(self.store.linked(self.loop.time(), ip)))
         return {"t": "hello", "me": self.boot.ip}
 
-    def _office(self) -> None:
-        """Followers are told by a holder of the office only."""
-        view = self.control.view
-        holds = self.control.office is not None and self.loop.time() < self.control.office.until()
-        if (holds and not self.in_office) or (view is not None and view.epoch != self.told):
-            self.told = view.epoch if view is not None else -1
-            for link in self.followers.values():
-                link.send(self._core())
-        self.in_office = holds
-
     # Messages.
 
     def _from_dial(self, dial: Dial, table: dict[str, Any]) -> None:
         """Nothing comes back on a connection that this side opened: each opens its own."""
 
     def _heard(self, link: Link, table: dict[str, Any]) -> None:
-        kind = table["t"]
-        if kind == "want":
-            epoch = self.control.view.epoch if self.control.view is not None else 0
-            if self.control.view is not None and not self.control.forgot:
-                self._grant(link, table, epoch)
-        elif kind == "yield":
-            self.grantor.yielded(table)
-        elif kind == "follow":
-            self.followers[link.name] = link
-            link.send(self._core())
-            if self.in_office:
-                self._tell(self.publisher.follow(link.name, table["n"]))
-            else:
-                self.publisher.leave(link.name)
-                self.publisher.sent[link.name] = self.publisher.acked[link.name] = table["n"]
-        elif kind == "ack":
-            self.publisher.ack(link.name, table["n"])
-        elif kind == "keep":  # from the registry: what it must not forget
-            self._keep(link, table)
-        elif kind == "hello":
+        if table["t"] == "hello":
             if link.name in self.dials:
                 self.dials[link.name].poke()
-        elif link.name:
-            self._carry(self.control.message(self.loop.time(), link.name, table))
-
-    def _grant(self, link: Link, table: dict[str, Any], epoch: int) -> None:
-        answer, changed = self.grantor.wanted(self.loop.time(), table, epoch)
-        if not changed:
-            link.send(answer)
             return
-        token = next(self.tokens)
-        self.granting[token] = lambda: link.send(answer)
-        self.shelf.write(token, {"grants": self.grantor.kept()})
-
-    def _keep(self, link: Link, table: dict[str, Any]) -> None:
-        items: dict[str, Any] = table["items"]
-
-        def done(answer: Any) -> None:
-            link.send({"t": "kept", "id": table["id"], "ok": answer is None})
-        self._call(lambda call: Change(call, lambda s: all(s.value(k) == v for k, v in items.items()),
-                                       lambda s: items, "the registry's"), done)
-
-    def _core(self) -> dict[str, Any]:
-        view = self.control.view
-        return {"t": "core", "ips": sorted(view.electorate) if view is not None else [],
-                "e": view.epoch if view is not None else 0, "primary": view.primary if view is not None else ""}
+        if link.name:
+            self.links[link.name] = link
+            self._carry(self.store.heard(self.loop.time(), link.name, table))
 
     def _gone(self, link: Link) -> None:
-        if self.followers.get(link.name) is link:
-            del self.followers[link.name]
-            self.publisher.leave(link.name)
-
-    def _tell(self, messages: list[tuple[str, dict[str, Any]]]) -> None:
-        for name, message in messages:
-            link = self.followers.get(name)
-            if link is not None:
-                link.send(message)
+        if self.links.get(link.name) is link:
+            del self.links[link.name]
+            self.store.gone(link.name)
 
     def _written(self, token: int, ok: bool) -> None:
         self.loop.call_soon_threadsafe(self._ended, token, ok)
 
     def _ended(self, token: int, ok: bool) -> None:
-        """A write has ended."""
-        if token >= 0:
-            self._carry(self.control.written(self.loop.time(), token, ok))
-            return
-        answer = self.granting.pop(token, None)
-        if ok and answer is not None:
-            answer()
+        self._carry(self.store.written(self.loop.time(), token, ok))
 
     # Outputs.
 
-    def _carry(self, outputs: Outputs) -> None:
+    def _carry(self, outputs: Iterable[Outward]) -> None:
         for out in outputs:
             if isinstance(out, Send):
                 dial = self.dials.get(out.to)
                 if dial is not None:
                     dial.send(out.table)
+            elif isinstance(out, Tell):
+                link = self.links.get(out.name)
+                if link is not None:
+                    link.send(out.table)
             elif isinstance(out, Write):
                 self.shelf.write(out.token, out.records)
             elif isinstance(out, Answer):
                 done = self.waiting.pop(out.call, None)
                 if done is not None:
                     done(out.answer)
-            elif isinstance(out, Publish):
-                self._publish(out.state)
             elif isinstance(out, Note):
                 say(out.event, *out.fields)
 
-    def _publish(self, state: State) -> None:
-        self.publisher.state = state
-        self._office()
-        self._tell(self.publisher.tell())
-
     # Calls.
 
     def _call(self, make: Callable[[int], Change | Read], done: Done) -> None:
-        self.calls += 1
-        self.waiting[self.calls] = done
-        self._carry(self.control.call(self.loop.time(), make(self.calls)))
+        number = self.store.calls + 1
+        self.waiting[number] = done
+        _, outputs = self.store.call(self.loop.time(), make)
+        self._carry(outputs)
 
     def _answered(self, done: Done) -> Done:
         """Addresses of control machines become those of their doors."""
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -236,7 +236,7 @@
         3, View(3, "10.0.0.2", ("10.0.0.1",), {"10.0.0.1": "a", "10.0.0.2": "b", "10.0.0.3": "a"}), Copy()), 0.0,
         random.Random(1))
     control.reseed(["10.0.9.9"])
-    assert {"10.0.0.2", "10.0.0.3", "10.0.9.9"} <= set(control._others())
+    assert {"10.0.0.2", "10.0.0.3", "10.0.9.9"} <= set(control.others())
 
 
 def test_five_keep_each_change_on_three_disks_and_bear_the_loss_of_two():
