The whole system in the simulation: stores, registries, proxies, and the users' rules

Ruled out: a model of the proxy (it would be tested in place of the proxy: knowledge, decisions and the driver run as they are); raising inside a step (the driver goes on after any error of an action: broken rules are noted, and raised after).

--- a/roadspur/accession/registry.py
+++ b/roadspur/accession/registry.py
@@ -213,7 +213,7 @@
         state = self.list.state
         state.number = state.floor = max(state.number, self.holder.term << TERM)
         self.publisher = Publisher(state)
-        for name in self.followers:
+        for name in sorted(self.followers):
             self.publisher.sent[name] = self.publisher.acked[name] = -1  # gets the whole: its number is not known
 
     def _end_duty(self, why: str) -> None:
--- a/roadspur/desk/front.py
+++ b/roadspur/desk/front.py
@@ -14,7 +14,7 @@
 from roadspur.core.driver import Held
 from roadspur.core.ports import Ended, Final, Verdict
 from roadspur.courier.doors import refusal
-from roadspur.desk.decisions import PLAN, Asked, Charge, Counted, Decisions
+from roadspur.desk.decisions import PLAN, Asked, Charge, Decisions
 from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress, Reply, Sent
 from roadspur.net.server import Bounds, ClientConnection, Server
@@ -100,11 +100,6 @@
         for name in self.driver.classes.keys() - index.config.routes.keys() - used:
             del self.driver.classes[name]
 
-    def counted(self, request: str, verdict: int, left: float, window: int) -> None:
-        """The counter's answer to a charge."""
-        event: Any = Counted(request, verdict, left, window)
-        self.submit(event)
-
     def take(self, call: Call, reply: Reply) -> None:  # type: ignore[override]
         """A client's request: it is owed one answer from here on."""
         if call.request.id not in self.held:
--- a/roadspur/stacks/electorate.py
+++ b/roadspur/stacks/electorate.py
@@ -35,7 +35,7 @@
         founder = min(self.seeds)
         if self.now >= self.next_learn:
             self.next_learn = self.now + AGAIN_S
-            for seed in self.seeds - {self.me}:
+            for seed in sorted(self.seeds - {self.me}):
                 self._send(seed, "found", z=self.zone)
         if founder != self.me:
             return
--- a/roadspur/stacks/leases.py
+++ b/roadspur/stacks/leases.py
@@ -121,14 +121,14 @@
         if self.begun is None:
             self.term, self.granted, self.begun, self.had = self.highest + 1, {}, now, False
         self.next = now + RENEW_S
-        for ip in self.electorate:
+        for ip in sorted(self.electorate):
             send(ip, {"t": "want", "duty": self.duty, "who": self.me, "term": self.term, "at": now})
 
     def give_back(self, send: Callable[[str, Table], object]) -> None:
         """Ask no more under this term."""
         if self.begun is None:
             return
-        for ip in self.electorate:
+        for ip in sorted(self.electorate):
             send(ip, {"t": "yield", "duty": self.duty, "who": self.me, "term": self.term})
         self.begun, self.granted, self.had = None, {}, False
         self.highest = max(self.highest, self.term)
--- a/simnet/__main__.py
+++ b/simnet/__main__.py
@@ -5,8 +5,9 @@
 import argparse
 import sys
 import time
+from typing import Any
 
-from simnet import core
+from simnet import core, system
 from simnet.search import search
 
 
@@ -16,6 +17,8 @@
     parser.add_argument("--minutes", type=float, default=1.0, help="for how long to draw seeds (1)")
     parser.add_argument("--first", type=int, default=None, help="the first seed; else the time of day")
     parser.add_argument("--seed", type=int, default=None, help="play this one only, and print what happened")
+    parser.add_argument("--world", choices=["core", "system"], default="core",
+                        help="the control state alone, or the whole system with clients and backends (core)")
     parser.add_argument("--stop", action="store_true", help="stop at the first finding")
     parser.add_argument("--search", type=int, metavar="DEPTH", default=None,
                         help="all orders of events in the smallest world, to this depth or for --minutes")
@@ -27,13 +30,14 @@
         for step in found.steps or ():
             print(f"  {' '.join(step)}")
         return 1 if found.steps else 0
+    world: Any = core if options.world == "core" else system
     if options.seed is not None:
         try:
-            done = core.run(options.seed)
+            done = world.run(options.seed)
         except core.Broken as broken:
             print("\n".join(getattr(broken, "__notes__", [])))
             print(f"seed {options.seed}: {broken}")
-            for fault in core.shrink(options.seed):
+            for fault in world.shrink(options.seed):
                 print(f"  {fault}")
             return 1
         print("\n".join(done.log))
@@ -42,13 +46,13 @@
     end, seed, broken_days = time.monotonic() + options.minutes * 60, first, 0
     while time.monotonic() < end:
         try:
-            core.run(seed)
+            world.run(seed)
         except core.Broken as broken:
             broken_days += 1
             if options.stop:
                 print(f"found by day {seed - first + 1}: {broken}")
                 return 1
-            print(f"seed {seed}: {broken}; the fewest faults: {core.shrink(seed)}", flush=True)
+            print(f"seed {seed}: {broken}; the fewest faults: {world.shrink(seed)}", flush=True)
         seed += 1
     print(f"{seed - first} days from seed {first}, {broken_days} with a broken rule")
     return 1 if broken_days else 0
