Of two backends as good the one of this zone; no charge where no region may serve

Ruled out: a tier of this zone's backends before the region's (a busy one would be taken while others rest).

Change: where this zone has one with no more work out, no more errors and at most 1.25 times the usual time, it is taken.

--- a/roadspur/desk/decisions.py
+++ b/roadspur/desk/decisions.py
@@ -33,6 +33,7 @@
 NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
 PLAN = "all"
 AGAIN_S = 0.05     # added to the time until a tenant's next window
+NEARER_X = 1.25    # times the usual time of the best, that one of this zone may take
 PLACE_S = 0.2      # of its aim, for which a request may wait for a backend before it is refused
 
 
@@ -194,7 +195,9 @@
         homes = homes_of(route.regions_allowed, tenant.regions_allowed if tenant is not None else ())
         flight = self.flights[request.id] = Flight(request, e, cls, now, self._service(e.found), homes)
         self._tries(flight.service).came(now)
-        if e.tenant is None or not self.quota.limited(e.tenant):
+        if homes is not None and not homes:
+            self._refuse(flight, 0.0)  # no region may serve it: it is never sent on, and not charged
+        elif e.tenant is None or not self.quota.limited(e.tenant):
             self._place(now, flight)
         elif self.quota.alone(now):
             self._alone(now, flight)
@@ -262,7 +265,7 @@
             fit = [b for b in tier if self._fits(now, b)]
             best = fleet.least(now, flight, fit) if fit else None
             if best is not None:
-                self._send(now, fleet, flight, best)
+                self._send(now, fleet, flight, self._nearer(now, fleet, flight, fit, best))
                 return
         possible = flight.homes is None or bool(flight.homes)
         if possible and now - flight.came < PLACE_S * flight.cls.objective and flight.req.id not in self.waiting:
@@ -270,6 +273,16 @@
         elif flight.req.id not in self.waiting:
             self._give_up(flight)
 
+    def _nearer(self, now: float, fleet: Fleet, flight: Flight, fit: list[Backend], best: Backend) -> Backend:
+        """One of this zone in place of the best, where it is about as good: bytes between zones are paid for."""
+        zone = self.ground.zone
+        if best.entry.zone == zone:
+            return best
+        here = fleet.least(now, flight, [b for b in fit if b.entry.zone == zone])
+        same = here is not None and here.work <= best.work and here.ratio <= NEARER_X * best.ratio and (
+            here.errors <= best.errors)
+        return here if same and here is not None else best
+
     def _fits(self, now: float, b: Backend) -> bool:
         place = self.places[b.entry.backend]
         if place.name in self.strangers:
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -77,6 +77,20 @@
     assert kinds(rig.do(Counted(name, OK, 0.5, 3))) == [io.Attempt]
 
 
+def test_one_that_no_region_may_serve_is_refused_at_once_and_not_charged():
+    rig = Rig()
+    assert kinds(rig.ask("homed", tenant="nowhere")[1]) == [io.Refuse]
+
+
+def test_of_two_that_are_as_good_the_one_of_this_zone_is_taken_and_a_busier_one_is_not():
+    rig = Rig(near=1, far=0)
+    rig.place("z2a", "z2", "near")
+    rig.place("z2b", "z2", "near")
+    rig.d.listed(rig.now, rig.places)
+    first, second = (attempt(rig.ask()[1]).backend for _ in range(2))
+    assert first == "n0" and second != "n0"
+
+
 def test_over_the_allowance_it_is_refused_at_once_and_the_charge_given_back():
     rig = Rig()
     rig.d.quota.born, rig.d.quota.slack = rig.now, 0.0  # nothing of its own is left
