--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,9 @@
 soak: $(VENV)/.dev  ## random failures with fresh seeds: make soak MINUTES=5
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m soak --minutes $(MINUTES)
 
-simnet: $(VENV)/.run  ## drawn days of the core on a simulated network: make simnet MINUTES=5
+simnet: $(VENV)/.run  ## drawn days on a simulated network, of the core and of the whole system: make simnet MINUTES=5
 	$(VENV)/bin/python -m simnet --minutes $(MINUTES)
+	$(VENV)/bin/python -m simnet --minutes $(MINUTES) --world system
 
 check: $(VENV)/.dev  ## lint and types
 	$(VENV)/bin/ruff check .
--- a/benchmarks/simnet_faults.py
+++ b/benchmarks/simnet_faults.py
@@ -91,7 +91,8 @@
         lines = done.stdout.strip().splitlines()
         if done.returncode == 1 and lines and lines[-1].startswith("found"):
             return fault, lines[-1]
-        return fault, "NOT FOUND" if done.returncode == 0 else (done.stderr.strip().splitlines() or ["?"])[-1]
+        return fault, "NOT FOUND" if done.returncode == 0 else "found by a crash: " + (
+            done.stderr.strip().splitlines() or ["?"])[-1]
 
 
 def main() -> int:
--- a/simnet/core.py
+++ b/simnet/core.py
@@ -22,6 +22,7 @@
 
 TICK_S = 0.06
 CALL_S = 1.0   # an operator's patience with one machine
+AIM_S = 2.0    # for which a fault that is aimed waits for an acknowledgement
 QUIET_S = 6.0  # after the last fault, in which the core must be back
 
 
@@ -89,6 +90,7 @@
         self.epochs: dict[int, str] = {}
         self.evacuated: dict[str, bool] = {}
         self.acks: list[float] = []
+        self.aimed: list[Fault] = []  # faults that wait for the next acknowledgement, for `AIM_S` at most
         self.log: list[str] = []
         self.version = 0
         for machine in self.machines.values():
@@ -314,6 +316,9 @@
                 self.acked = call["number"]
             self.acks.append(self.clock.now)
             self.log.append(f"{self.clock.now:8.3f} acknowledged {call['number']}")
+            for fault in [f for f in self.aimed if self.clock.now - f.at < AIM_S]:
+                self.clock.later(0.004 * self.rng.random(), lambda fault=fault: self.strike(fault))  # type: ignore[misc]
+            self.aimed.clear()
         elif call["what"] == "evac":
             self.evacuated[call["zone"]] = call["on"]
             self.acks.append(self.clock.now)
@@ -345,7 +350,10 @@
     # Days.
 
     def strike(self, fault: Fault) -> None:
-        """Have a fault happen now."""
+        """Have a fault happen now; one that is aimed, right after the next acknowledgement."""
+        if fault.kind.startswith("aimed "):
+            self.aimed.append(fault._replace(kind=fault.kind.removeprefix("aimed "), at=self.clock.now))
+            return
         order = sorted(self.machines)
         where = [m for n in fault.where if not (m := self.machines[order[n % len(order)]]).gone]
         if not where:
@@ -353,7 +361,10 @@
         leader = next((m for m in self.machines.values() if m.control is not None and m.control.office), None)
         if fault.kind.startswith("leader") and leader is not None:
             where = [leader]
-        kind = fault.kind.removeprefix("leader ")
+        if fault.kind.startswith("leader pair") and leader is not None and leader.control is not None:
+            view = leader.control.view
+            where += [self.machines[ip] for ip in (view.backups if view is not None else ())]
+        kind = fault.kind.removeprefix("leader ").removeprefix("pair ")
         self.log.append(f"{self.clock.now:8.3f} FAULT {fault.kind} {[m.ip for m in where]} for {fault.for_s:.2f}")
         if kind == "kill":
             self.stop(where[0], fault.for_s)
@@ -374,7 +385,7 @@
                 self.stop(machine, fault.for_s * (0.5 + self.rng.random()), power=True, wipe=machine is where[0])
         elif kind in ("cut", "cut one way"):
             for other in self.machines.values():
-                if other is not where[0] and (len(where) < 2 or other is where[1]):
+                if other is not where[0] and (len(where) < 2 or other in where[1:]):
                     self.wires.cut(where[0].ip, other.ip, fault.for_s, both=kind == "cut")
         elif kind == "cut in":
             for other in self.machines.values():
@@ -435,9 +446,10 @@
     last_read = State()
 
 
-KINDS = ("add", "leave", "kill", "power", "wipe", "term", "kill all", "power all", "wipe one, power all", "cut",
-         "cut one way", "cut in", "stall", "refuse", "pause", "leader kill", "leader power", "leader wipe",
-         "leader term", "leader cut", "leader cut one way", "leader stall", "leader pause", "leader refuse")
+KINDS = ("aimed leader power", "aimed leader wipe", "aimed wipe one, power all", "add", "leave", "kill", "power",
+         "wipe", "term", "kill all", "power all", "wipe one, power all", "cut", "cut one way", "cut in", "stall", "refuse",
+         "pause", "leader kill", "leader power", "leader wipe", "leader term", "leader cut", "leader cut one way",
+         "leader pair cut", "leader pair cut one way", "leader stall", "leader pause", "leader refuse")
 
 
 def draw(seed: int) -> tuple[list[Fault], list[tuple[float, str, int]], int]:
@@ -456,7 +468,7 @@
             at = max(at, left + SHRINK_S + 6.0 if left > 0 else at)
             if at - wiped < 12.0 or any(f.at + f.for_s > at - 4.0 for f in faults):
                 at = max([at, wiped + 12.0, *(f.at + f.for_s + 6.0 for f in faults)])
-            wiped = at
+            wiped = at + AIM_S if kind.startswith("aimed") else at
         elif at - wiped < 6.0:
             at = wiped + 6.0 + rng.random()
         where: tuple[int, ...] = (rng.randrange(machines),)
@@ -467,6 +479,7 @@
         faults.append(Fault(at, kind, where, rng.choice((0.2, 1.0, 3.0, 6.0)) * (0.5 + rng.random())))
     end = at + 6.0
     orders = [(1.5 + rng.random(), "put", 0)]
+    orders += [(f.at + 0.02, "put", 0) for f in faults if f.kind.startswith("aimed")]
     for _ in range(rng.randint(4, 14)):
         near = rng.choice(faults).at + rng.random() * 0.8 - 0.2 if rng.random() < 0.6 else 3 + rng.random() * end
         what = rng.choice(("put", "put", "put", "race", "evac", "read", "read"))
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -1,11 +1,13 @@
 """What the registry knows: the platform's list read whole or not at all, and who is up by more than one word."""
 
 import json
+import random
 
 import pytest
 
 from roadspur.accession.instances import EMPTY, Garbage, Survey
 from roadspur.accession.members import ALONE_S, SILENT_S, Members
+from roadspur.accession.registry import Call, Registry, Tell, ToStore
 from roadspur.courier.ring import LACKS_S, Ring
 from roadspur.courier.ring import SILENT_S as RING_S
 
@@ -145,3 +147,38 @@
         assert not watcher.behind(7.0 + LACKS_S * n / 2, "n0", (n, n), (n + 1, n + 1))
     assert not watcher.behind(9.0, "n0", mine, mine) and not watcher.behind(9.0, "nobody", (0, 0), mine)
     assert "n0" in watcher.due(5.0)  # a silent one is called: it may come back knowing nothing
+
+
+def on_duty(now=10.0):
+    """A registry that holds the duty by three grants, with a configuration kept."""
+    registry = Registry("m/1", "1", now, random.Random(1), 50.0, True)
+    registry.from_store(now, "1", {"t": "core", "ips": ["1", "2", "3"], "e": 1, "primary": "2"})
+    registry.from_store(now, "1", {"t": "news", "n": 1, "prev": 0, "i": {"share:d": [1, 0.1]}})
+    wishes = [out for out in registry.tick(now) if isinstance(out, ToStore)]
+    for ip in "123":
+        registry.from_store(now + 0.01, ip, {"t": "granted", "duty": "registrar", "term": wishes[0].table["term"],
+                                             "at": now})
+    assert registry.on_duty
+    registry.from_follower(now + 0.02, "d", {"t": "follow", "me": "d", "n": 0})
+    return registry
+
+
+def test_a_registry_that_was_stopped_beyond_its_lease_counts_and_echoes_nothing_before_its_next_tick():
+    add = {"t": "add", "id": 1, "k": "t", "a": 1, "w": -1}
+    here = {"t": "here", "life": "x", "at": 1.0, "echo": None}
+    registry = on_duty()
+    assert [type(o) for o in registry.from_follower(10.1, "d", add)] == [Tell]
+    assert registry.from_follower(12.0, "d", add) == [] and registry.from_follower(12.0, "d", here) == []
+    registry.tick(12.0)
+    assert not registry.on_duty
+
+
+def test_a_page_that_an_earlier_duty_asked_for_is_no_list_of_the_next():
+    registry = on_duty()
+    assert [o for o in registry.tick(10.05) if isinstance(o, Call)]
+    registry.answered(10.06, 200, page(entry(1), token="p"))
+    assert [o.target for o in registry.tick(10.2) if isinstance(o, Call)] == ["/instances?page_token=p"]
+    registry._end_duty("lost")
+    registry._begin_duty(10.3)  # again, while the second page is on its way
+    assert registry.answered(10.31, 200, page(entry(2))) == [] and not registry.survey.read
+    assert [o.target for o in registry.tick(10.4) if isinstance(o, Call)] == ["/instances"]
