One that has promised its vote leaves the other time to take the office

Ruled out: the new electorates (the same with three voters and slow ways); the order of turns (it staggers the first question).

Change: who promises waits 0.4 to 0.8 s before it asks itself.

--- a/roadspur/stacks/elections.py
+++ b/roadspur/stacks/elections.py
@@ -11,7 +11,7 @@
 
 from roadspur.catalogue.events import Event
 from roadspur.stacks.machine import Machine
-from roadspur.stacks.parts import AGAIN_S, GUARD_S, HOLD_S, TRY_S, Attempt, Office, Publish
+from roadspur.stacks.parts import AGAIN_S, GUARD_S, HOLD_S, TRY_S, YIELD_S, Attempt, Office, Publish
 from roadspur.stacks.views import Copy, View
 
 
@@ -67,6 +67,8 @@
             self._send(sender, "promised", e=epoch, view=view.packed())
         self._promise(epoch, {}, tell)
         self.asker = sender
+        # It gets the time that its attempt takes on slow ways and disks: to ask at once would end it, and so on.
+        self.try_at = self.now + YIELD_S + self.rng.random() * YIELD_S
 
     def _on_refused(self, sender: str, table: dict[str, Any]) -> None:
         attempt = self.attempt
--- a/roadspur/stacks/parts.py
+++ b/roadspur/stacks/parts.py
@@ -23,6 +23,7 @@
 AGAIN_S = 0.25     # between repeats of what has no answer yet
 TURN_S = 0.15     # by which the backup asks later than the old primary
 RETURN_S = 0.1     # after its start, in which a primary that comes back finds its voters
+YIELD_S = 0.4      # to twice that: left to another who was promised a vote, by one who may have the office too
 TRY_S = 1.0        # after which an attempt at the office is given up
 DISK_S = 0.6       # that a write of the primary may take before it leaves the office
 BACKUP_S = 0.7     # without a word from the backup, or without its answer to a change, before another takes its place
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -239,6 +239,24 @@
     assert {"10.0.0.2", "10.0.0.3", "10.0.9.9"} <= set(control.others())
 
 
+@pytest.mark.parametrize("seed", [4000043, 2000105, 3000395])
+def test_days_that_were_found_and_mended(seed):
+    """Slow ways: two that may have the office asked in turns, each ending the other's attempt, for ever."""
+    run(seed)
+
+
+def test_one_that_has_promised_its_vote_does_not_ask_at_once_itself():
+    core = calm()
+    _, backup, _ = by_role(core)
+    control, now = backup.control, core._time(backup) + 5.0  # its primary has been silent for long
+    ask = {"t": "ask", "e": 9, "view": control.view.packed()}
+    [write] = control.message(now, control.view.primary, ask)
+    control.written(now, write.token, True)
+    assert "ask" not in said(control.tick(now + 0.06)) and control.attempt is None
+    control.tick(now + 1.0)
+    assert control.attempt is not None  # but it does once that one has had its time
+
+
 def test_five_keep_each_change_on_three_disks_and_bear_the_loss_of_two():
     core = calm(5)
     core.version = 2
