--- a/simnet/core.py
+++ b/simnet/core.py
@@ -22,6 +22,7 @@
 
 TICK_S = 0.06
 CALL_S = 1.0   # an operator's patience with one machine
+AIM_S = 2.0    # for which a fault that is aimed waits for an acknowledgement
 QUIET_S = 6.0  # after the last fault, in which the core must be back
 
 
@@ -72,7 +73,9 @@
 class Core:
     """A core of some machines. All that happens is drawn from one seed."""
 
-    def __init__(self, seed: int, machines: int = 3, followers: int = 2) -> None:
+    def __init__(self, seed: int, machines: int = 3, followers: int = 2, slow: float = 1.0) -> None:
+        """`slow`: times the usual way between machines, which makes more orders of messages likely."""
+        self.slow = slow
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.clock.after_each = self.check
@@ -89,6 +92,7 @@
         self.epochs: dict[int, str] = {}
         self.evacuated: dict[str, bool] = {}
         self.acks: list[float] = []
+        self.aimed: list[Fault] = []  # faults that wait for the next acknowledgement, for `AIM_S` at most
         self.log: list[str] = []
         self.version = 0
         for machine in self.machines.values():
@@ -104,7 +108,7 @@
 
     def _delay(self, a: str, b: str) -> float:
         same = self.machines[a].zone == self.machines[b].zone if a in self.machines and b in self.machines else False
-        return 0.0002 if same else 0.0015
+        return (0.0002 if same else 0.0015) * self.slow
 
     # Processes.
 
@@ -314,6 +318,9 @@
                 self.acked = call["number"]
             self.acks.append(self.clock.now)
             self.log.append(f"{self.clock.now:8.3f} acknowledged {call['number']}")
+            for fault in [f for f in self.aimed if self.clock.now - f.at < AIM_S]:
+                self.clock.later(0.004 * self.rng.random(), lambda fault=fault: self.strike(fault))  # type: ignore[misc]
+            self.aimed.clear()
         elif call["what"] == "evac":
             self.evacuated[call["zone"]] = call["on"]
             self.acks.append(self.clock.now)
@@ -345,7 +352,10 @@
     # Days.
 
     def strike(self, fault: Fault) -> None:
-        """Have a fault happen now."""
+        """Have a fault happen now; one that is aimed, right after the next acknowledgement."""
+        if fault.kind.startswith("aimed "):
+            self.aimed.append(fault._replace(kind=fault.kind.removeprefix("aimed "), at=self.clock.now))
+            return
         order = sorted(self.machines)
         where = [m for n in fault.where if not (m := self.machines[order[n % len(order)]]).gone]
         if not where:
@@ -353,7 +363,10 @@
         leader = next((m for m in self.machines.values() if m.control is not None and m.control.office), None)
         if fault.kind.startswith("leader") and leader is not None:
             where = [leader]
-        kind = fault.kind.removeprefix("leader ")
+        if fault.kind.startswith("leader pair") and leader is not None and leader.control is not None:
+            view = leader.control.view
+            where += [self.machines[ip] for ip in (view.backups if view is not None else ())]
+        kind = fault.kind.removeprefix("leader ").removeprefix("pair ")
         self.log.append(f"{self.clock.now:8.3f} FAULT {fault.kind} {[m.ip for m in where]} for {fault.for_s:.2f}")
         if kind == "kill":
             self.stop(where[0], fault.for_s)
@@ -374,12 +387,24 @@
                 self.stop(machine, fault.for_s * (0.5 + self.rng.random()), power=True, wipe=machine is where[0])
         elif kind in ("cut", "cut one way"):
             for other in self.machines.values():
-                if other is not where[0] and (len(where) < 2 or other is where[1]):
+                if other is not where[0] and (len(where) < 2 or other in where[1:]):
                     self.wires.cut(where[0].ip, other.ip, fault.for_s, both=kind == "cut")
         elif kind == "cut in":
             for other in self.machines.values():
                 if other is not where[0]:
                     self.wires.cut(other.ip, where[0].ip, fault.for_s, both=False)
+        elif kind == "fading":  # cut off from its backups, and from all others as these ask for its office
+            for other in self.machines.values():
+                if other is not where[0]:
+                    later = 0.0 if where[0].control is not None and where[0].control.view is not None and (
+                        other.ip in where[0].control.view.backups) else 0.8 + 0.4 * self.rng.random()
+                    self.clock.later(later, lambda a=where[0].ip, b=other.ip:  # type: ignore[misc]
+                                     self.wires.cut(a, b, fault.for_s))
+        elif kind == "wipe, kill all":
+            self.stop(where[0], 0.2, power=True, wipe=True)
+            for machine in [m for m in self.machines.values() if not m.gone]:
+                self.clock.later(0.3 + 0.5 * self.rng.random(), lambda m=machine: self.stop(  # type: ignore[misc]
+                    m, 0.2 + self.rng.random()))
         elif kind == "add":
             self.add()
         elif kind == "leave":
@@ -435,13 +460,18 @@
     last_read = State()
 
 
-KINDS = ("add", "leave", "kill", "power", "wipe", "term", "kill all", "power all", "wipe one, power all", "cut",
-         "cut one way", "cut in", "stall", "refuse", "pause", "leader kill", "leader power", "leader wipe",
-         "leader term", "leader cut", "leader cut one way", "leader stall", "leader pause", "leader refuse")
+KINDS = ("aimed leader power", "aimed leader wipe", "aimed wipe one, power all", "add", "leave", "kill", "power",
+         "wipe", "term", "kill all", "power all", "wipe one, power all", "cut", "cut one way", "cut in", "stall",
+         "refuse", "pause", "leader kill", "leader power", "leader wipe", "leader term", "leader cut",
+         "leader cut one way", "leader fading", "wipe, kill all", "leader pair cut", "leader pair cut one way",
+         "leader stall", "leader pause", "leader refuse")
 
 
 def draw(seed: int) -> tuple[list[Fault], list[tuple[float, str, int]], int]:
-    """A day's faults, orders and number of machines. Disks are lost one at a time, with time to be copied between."""
+    """A day's faults, orders and number of machines.
+
+    Disks are lost one at a time, whatever else happens then, with calm between two in which copies are made again.
+    """
     rng = random.Random(seed * 7919 + 1)
     machines = rng.choice((3, 3, 3, 5))
     faults: list[Fault] = []
@@ -450,15 +480,15 @@
         at += rng.choice((0.05, 0.5, 1.5, 3.0)) * (0.5 + rng.random())
         kind = rng.choice(KINDS)
         if kind == "leave":  # a loss, until its vote is taken from it: no other comes on top
-            at = max(at, left + SHRINK_S + 6.0, wiped + 12.0)
+            at = max([at, left + SHRINK_S + 6.0, wiped + 12.0, *(f.at + f.for_s + 6.0 for f in faults)])
             left = at
         elif "wipe" in kind:
             at = max(at, left + SHRINK_S + 6.0 if left > 0 else at)
-            if at - wiped < 12.0 or any(f.at + f.for_s > at - 4.0 for f in faults):
-                at = max([at, wiped + 12.0, *(f.at + f.for_s + 6.0 for f in faults)])
-            wiped = at
-        elif at - wiped < 6.0:
-            at = wiped + 6.0 + rng.random()
+            if wiped > 0:  # what the first one held has been copied again
+                at = max([at, wiped + 12.0, *(f.at + f.for_s + 8.0 for f in faults)])
+            wiped = at + AIM_S if kind.startswith("aimed") else at
+        elif left > 0 and at < left + SHRINK_S + 6.0 and kind not in ("kill", "power", "term", "stall", "pause"):
+            at = left + SHRINK_S + 6.0
         where: tuple[int, ...] = (rng.randrange(machines),)
         if rng.random() < 0.5:
             where += (rng.randrange(machines),)
@@ -467,6 +497,7 @@
         faults.append(Fault(at, kind, where, rng.choice((0.2, 1.0, 3.0, 6.0)) * (0.5 + rng.random())))
     end = at + 6.0
     orders = [(1.5 + rng.random(), "put", 0)]
+    orders += [(f.at + 0.02, "put", 0) for f in faults if f.kind.startswith("aimed")]
     for _ in range(rng.randint(4, 14)):
         near = rng.choice(faults).at + rng.random() * 0.8 - 0.2 if rng.random() < 0.6 else 3 + rng.random() * end
         what = rng.choice(("put", "put", "put", "race", "evac", "read", "read"))
@@ -478,7 +509,7 @@
 def run(seed: int, faults: Sequence[Fault] | None = None) -> Core:
     """Play a seed's day, with its own faults or fewer. Broken says which rule."""
     drawn, orders, machines = draw(seed)
-    core = Core(seed, machines)
+    core = Core(seed, machines, slow=(1.0, 1.0, 20.0)[seed % 3])
     used = list(drawn if faults is None else faults)
     end = max([8.0, *(f.at for f in drawn), *(at for at, _, _ in orders)])
     try:
