Read again: a request's times stood twice in the client library

Cause: both forms of the client set httpx's time-outs by the same line. Ruled out: one loop for both forms (one awaits, one does not). Change: the step that is waited for makes its own timed request.

--- a/roadspur/patron/client.py
+++ b/roadspur/patron/client.py
@@ -41,6 +41,11 @@
     open_s: float
     answer_s: float
 
+    def timed(self) -> httpx.Request:
+        """The request with its times, as httpx's clients take them."""
+        self.request.extensions = {"timeout": httpx.Timeout(self.answer_s, connect=self.open_s).as_dict()}
+        return self.request
+
 
 class _Sleep(NamedTuple):
     for_s: float
@@ -144,10 +149,9 @@
                 got = None
                 await asyncio.sleep(wait.for_s)
                 continue
-            wait.request.extensions = {"timeout": httpx.Timeout(wait.answer_s, connect=wait.open_s).as_dict()}
             try:
                 async with asyncio.timeout(wait.answer_s):
-                    got = await self.http.send(wait.request)
+                    got = await self.http.send(wait.timed())
             except (httpx.TransportError, TimeoutError) as error:
                 got = error
 
@@ -186,9 +190,8 @@
                 got = None
                 time.sleep(wait.for_s)
                 continue
-            wait.request.extensions = {"timeout": httpx.Timeout(wait.answer_s, connect=wait.open_s).as_dict()}
             try:
-                got = self.http.send(wait.request)
+                got = self.http.send(wait.timed())
             except httpx.TransportError as error:
                 got = error
 
