--- a/benchmarks/simnet_faults.py
+++ b/benchmarks/simnet_faults.py
@@ -2,7 +2,7 @@
 
 python -m benchmarks.simnet_faults [--minutes 0.5] [--jobs 4]
 
-Each fault is one line of `roadspur/stacks/` changed in a copy of the tree. There every order of events is searched to
+Each fault is one line of `roadspur/control/` changed in a copy of the tree. There every order of events is searched to
 five steps, and then drawn days are played, until a rule breaks. Exit code 1 where one is not found.
 """
 
@@ -82,7 +82,7 @@
     with tempfile.TemporaryDirectory() as folder:
         for part in ("roadspur", "simnet"):
             shutil.copytree(ROOT / part, Path(folder) / part, ignore=shutil.ignore_patterns("__pycache__"))
-        paths = [p for p in (Path(folder) / "roadspur" / "stacks").glob("*.py") if fault.right in p.read_text()]
+        paths = [p for p in (Path(folder) / "roadspur" / "control").glob("*.py") if fault.right in p.read_text()]
         if len(paths) != 1:
             return fault, "the line has moved"
         paths[0].write_text(paths[0].read_text().replace(fault.right, fault.wrong))
--- a/benchmarks/system_cost.py
+++ b/benchmarks/system_cost.py
@@ -62,8 +62,8 @@
             return (await system.caller.ask(FRONTS[0])).status == 200
         await system.until("the system serves", serves)
         pids = {key: p.process.pid for key, p in system.processes.items() if p.process is not None}
-        desk = pids["desk", FRONTS[0]]
-        registries = [pids["accession", ip] for ip in CORES]
+        proxy = pids["proxy", FRONTS[0]]
+        registries = [pids["registry", ip] for ip in CORES]
         await ask(count // 4, 10_000_000)
         for turn in range(rounds):
             for name in ("bare pass-through", "daemon"):
@@ -71,7 +71,7 @@
                 await take(name, process.cpu, lambda port=port, turn=turn: cost.load(  # type: ignore[misc]
                     port, count, 500, turn * count))
             before = sum(map(cpu_of, registries))
-            await take("desk", lambda: cpu_of(desk), lambda turn=turn: ask(count, turn * count))  # type: ignore[misc]
+            await take("proxy", lambda: cpu_of(proxy), lambda turn=turn: ask(count, turn * count))  # type: ignore[misc]
             figures.setdefault("registries", []).append((sum(map(cpu_of, registries)) - before) / count * 1000)
     return figures
 
--- a/examples/patron_script.py
+++ b/examples/client_script.py
@@ -1,6 +1,6 @@
 """A script that reads a balance and confirms a payout, and says what it knows of each end.
 
-    python examples/patron_script.py --directory 127.0.41.11:18383 --host shop.example --key key-large
+    python examples/client_script.py --directory 127.0.41.11:18383 --host shop.example --key key-large
 
 Against the system on loopback: start it with `python -m standins system --hold 60` and run this beside it.
 """
@@ -10,7 +10,7 @@
 import argparse
 import sys
 
-from roadspur.patron import Answered, PlainPatron, Refused, UnknownEnd
+from roadspur.client import Answered, PlainClient, Refused, UnknownEnd
 
 
 def main() -> int:
@@ -22,12 +22,12 @@
     parser.add_argument("--read", default="/read/1", help="path of the read")
     parser.add_argument("--pay", default="/pay/1", help="path of the payout")
     options = parser.parse_args()
-    with PlainPatron(options.directory, options.host, key=options.key,
-                     on_try=lambda t: print(f"  try {t.id} at {t.address}: {t.status or t.error}")) as patron:
-        balance = patron.get(options.read)
+    with PlainClient(options.directory, options.host, key=options.key,
+                     on_try=lambda t: print(f"  try {t.id} at {t.address}: {t.status or t.error}")) as client:
+        balance = client.get(options.read)
         print(f"balance: {balance}")
         try:
-            payout = patron.call("POST", options.pay, body=b"{}")
+            payout = client.call("POST", options.pay, body=b"{}")
         except UnknownEnd as unknown:  # never sent again by the library: ask the ledger by these ids, or a person
             print(f"payout: {unknown}", file=sys.stderr)
             return 3
--- a/roadspur/patron/client.py
+++ b/roadspur/client/client.py
@@ -1,7 +1,7 @@
 """The calls over httpx, for asyncio and for plain programs: one way of deciding, two of waiting.
 
-What is decided is in `calls` and `directory`, as a generator that yields what is to be waited for; `Patron` and
-`PlainPatron` wait. Connections are httpx's, kept by it for addresses that stay; a further try opens a new one.
+What is decided is in `calls` and `directory`, as a generator that yields what is to be waited for; `Client` and
+`PlainClient` wait. Connections are httpx's, kept by it for addresses that stay; a further try opens a new one.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 
 import httpx
 
-from roadspur.patron.calls import Again, Answered, Budget, Call, Ended, How, Unknown, UnknownEnd
-from roadspur.patron.directory import Directory
+from roadspur.client.calls import Again, Answered, Budget, Call, Ended, How, Unknown, UnknownEnd
+from roadspur.client.directory import Directory
 
 OPEN_S = 1.0     # for a connection to stand
 RESOLVE_S = 1.0  # for a directory to answer
@@ -119,8 +119,8 @@
         return call.failed(now, How.UNSENT if unsent else How.BROKEN, f"{type(got).__name__} at {address}")
 
 
-class Patron(_Base):
-    """The client for asyncio; `async with Patron(...) as patron`."""
+class Client(_Base):
+    """The client for asyncio; `async with Client(...) as client`."""
 
     def __init__(self, servers: Sequence[str], host: str, *, transport: httpx.AsyncBaseTransport | None = None,
                  **more: Any) -> None:
@@ -160,8 +160,8 @@
         return await self.call("GET", path, repeatable=True, **more)
 
 
-class PlainPatron(_Base):
-    """The client for programs without an event loop; `with PlainPatron(...) as patron`."""
+class PlainClient(_Base):
+    """The client for programs without an event loop; `with PlainClient(...) as client`."""
 
     def __init__(self, servers: Sequence[str], host: str, *, transport: httpx.BaseTransport | None = None,
                  **more: Any) -> None:
@@ -177,7 +177,7 @@
 
     def call(self, method: str, path: str, *, body: bytes = b"", headers: Mapping[str, str] | None = None,
              deadline_s: float = 3.0, repeatable: bool = False) -> Ended:
-        """As `Patron.call`; each read of the answer has the time that was left at its start."""
+        """As `Client.call`; each read of the answer has the time that was left at its start."""
         steps = self._steps(method, path, body, headers or {}, deadline_s, repeatable, [])
         got: Any = None
         while True:
--- a/roadspur/catalogue/boot.py
+++ b/roadspur/common/boot.py
@@ -2,7 +2,7 @@
 
 Unknown fields are ignored, as the users' page asks. What is wrong is told all at once: an exception group with one
 `BadSetting` a fault, each of them one line. A file that can be used is read without the library that explains what
-is wrong with one that cannot (`roadspur.catalogue.checks`).
+is wrong with one that cannot (`roadspur.common.checks`).
 """
 
 from __future__ import annotations
@@ -12,13 +12,13 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.tables import BadTable, record
+from roadspur.common.tables import BadTable, record
 from roadspur.services.wire import read_address
 
 VARIABLE = "THISTLEUSHER_NODE_FILE"
 USUAL = "/etc/thistleusher/boot.conf"
 LISTS = ("serves", "seed_nodes", "contracts", "bounds", "cloud_api.duties", "port_range")
-STACKS, ACCESSION, DESK, RING = range(4)  # ports by their place in the range: what is handed over, beats by UDP
+CONTROL, REGISTRY, PROXY, RING = range(4)  # ports by their place in the range: what is handed over, beats by UDP
 
 
 class BadSetting(ValueError):
@@ -184,7 +184,7 @@
     except BadSetting as error:
         raise ExceptionGroup("settings", [error]) from None
     except BadTable:
-        from roadspur.catalogue.checks import explain_boot  # takes a while to load, and is not needed otherwise
+        from roadspur.common.checks import explain_boot  # takes a while to load, and is not needed otherwise
         raise ExceptionGroup("settings", explain_boot(nested(text))) from None
     wrong = [BadSetting(text) for text in faults_of(boot)]
     if wrong:
--- a/roadspur/catalogue/checks.py
+++ b/roadspur/common/checks.py
@@ -14,9 +14,9 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from roadspur.catalogue.boot import BadSetting, Boot
-from roadspur.catalogue.configuration import Configuration
-from roadspur.catalogue.tables import known
+from roadspur.common.boot import BadSetting, Boot
+from roadspur.common.configuration import Configuration
+from roadspur.common.tables import known
 
 VERSION = re.compile(r"[0-9a-fA-F]{8}")
 AIM_OVER_MS = 60_000.0  # by which an aim may not exceed its route's time
--- a/roadspur/catalogue/commands.py
+++ b/roadspur/common/commands.py
@@ -12,11 +12,11 @@
 
 import cappa
 
-from roadspur.catalogue.boot import read_boot
-from roadspur.catalogue.checks import read_configuration
-from roadspur.catalogue.configuration import brief
-from roadspur.catalogue.events import page
-from roadspur.catalogue.start import start
+from roadspur.common.boot import read_boot
+from roadspur.common.checks import read_configuration
+from roadspur.common.configuration import brief
+from roadspur.common.events import page
+from roadspur.common.start import start
 
 
 @dataclass
@@ -27,31 +27,31 @@
     verbose: Annotated[bool, cappa.Arg(long=True, help="also log what only a search for causes wants")] = False
 
 
-@cappa.command(name="desk", help="the proxy: clients' requests to backends")
+@cappa.command(name="proxy", help="the proxy: clients' requests to backends")
 @dataclass
-class Desk(Daemon):
+class ProxyProgram(Daemon):
     """Run the proxy."""
 
     def __call__(self) -> int:
-        return start("desk", self.settings, self.verbose)
+        return start("proxy", self.settings, self.verbose)
 
 
-@cappa.command(name="stacks", help="the store of configuration")
+@cappa.command(name="control", help="the store of configuration")
 @dataclass
-class Stacks(Daemon):
+class ControlProgram(Daemon):
     """Run the store of configuration."""
 
     def __call__(self) -> int:
-        return start("stacks", self.settings, self.verbose)
+        return start("control", self.settings, self.verbose)
 
 
-@cappa.command(name="accession", help="the registry: ingresses, backends, the counter service")
+@cappa.command(name="registry", help="the registry: ingresses, backends, the counter service")
 @dataclass
-class Accession(Daemon):
+class RegistryProgram(Daemon):
     """Run the registry."""
 
     def __call__(self) -> int:
-        return start("accession", self.settings, self.verbose)
+        return start("registry", self.settings, self.verbose)
 
 
 @cappa.command(name="check", help="check a settings file or a configuration; says where it is wrong")
@@ -95,7 +95,7 @@
 class System:
     """One of the programs, or a tool."""
 
-    command: cappa.Subcommands[Desk | Stacks | Accession | Check | Events]
+    command: cappa.Subcommands[ProxyProgram | ControlProgram | RegistryProgram | Check | Events]
 
 
 def invoke(argv: list[str] | None = None) -> int:
--- a/roadspur/catalogue/configuration.py
+++ b/roadspur/common/configuration.py
@@ -1,6 +1,6 @@
 """The operator's configuration: its words, and what a proxy looks things up in.
 
-What is valid is stated in `roadspur.catalogue.checks`, for the store that acknowledges and for the command that checks
+What is valid is stated in `roadspur.common.checks`, for the store that acknowledges and for the command that checks
 offline; who has it from the store reads it plainly (`kept_configuration`). Unknown fields are ignored.
 """
 
@@ -9,7 +9,7 @@
 import json
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.tables import record
+from roadspur.common.tables import record
 
 REPEATABLE = ("pure", "download")
 
--- a/roadspur/catalogue/events.py
+++ b/roadspur/common/events.py
@@ -20,7 +20,7 @@
 
 
 class Event(Enum):
-    """100: any process; 200: stacks; 300: accession; 400: desk."""
+    """100: any process; 200: control; 300: registry; 400: proxy."""
 
     STARTED = Entry(100, "info", "%s serves as %s")
     STOPPING = Entry(101, "info", "%s ends in order: %s")
--- a/roadspur/catalogue/start.py
+++ b/roadspur/common/start.py
@@ -10,7 +10,7 @@
 import uvloop
 from absl import logging
 
-from roadspur.catalogue.process import Settings
+from roadspur.common.process import Settings
 
 
 def start(program: str, path: Path | None = None, verbose: bool = False) -> int:
--- a/roadspur/catalogue/tables.py
+++ b/roadspur/common/tables.py
@@ -1,7 +1,7 @@
 """Records out of tables that were read: the fields that a record has, as the types that it names, nothing else.
 
 This is how a process that starts while clients wait reads its settings, and a proxy what the store has already
-checked: `roadspur.catalogue.checks` holds the checks, whose library takes 0.13 s of a front machine to load. For every
+checked: `roadspur.common.checks` holds the checks, whose library takes 0.13 s of a front machine to load. For every
 table that passes those, both give the same record (`tests/system/test_configuration.py`).
 
 Pure. Cost: one step a field.
--- a/roadspur/stacks/control.py
+++ b/roadspur/control/control.py
@@ -33,11 +33,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from roadspur.catalogue.events import Event
-from roadspur.catalogue.failures import Failure, Kind
-from roadspur.courier.news import State
-from roadspur.stacks.electorate import Electorate
-from roadspur.stacks.parts import (
+from roadspur.common.events import Event
+from roadspur.common.failures import Failure, Kind
+from roadspur.control.electorate import Electorate
+from roadspur.control.parts import (
     AGAIN_S,
     BACKUP_S,
     BEAT_S,
@@ -57,7 +56,8 @@
     Publish,
     Read,
 )
-from roadspur.stacks.views import Copy, View
+from roadspur.control.views import Copy, View
+from roadspur.transport.news import State
 
 
 class Control(Electorate):
--- a/roadspur/stacks/elections.py
+++ b/roadspur/control/elections.py
@@ -9,10 +9,10 @@
 from collections.abc import Mapping
 from typing import Any
 
-from roadspur.catalogue.events import Event
-from roadspur.stacks.machine import Machine
-from roadspur.stacks.parts import AGAIN_S, GUARD_S, HOLD_S, TRY_S, YIELD_S, Attempt, Office, Publish
-from roadspur.stacks.views import Copy, View
+from roadspur.common.events import Event
+from roadspur.control.machine import Machine
+from roadspur.control.parts import AGAIN_S, GUARD_S, HOLD_S, TRY_S, YIELD_S, Attempt, Office, Publish
+from roadspur.control.views import Copy, View
 
 
 class Elections(Machine):
--- a/roadspur/stacks/electorate.py
+++ b/roadspur/control/electorate.py
@@ -8,10 +8,9 @@
 
 from typing import Any
 
-from roadspur.catalogue.events import Event
-from roadspur.courier.news import State
-from roadspur.stacks.elections import Elections
-from roadspur.stacks.parts import (
+from roadspur.common.events import Event
+from roadspur.control.elections import Elections
+from roadspur.control.parts import (
     AGAIN_S,
     FOUND_S,
     GROW_S,
@@ -22,7 +21,8 @@
     Attempt,
     Office,
 )
-from roadspur.stacks.views import Copy, View
+from roadspur.control.views import Copy, View
+from roadspur.transport.news import State
 
 
 class Electorate(Elections):
--- a/roadspur/stacks/machine.py
+++ b/roadspur/control/machine.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from roadspur.catalogue.events import Event
-from roadspur.stacks.parts import GUARD_S, RETURN_S, Attempt, Change, Note, Office, Outputs, Read, Send, Write
-from roadspur.stacks.views import Kept, View
+from roadspur.common.events import Event
+from roadspur.control.parts import GUARD_S, RETURN_S, Attempt, Change, Note, Office, Outputs, Read, Send, Write
+from roadspur.control.views import Kept, View
 
 
 class Machine:
--- a/roadspur/stacks/parts.py
+++ b/roadspur/control/parts.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.events import Event
-from roadspur.courier.news import State
-from roadspur.stacks.views import View
+from roadspur.common.events import Event
+from roadspur.control.views import View
+from roadspur.transport.news import State
 
 BEAT_S = 0.12
 LEASE_S = 0.6      # of a primary, from when it asked
--- a/roadspur/stacks/program.py
+++ b/roadspur/control/program.py
@@ -11,11 +11,18 @@
 from types import ModuleType
 from typing import Any
 
-from roadspur.catalogue.boot import STACKS
-from roadspur.catalogue.events import Event, say
-from roadspur.catalogue.failures import Failure, Kind
-from roadspur.catalogue.process import Settings, serve
-from roadspur.courier.doors import (
+from roadspur.common.boot import CONTROL
+from roadspur.common.events import Event, say
+from roadspur.common.failures import Failure, Kind
+from roadspur.common.process import Settings, serve
+from roadspur.control.control import Control
+from roadspur.control.leases import Grantor
+from roadspur.control.parts import Answer, Change, Note, Read, Send, Write
+from roadspur.control.storage import Storage
+from roadspur.control.store import Outward, Store, Tell
+from roadspur.net.server import Bounds
+from roadspur.services.wire import read_address
+from roadspur.transport.api import (
     BeginEvacuation,
     CallServer,
     Document,
@@ -25,15 +32,8 @@
     ReadConfiguration,
     ReplaceConfiguration,
 )
-from roadspur.courier.links import Dial, Link, Listener
-from roadspur.courier.news import State
-from roadspur.net.server import Bounds
-from roadspur.services.wire import read_address
-from roadspur.stacks.control import Control
-from roadspur.stacks.leases import Grantor
-from roadspur.stacks.parts import Answer, Change, Note, Read, Send, Write
-from roadspur.stacks.shelf import Shelf
-from roadspur.stacks.store import Outward, Store, Tell
+from roadspur.transport.links import Dial, Link, Listener
+from roadspur.transport.news import State
 
 BODY_MOST = 64 * 1024 * 1024
 LEAVE_S = 0.15  # for last words to go out
@@ -44,7 +44,7 @@
 
 def checks() -> ModuleType:
     """What configurations are checked by: loaded late, as an office that is empty waits for this process's start."""
-    return importlib.import_module("roadspur.catalogue.checks")
+    return importlib.import_module("roadspur.common.checks")
 
 
 def number_of(state: State) -> int:
@@ -73,16 +73,16 @@
     return Change(call, settled, items, f"evacuation of {zone}: {'begin' if begin else 'finish'}")
 
 
-class Stacks:
+class ControlProgram:
     """One process on a core machine."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         boot = self.boot = settings.boot
         self.loop = asyncio.get_running_loop()
-        self.shelf = Shelf(Path(boot.data_dir or "."), boot.limits.disk_mb, self._written)
+        self.storage = Storage(Path(boot.data_dir or "."), boot.limits.disk_mb, self._written)
         seeds = boot.core_ips
-        kept = self.shelf.read()
+        kept = self.storage.read()
         now = self.loop.time()
         self.store = Store(Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, now, random.Random(),
                                    boot.tolerance.machines), Grantor(now, kept.grants))
@@ -100,12 +100,12 @@
     async def run(self) -> None:
         """Until it is told to end."""
         boot = self.boot
-        await self.listener.listen(boot.ip, boot.port(STACKS))
+        await self.listener.listen(boot.ip, boot.port(CONTROL))
         if boot.binds.control:
             await self.door.listen(*read_address(boot.binds.control))
         self.tick()
         self.loop.call_later(LOAD_S, checks)
-        await serve("stacks", self.settings, self.tick, self._changed, self.leave)
+        await serve("control", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
         """Hand the office over, answer what waits, close."""
@@ -116,7 +116,7 @@
         self.listener.close()
         for dial in self.dials.values():
             dial.close()
-        self.shelf.close()
+        self.storage.close()
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
@@ -126,7 +126,7 @@
         """A tick of the machine; connections to all of the core that is known."""
         for ip in self.store.control.others():
             if ip not in self.dials:
-                self.dials[ip] = Dial(self.loop, ip, self.boot.port(STACKS), lambda ip=ip: self._hello(ip),  # type: ignore[misc]
+                self.dials[ip] = Dial(self.loop, ip, self.boot.port(CONTROL), lambda ip=ip: self._hello(ip),  # type: ignore[misc]
                                      self._from_dial)
         self._carry(self.store.tick(self.loop.time()))
 
@@ -172,7 +172,7 @@
                 if link is not None:
                     link.send(out.table)
             elif isinstance(out, Write):
-                self.shelf.write(out.token, out.records)
+                self.storage.write(out.token, out.records)
             elif isinstance(out, Answer):
                 done = self.waiting.pop(out.call, None)
                 if done is not None:
@@ -223,5 +223,5 @@
 
 
 async def main(settings: Settings) -> None:
-    """What `python -m roadspur.system stacks` runs."""
-    await Stacks(settings).run()
+    """What `python -m roadspur.system control` runs."""
+    await ControlProgram(settings).run()
--- a/roadspur/stacks/shelf.py
+++ b/roadspur/control/storage.py
@@ -15,14 +15,14 @@
 import lmdb
 import msgpack
 
-from roadspur.catalogue.events import Event, say
-from roadspur.stacks.views import Copy, Kept, View
+from roadspur.common.events import Event, say
+from roadspur.control.views import Copy, Kept, View
 
 MAP_MB = 64
 PART = 0.5  # of the disk, that the map may take
 
 
-class Shelf:
+class Storage:
     """One folder. `done(token, ok)` is called from the writer's thread."""
 
     def __init__(self, folder: Path, disk_mb: float, done: Callable[[int, bool], None]) -> None:
@@ -31,7 +31,7 @@
         self.env = lmdb.open(str(folder), map_size=size, max_dbs=0, metasync=True, sync=True, lock=False)
         self.done = done
         self.jobs: queue.SimpleQueue[tuple[int, dict[str, Any]] | None] = queue.SimpleQueue()
-        self.thread = threading.Thread(target=self._run, name="shelf", daemon=True)
+        self.thread = threading.Thread(target=self._run, name="storage", daemon=True)
         self.thread.start()
 
     def read(self) -> Kept:
--- a/roadspur/stacks/store.py
+++ b/roadspur/control/store.py
@@ -11,11 +11,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.failures import Failure
-from roadspur.courier.news import Message, Publisher, State
-from roadspur.stacks.control import Control
-from roadspur.stacks.leases import Grantor
-from roadspur.stacks.parts import Answer, Change, Output, Publish, Read, Write
+from roadspur.common.failures import Failure
+from roadspur.control.control import Control
+from roadspur.control.leases import Grantor
+from roadspur.control.parts import Answer, Change, Output, Publish, Read, Write
+from roadspur.transport.news import Message, Publisher, State
 
 Table = dict[str, Any]
 
--- a/roadspur/stacks/views.py
+++ b/roadspur/control/views.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from roadspur.courier.news import State
+from roadspur.transport.news import State
 
 
 @dataclass(frozen=True, slots=True)
--- a/roadspur/desk/decisions.py
+++ b/roadspur/proxy/decisions.py
@@ -18,13 +18,13 @@
 from typing import Any, NamedTuple
 
 from roadspur import interface as io
-from roadspur.catalogue.boot import Bounds
-from roadspur.catalogue.configuration import Configuration, Found
-from roadspur.catalogue.shares import ALONE, OVER, PROMPT_S
-from roadspur.desk.budgets import UNKNOWN, Colds, Tries
-from roadspur.desk.placement import Ground, Place, homes_of, tiers
-from roadspur.desk.quota import Quota
+from roadspur.common.boot import Bounds
+from roadspur.common.configuration import Configuration, Found
+from roadspur.common.shares import ALONE, OVER, PROMPT_S
 from roadspur.policy.fleet import Backend, Fleet
+from roadspur.proxy.budgets import UNKNOWN, Colds, Tries
+from roadspur.proxy.placement import Ground, Place, homes_of, tiers
+from roadspur.proxy.quota import Quota
 
 SWEEP = 1          # token of the timer
 SWEEP_S = 0.05
--- a/roadspur/desk/front.py
+++ b/roadspur/proxy/front.py
@@ -9,17 +9,17 @@
 from typing import Any
 
 from roadspur import interface as io
-from roadspur.catalogue.configuration import Index
-from roadspur.catalogue.failures import ANSWERS, Failure, Kind, header_of
+from roadspur.common.configuration import Index
+from roadspur.common.failures import ANSWERS, Failure, Kind, header_of
 from roadspur.core.driver import Held
 from roadspur.core.ports import Ended, Final, Verdict
-from roadspur.courier.doors import refusal
-from roadspur.desk.decisions import PLAN, Asked, Charge, Decisions
 from roadspur.net.farewell import Farewell
 from roadspur.net.ingress import Ingress, Reply, Sent
 from roadspur.net.server import Bounds, ClientConnection, Server
 from roadspur.net.upstream import Exchange, Upstream
 from roadspur.net.wire import Answer
+from roadspur.proxy.decisions import PLAN, Asked, Charge, Decisions
+from roadspur.transport.api import refusal
 
 SEAL, NOT_RUN, ATTEMPT = b"x-server-seal", b"x-not-run", b"x-attempt-id"
 OWN = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -72,7 +72,7 @@
                     if name not in OWN and name not in named)
 
 
-class DeskFarewell(Farewell):
+class ProxyFarewell(Farewell):
     """A planned end within `grace_s`: the door closes early enough for what came last."""
 
     def __init__(self, told: float, grace_s: float) -> None:
@@ -84,7 +84,7 @@
         return now < self.shut and super().open(now)
 
 
-class DeskIngress(Ingress):
+class ProxyIngress(Ingress):
     """Calls in, exchanges with backends out."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, decisions: Decisions, upstream: Upstream,
@@ -140,10 +140,10 @@
                                             call.request.id.encode("latin-1")))
 
 
-class DeskServer(Server):
+class ProxyServer(Server):
     """Clients' connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: DeskIngress, most: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: ProxyIngress, most: int) -> None:
         super().__init__(loop, most)
         self.ingress = ingress
         self.index: Index | None = None
--- a/roadspur/desk/knowledge.py
+++ b/roadspur/proxy/knowledge.py
@@ -14,13 +14,13 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.configuration import Index, kept_configuration
-from roadspur.catalogue.events import Event
-from roadspur.courier.news import Follower, Message
-from roadspur.courier.ring import Ring
-from roadspur.desk.decisions import Charge, Counted, Decisions
-from roadspur.desk.placement import Place
+from roadspur.common.configuration import Index, kept_configuration
+from roadspur.common.events import Event
+from roadspur.proxy.decisions import Charge, Counted, Decisions
+from roadspur.proxy.placement import Place
 from roadspur.services.wire import Address, read_address
+from roadspur.transport.news import Follower, Message
+from roadspur.transport.ring import Ring
 
 MOST_CALLS = 20_000  # to the counter whose answers are still looked for
 
--- a/roadspur/desk/program.py
+++ b/roadspur/proxy/program.py
@@ -9,17 +9,17 @@
 
 import msgpack
 
-from roadspur.catalogue.birth import BORN
-from roadspur.catalogue.boot import ACCESSION, DESK, RING, STACKS
-from roadspur.catalogue.events import Event, say
-from roadspur.catalogue.failures import Failure, Kind
-from roadspur.catalogue.process import Settings, life, serve
-from roadspur.courier.doors import Addresses, CallServer, Handler, Readiness, Ready, Resolve
-from roadspur.courier.links import Dial, Link, Listener
-from roadspur.desk.decisions import Decisions
-from roadspur.desk.directory import TTL_S, addresses
-from roadspur.desk.front import ATTEMPT, DeskFarewell, DeskIngress, DeskServer, outcome_of
-from roadspur.desk.knowledge import (
+from roadspur.common.birth import BORN
+from roadspur.common.boot import CONTROL, PROXY, REGISTRY, RING
+from roadspur.common.events import Event, say
+from roadspur.common.failures import Failure, Kind
+from roadspur.common.process import Settings, life, serve
+from roadspur.net.server import Bounds
+from roadspur.net.upstream import Endpoint, Terms, Upstream
+from roadspur.proxy.decisions import Decisions
+from roadspur.proxy.directory import TTL_S, addresses
+from roadspur.proxy.front import ATTEMPT, ProxyFarewell, ProxyIngress, ProxyServer, outcome_of
+from roadspur.proxy.knowledge import (
     Backends,
     HandOver,
     Heartbeat,
@@ -30,9 +30,9 @@
     ToRegistry,
     Verdict,
 )
-from roadspur.net.server import Bounds
-from roadspur.net.upstream import Endpoint, Terms, Upstream
 from roadspur.services.wire import read_address
+from roadspur.transport.api import Addresses, CallServer, Handler, Readiness, Ready, Resolve
+from roadspur.transport.links import Dial, Link, Listener
 
 CONNECT_S = 0.6      # to a backend of another region
 NEAR_S = 0.25        # to one of this region
@@ -65,7 +65,7 @@
         return
 
 
-class Desk:
+class ProxyProgram:
     """One process on a front machine."""
 
     def __init__(self, settings: Settings) -> None:
@@ -77,14 +77,14 @@
                                    BORN)
         share = max(32, (boot.limits.fd_limit - 200 - SPARE) // 2)
         self.upstream = Upstream(loop, CONNECT_S, IDLE_S, share, Terms(BODY_MOST, ATTEMPT, SILENT_S, outcome_of))
-        self.ingress = DeskIngress(loop, self.decisions, self.upstream,
+        self.ingress = ProxyIngress(loop, self.decisions, self.upstream,
                                    lambda a: self._carry(self.knowledge.charge(a)))
-        self.server = DeskServer(loop, self.ingress, share)
+        self.server = ProxyServer(loop, self.ingress, share)
         self.directory = CallServer(loop, [Handler(Resolve, self.resolve)], DOOR)
         self.readiness = CallServer(loop, [Handler(Readiness, self.ready)], DOOR)
         self.cores = set(boot.core_ips)
-        self.stacks: dict[str, Dial] = {}
-        self.accessions: dict[str, Dial] = {}
+        self.control: dict[str, Dial] = {}
+        self.registries: dict[str, Dial] = {}
         about = {"front": boot.binds.front, "ip": boot.ip, "zone": boot.zone, "region": boot.region}
         self.knowledge = Knowledge(boot.node_name, life(), boot.region, lambda zone: self.boot.region_of(zone), about,
                                    self.decisions, now)
@@ -96,7 +96,7 @@
         """Until it is told to end."""
         boot = self.boot
         await self.loop.create_datagram_endpoint(lambda: self.beats, local_addr=(boot.ip, boot.port(RING)))
-        await self.handing.listen(boot.ip, boot.port(DESK))
+        await self.handing.listen(boot.ip, boot.port(PROXY))
         if boot.binds.ready:
             await self.readiness.listen(*read_address(boot.binds.ready))
         if boot.binds.directory:
@@ -104,7 +104,7 @@
         if boot.binds.front:
             await self.server.listen(*read_address(boot.binds.front))
         self.tick()
-        await serve("desk", self.settings, self.tick, self._changed, self.leave)
+        await serve("proxy", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
         """Tell that this ingress ends, go on for as long as somebody comes, finish what is held, close."""
@@ -112,7 +112,7 @@
         self.server.stopping = True
         self._carry(self.knowledge.here(self.loop.time(), self.is_ready()))
         grace = self.boot.bounds.grace_s
-        farewell = DeskFarewell(self.loop.time(), grace)
+        farewell = ProxyFarewell(self.loop.time(), grace)
         try:
             async with asyncio.timeout(grace - 0.3):
                 await self.server.leave(asyncio.sleep(NOTICE_S), farewell)
@@ -123,7 +123,7 @@
         self.directory.close()
         self.readiness.close()
         self.handing.close()
-        for dial in (*self.stacks.values(), *self.accessions.values()):
+        for dial in (*self.control.values(), *self.registries.values()):
             dial.close()
         self.upstream.close()
 
@@ -137,10 +137,10 @@
         """Connections, beats to the counter and to the ring."""
         now = self.loop.time()
         for ip in self.cores:
-            if ip not in self.stacks:
-                self.stacks[ip] = Dial(self.loop, ip, self.boot.port(STACKS), self.knowledge.follow_kept,
-                                       self._from_stacks)
-                self.accessions[ip] = Dial(self.loop, ip, self.boot.port(ACCESSION), self.knowledge.follow_list,
+            if ip not in self.control:
+                self.control[ip] = Dial(self.loop, ip, self.boot.port(CONTROL), self.knowledge.follow_kept,
+                                       self._from_control)
+                self.registries[ip] = Dial(self.loop, ip, self.boot.port(REGISTRY), self.knowledge.follow_list,
                                            self._from_list)
         self._carry(self.knowledge.tick(now, self.is_ready()))
 
@@ -153,7 +153,7 @@
     def _carry(self, outputs: list[Output]) -> None:
         for out in outputs:
             if isinstance(out, ToRegistry):
-                for ip, dial in self.accessions.items():
+                for ip, dial in self.registries.items():
                     if out.ip in ("", ip):
                         dial.send(out.table)
             elif isinstance(out, Heartbeat):
@@ -179,7 +179,7 @@
             else:
                 say(out.event, *out.fields)
 
-    def _from_stacks(self, dial: Dial, table: dict[str, Any]) -> None:
+    def _from_control(self, dial: Dial, table: dict[str, Any]) -> None:
         if table["t"] == "core":
             self.cores |= set(table["ips"])
             return
@@ -210,7 +210,7 @@
             async with asyncio.timeout(1.0):
                 _, link = await self.loop.create_connection(
                     lambda: Link(self.loop, lambda k: k.send(hand.table), lambda k, t: ended(k, "taken"), ended),
-                    hand.ip, self.boot.port(DESK))
+                    hand.ip, self.boot.port(PROXY))
                 await done
             link.close()
             say(Event.HANDED, hand.name, hand.table["kept"]["prev"] or 0, hand.table["list"]["prev"] or 0)
@@ -239,5 +239,5 @@
 
 
 async def main(settings: Settings) -> None:
-    """What `python -m roadspur.system desk` runs."""
-    await Desk(settings).run()
+    """What `python -m roadspur.system proxy` runs."""
+    await ProxyProgram(settings).run()
--- a/roadspur/accession/program.py
+++ b/roadspur/registry/program.py
@@ -6,18 +6,18 @@
 import random
 from typing import Any
 
-from roadspur.accession.platform import Platform
-from roadspur.accession.registry import Call, Output, Registry, Tell, ToStore
-from roadspur.catalogue.boot import ACCESSION, STACKS
-from roadspur.catalogue.events import say
-from roadspur.catalogue.process import Settings, life, serve
-from roadspur.courier.links import Dial, Link, Listener
+from roadspur.common.boot import CONTROL, REGISTRY
+from roadspur.common.events import say
+from roadspur.common.process import Settings, life, serve
+from roadspur.registry.platform import Platform
+from roadspur.registry.registry import Call, Output, Registry, Tell, ToStore
 from roadspur.services.wire import read_address
+from roadspur.transport.links import Dial, Link, Listener
 
 LEAVE_S = 0.1
 
 
-class Accession:
+class RegistryProgram:
     """One process on a core machine."""
 
     def __init__(self, settings: Settings) -> None:
@@ -28,7 +28,7 @@
         self.registry = Registry(f"{boot.node_name}/{life()}", boot.ip, self.loop.time(), random.Random(),
                                  boot.cloud_api.rate_per_s, self.platform is not None)
         self.calling: asyncio.Task[None] | None = None
-        self.stacks: dict[str, Dial] = {}
+        self.control: dict[str, Dial] = {}
         self.fellows: dict[str, Dial] = {}
         self.listener = Listener(self.loop, self._heard, self._gone)
         self.followers: dict[str, Link] = {}
@@ -36,16 +36,16 @@
 
     async def run(self) -> None:
         """Until it is told to end."""
-        await self.listener.listen(self.boot.ip, self.boot.port(ACCESSION))
+        await self.listener.listen(self.boot.ip, self.boot.port(REGISTRY))
         self.tick()
-        await serve("accession", self.settings, self.tick, self._changed, self.leave)
+        await serve("registry", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
         """Give the duty back, close."""
         self._carry(self.registry.stop())
         await asyncio.sleep(LEAVE_S)
         self.listener.close()
-        for dial in (*self.stacks.values(), *self.fellows.values()):
+        for dial in (*self.control.values(), *self.fellows.values()):
             dial.close()
 
     def _changed(self) -> None:
@@ -55,10 +55,11 @@
     def tick(self) -> None:
         """Connections to all of the core that is known; a tick of the machine."""
         for ip in self.cores:
-            if ip not in self.stacks:
-                self.stacks[ip] = Dial(self.loop, ip, self.boot.port(STACKS), self._follow_stacks, self._from_stacks)
+            if ip not in self.control:
+                self.control[ip] = Dial(
+                    self.loop, ip, self.boot.port(CONTROL), self._follow_control, self._from_control)
             if ip != self.boot.ip and ip not in self.fellows:
-                self.fellows[ip] = Dial(self.loop, ip, self.boot.port(ACCESSION), self._follow_list, self._from_fellow)
+                self.fellows[ip] = Dial(self.loop, ip, self.boot.port(REGISTRY), self._follow_list, self._from_fellow)
         self._carry(self.registry.tick(self.loop.time()))
 
     def _carry(self, outputs: list[Output]) -> None:
@@ -68,7 +69,7 @@
                 if link is not None:
                     link.send(out.table)
             elif isinstance(out, ToStore):
-                for ip, dial in self.stacks.items():
+                for ip, dial in self.control.items():
                     if out.ip in ("", ip):
                         dial.send(out.table)
             elif isinstance(out, Call):
@@ -82,10 +83,10 @@
         status, body = (answer.status, answer.body) if answer is not None else (0, b"")
         self._carry(self.registry.answered(self.loop.time(), status, body))
 
-    def _follow_stacks(self) -> dict[str, Any]:
+    def _follow_control(self) -> dict[str, Any]:
         return {"t": "follow", "me": self.registry.me, "n": self.registry.kept.state.number}
 
-    def _from_stacks(self, dial: Dial, table: dict[str, Any]) -> None:
+    def _from_control(self, dial: Dial, table: dict[str, Any]) -> None:
         outputs, reply = self.registry.from_store(self.loop.time(), dial.host, table)
         if table["t"] == "core":
             self.cores |= set(table["ips"])
@@ -104,7 +105,7 @@
     def _heard(self, link: Link, table: dict[str, Any]) -> None:
         if table["t"] == "follow":
             self.followers[link.name] = link
-            for dials in (self.stacks, self.fellows):  # a registry's machine: both of its programs are up
+            for dials in (self.control, self.fellows):  # a registry's machine: both of its programs are up
                 if link.peer in dials:
                     dials[link.peer].poke()
         self._carry(self.registry.from_follower(self.loop.time(), link.name, table))
@@ -116,5 +117,5 @@
 
 
 async def main(settings: Settings) -> None:
-    """What `python -m roadspur.system accession` runs."""
-    await Accession(settings).run()
+    """What `python -m roadspur.system registry` runs."""
+    await RegistryProgram(settings).run()
--- a/roadspur/accession/registry.py
+++ b/roadspur/registry/registry.py
@@ -14,13 +14,13 @@
 import zlib
 from typing import Any, NamedTuple
 
-from roadspur.accession.counts import Counts
-from roadspur.accession.instances import Garbage, Survey
-from roadspur.accession.members import Members
-from roadspur.catalogue.configuration import kept_configuration
-from roadspur.catalogue.events import Event
-from roadspur.courier.news import Follower, Message, Publisher
-from roadspur.stacks.leases import Holder
+from roadspur.common.configuration import kept_configuration
+from roadspur.common.events import Event
+from roadspur.control.leases import Holder
+from roadspur.registry.counts import Counts
+from roadspur.registry.instances import Garbage, Survey
+from roadspur.registry.members import Members
+from roadspur.transport.news import Follower, Message, Publisher
 
 DUTY = "registrar"
 TERM = 24     # bits of a number below the holder's term
--- a/roadspur/courier/doors.py
+++ b/roadspur/transport/api.py
@@ -1,7 +1,7 @@
 """The doors for calls of the operator, of clients that ask where to go, and of the platform: one generic handler.
 
-A call and its answer are a pair of types. A `Desk` of handlers reads a request into its call, hands it to the one
-handler that is registered for the call's type, and writes what comes back, an answer or a `Failure`, in HTTP's words.
+A call and its answer are a pair of types. A `CallServer` reads a request into its call, hands it to the one handler
+that is registered for the call's type, and writes what comes back, an answer or a `Failure`, in HTTP's words.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from typing import Any, ClassVar, Generic, NamedTuple, TypeVar
 from urllib.parse import parse_qs, unquote
 
-from roadspur.catalogue.events import Event, say
-from roadspur.catalogue.failures import ANSWERS, Failure, Kind, header_of
+from roadspur.common.events import Event, say
+from roadspur.common.failures import ANSWERS, Failure, Kind, header_of
 from roadspur.net.ingress import Reply
 from roadspur.net.server import Bounds, ClientConnection, Early, Server
 
--- a/roadspur/courier/links.py
+++ b/roadspur/transport/links.py
@@ -17,7 +17,7 @@
 
 import msgpack
 
-from roadspur.catalogue.events import Event, say
+from roadspur.common.events import Event, say
 from roadspur.net.upstream import watch
 
 BEAT_S = 0.4
--- a/simnet/core.py
+++ b/simnet/core.py
@@ -12,11 +12,11 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from roadspur.catalogue.failures import Failure, Kind
-from roadspur.courier.news import Follower, Publisher, State
-from roadspur.stacks.control import Control
-from roadspur.stacks.parts import SHRINK_S, Answer, Change, Note, Outputs, Publish, Read, Send, Write
-from roadspur.stacks.views import Copy, Kept, View
+from roadspur.common.failures import Failure, Kind
+from roadspur.control.control import Control
+from roadspur.control.parts import SHRINK_S, Answer, Change, Note, Outputs, Publish, Read, Send, Write
+from roadspur.control.views import Copy, Kept, View
+from roadspur.transport.news import Follower, Publisher, State
 from simnet.clock import Clock
 from simnet.wires import Wires
 
--- a/simnet/search.py
+++ b/simnet/search.py
@@ -17,10 +17,10 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from roadspur.courier.news import Item, State
-from roadspur.stacks.control import Control
-from roadspur.stacks.parts import Answer, Change, Office, Outputs, Send, Write
-from roadspur.stacks.views import Copy, Kept, View
+from roadspur.control.control import Control
+from roadspur.control.parts import Answer, Change, Office, Outputs, Send, Write
+from roadspur.control.views import Copy, Kept, View
+from roadspur.transport.news import Item, State
 from simnet.core import Broken
 
 IPS = ("1", "2", "3")
--- a/simnet/system.py
+++ b/simnet/system.py
@@ -21,21 +21,21 @@
 from typing import Any
 
 from roadspur import interface as io
-from roadspur.accession.registry import Call as PlatformCall
-from roadspur.accession.registry import Registry, ToStore
-from roadspur.accession.registry import Tell as RegistryTell
-from roadspur.catalogue.boot import Bounds
-from roadspur.catalogue.configuration import Configuration, Found
-from roadspur.catalogue.failures import Failure
+from roadspur.common.boot import Bounds
+from roadspur.common.configuration import Configuration, Found
+from roadspur.common.failures import Failure
+from roadspur.control.control import Control
+from roadspur.control.leases import Grantor
+from roadspur.control.parts import Answer, Change, Send, Write
+from roadspur.control.store import Outward, Store, Tell
 from roadspur.core.driver import Driver, Held
 from roadspur.core.ports import Ended, Final, Verdict
-from roadspur.desk.decisions import Asked, Charge, Decisions
-from roadspur.desk.knowledge import HandOver, Heartbeat, InForce, Knowledge, Serving, ToRegistry
-from roadspur.desk.knowledge import Verdict as Counted
-from roadspur.stacks.control import Control
-from roadspur.stacks.leases import Grantor
-from roadspur.stacks.parts import Answer, Change, Send, Write
-from roadspur.stacks.store import Outward, Store, Tell
+from roadspur.proxy.decisions import Asked, Charge, Decisions
+from roadspur.proxy.knowledge import HandOver, Heartbeat, InForce, Knowledge, Serving, ToRegistry
+from roadspur.proxy.knowledge import Verdict as Counted
+from roadspur.registry.registry import Call as PlatformCall
+from roadspur.registry.registry import Registry, ToStore
+from roadspur.registry.registry import Tell as RegistryTell
 from simnet.clock import Clock
 from simnet.core import Broken, Disk
 
@@ -47,8 +47,8 @@
 RATE = BURST = 40.0
 BOUNDS = Bounds()
 CORES = {"c1": ("a1", "a"), "c2": ("a1", "a"), "c3": ("a2", "a")}
-DESKS = {"d1": ("a1", "a"), "d2": ("a2", "a"), "d3": ("b1", "b"), "d4": ("b2", "b")}
-PLACES = {**CORES, **DESKS}
+PROXIES = {"d1": ("a1", "a"), "d2": ("a2", "a"), "d3": ("b1", "b"), "d4": ("b2", "b")}
+PLACES = {**CORES, **PROXIES}
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 ASKED_S = 0.06     # between requests at one proxy, on average
 DEADLINE_S = 2.0
@@ -109,12 +109,12 @@
 
 
 class StoreProcess(Process):
-    """stacks."""
+    """control."""
 
     store: Store
 
     def __init__(self, world: World, machine: str) -> None:
-        super().__init__(world, "stacks", machine)
+        super().__init__(world, "control", machine)
         self.disk = Disk()
         self.writes: list[Table] = []
         self.waiting: dict[Any, Callable[[Any], None]] = {}
@@ -146,7 +146,7 @@
     def carry(self, outputs: list[Outward]) -> None:
         for out in outputs:
             if isinstance(out, Send):
-                self.world.send(self, f"stacks@{out.to}", out.table)
+                self.world.send(self, f"control@{out.to}", out.table)
             elif isinstance(out, Tell):
                 self.world.reply(self, out.name, out.table)
             elif isinstance(out, Write):
@@ -169,12 +169,12 @@
 
 
 class RegistryProcess(Process):
-    """accession."""
+    """registry."""
 
     registry: Registry
 
     def __init__(self, world: World, machine: str) -> None:
-        super().__init__(world, "accession", machine)
+        super().__init__(world, "registry", machine)
 
     def begin(self) -> None:
         self.registry = Registry(f"{self.machine}/{self.life}", self.machine, self.now(),
@@ -184,11 +184,11 @@
         self.carry(self.registry.tick(self.now()))
 
     def opened(self, to: str) -> None:
-        follower = self.registry.kept if to.startswith("stacks") else self.registry.list
+        follower = self.registry.kept if to.startswith("control") else self.registry.list
         self.world.send(self, to, {"t": "follow", "me": self.registry.me, "n": follower.state.number})
 
     def replied(self, sender: str, table: Table) -> None:
-        if sender.startswith("stacks"):
+        if sender.startswith("control"):
             outputs, reply = self.registry.from_store(self.now(), sender.partition("@")[2], table)
             self.carry(outputs)
         else:
@@ -209,7 +209,7 @@
             elif isinstance(out, ToStore):
                 for ip in CORES:
                     if out.ip in ("", ip):
-                        self.world.send(self, f"stacks@{ip}", out.table)
+                        self.world.send(self, f"control@{ip}", out.table)
             elif isinstance(out, PlatformCall):
                 self._call(out.target)
 
@@ -223,11 +223,11 @@
         world.clock.later(0.002 if world.platform_up() else 1.0, answered)
 
 
-class DeskProcess(Process):
-    """desk: knowledge, decisions and the driver; its own backends' port."""
+class ProxyProcess(Process):
+    """proxy: knowledge, decisions and the driver; its own backends' port."""
 
     def __init__(self, world: World, machine: str) -> None:
-        super().__init__(world, "desk", machine)
+        super().__init__(world, "proxy", machine)
         self.asked = 0
 
     def begin(self) -> None:
@@ -248,11 +248,11 @@
         self.carry(self.knowledge.tick(self.now(), self.ready()))
 
     def opened(self, to: str) -> None:
-        hello = self.knowledge.follow_kept() if to.startswith("stacks") else self.knowledge.follow_list()
+        hello = self.knowledge.follow_kept() if to.startswith("control") else self.knowledge.follow_list()
         self.world.send(self, to, hello)
 
     def replied(self, sender: str, table: Table) -> None:
-        if sender.startswith("stacks"):
+        if sender.startswith("control"):
             outputs, reply = self.knowledge.from_store(self.now(), table)
         else:
             outputs, reply = self.knowledge.from_registry(self.now(), sender.partition("@")[2], table)
@@ -265,7 +265,7 @@
             if isinstance(out, ToRegistry):
                 for ip in CORES:
                     if out.ip in ("", ip):
-                        self.world.send(self, f"accession@{ip}", out.table)
+                        self.world.send(self, f"registry@{ip}", out.table)
             elif isinstance(out, Heartbeat):
                 self.world.datagram(self, out.ip, lambda to, t=out.table: to.carry(  # type: ignore[misc]
                     to.knowledge.beat(to.now(), t, self.machine)))
@@ -315,21 +315,21 @@
 class Attempt:
     """One attempt: a connection, the request, an answer; each may fail."""
 
-    def __init__(self, desk: DeskProcess, held: Held, backend: str, on_end: Callable[[Ended], None]) -> None:
-        self.desk, self.held, self.backend, self.on_end = desk, held, backend, on_end
+    def __init__(self, proxy: ProxyProcess, held: Held, backend: str, on_end: Callable[[Ended], None]) -> None:
+        self.proxy, self.held, self.backend, self.on_end = proxy, held, backend, on_end
         self.written = self.over = False
-        self.life = desk.life
+        self.life = proxy.life
 
     def end(self, outcome: io.Outcome) -> None:
-        if not self.over and self.desk.life == self.life:
+        if not self.over and self.proxy.life == self.life:
             self.over = True
             self.on_end(Ended(outcome))
 
     def start(self, timeout: float) -> None:
-        world = self.desk.world
+        world = self.proxy.world
         backend = world.backends[self.backend]
-        way = world.way(PLACES[self.desk.machine][0], backend.zone)
-        if self.backend not in self.desk.serving:
+        way = world.way(PLACES[self.proxy.machine][0], backend.zone)
+        if self.backend not in self.proxy.serving:
             world.clock.later(0.0, lambda: self.end(io.Outcome.MOOT))
         elif backend.dead or world.rng.random() < 0.01:
             world.clock.later(2 * way, lambda: self.end(io.Outcome.CONNECT_FAILED))
@@ -339,7 +339,7 @@
         world.clock.later(timeout, lambda: self.end(io.Outcome.TIMEOUT))
 
     def arrive(self, backend: Backend, way: float) -> None:
-        world = self.desk.world
+        world = self.proxy.world
         if backend.dead:
             world.clock.later(way, lambda: self.end(io.Outcome.RESET))
             return
@@ -347,7 +347,7 @@
             world.clock.later(way, lambda: self.end(io.Outcome.FULL))
             return
         route, tenant = self.held.context
-        world.arrived(self.desk, self.held.request.id, route, tenant, backend)
+        world.arrived(self.proxy, self.held.request.id, route, tenant, backend)
         took = 0.05 + 0.15 * world.rng.random()
 
         def done() -> None:
@@ -365,19 +365,19 @@
 class Scheduler:
     """The driver's timers, of one life."""
 
-    def __init__(self, desk: DeskProcess) -> None:
-        self.desk, self.life = desk, desk.life
+    def __init__(self, proxy: ProxyProcess) -> None:
+        self.proxy, self.life = proxy, proxy.life
 
     def time(self) -> float:
-        return self.desk.now()
+        return self.proxy.now()
 
     def call_later(self, delay: float, callback: Callable[..., Any], *args: Any) -> Timer:
         timer = Timer()
 
         def fire() -> None:
-            if not timer.cancelled and self.desk.life == self.life and self.desk.up:
+            if not timer.cancelled and self.proxy.life == self.life and self.proxy.up:
                 callback(*args)
-        self.desk.world.clock.later(max(0.0, delay), fire)
+        self.proxy.world.clock.later(max(0.0, delay), fire)
         return timer
 
     def call_at(self, when: float, callback: Callable[..., Any], *args: Any) -> Timer:
@@ -410,7 +410,7 @@
         self.platform_down_until = 0.0
         self.trouble_until = 0.0
         self.pressing = 0.35  # share of requests that are the limited tenant's
-        self.open: dict[str, tuple[DeskProcess, int, float]] = {}
+        self.open: dict[str, tuple[ProxyProcess, int, float]] = {}
         self.ran: dict[str, list[str]] = {}
         self.refused: set[str] = set()
         self.runs: deque[float] = deque()
@@ -424,8 +424,8 @@
         for machine in CORES:
             self._add(StoreProcess(self, machine))
             self._add(RegistryProcess(self, machine))
-        for machine in DESKS:
-            self._add(DeskProcess(self, machine))
+        for machine in PROXIES:
+            self._add(ProxyProcess(self, machine))
 
     def time(self, machine: str) -> float:
         return self.origins[machine] + self.clock.now
@@ -458,12 +458,12 @@
                 self.clock.later(DIAL_S, dial)
 
         def ask() -> None:
-            if process.up and process.life == life and isinstance(process, DeskProcess):
+            if process.up and process.life == life and isinstance(process, ProxyProcess):
                 process.request()
                 self.clock.later(self.rng.expovariate(1 / ASKED_S), ask)
         self.clock.later(0.0, tick)
         self.clock.later(0.01 * self.rng.random(), dial)
-        if process.kind == "desk":
+        if process.kind == "proxy":
             self.clock.later(0.1, ask)
 
     def stop(self, process: Process, for_s: float, power: bool = False, wipe: bool = False) -> None:
@@ -487,10 +487,10 @@
         self.clock.later(for_s, lambda: self.start(process) if not process.up else None)
 
     def _wants(self, process: Process) -> list[str]:
-        if process.kind == "stacks":
-            return [f"stacks@{m}" for m in CORES if m != process.machine]
-        fellows = [f"accession@{m}" for m in CORES if m != process.machine]
-        return [f"stacks@{m}" for m in CORES] + fellows
+        if process.kind == "control":
+            return [f"control@{m}" for m in CORES if m != process.machine]
+        fellows = [f"registry@{m}" for m in CORES if m != process.machine]
+        return [f"control@{m}" for m in CORES] + fellows
 
     def _dial(self, process: Process) -> None:
         """Open what does not stand, and end what a cut has silenced."""
@@ -504,7 +504,7 @@
             elif other.up and cut <= self.clock.now:
                 self.count += 1
                 process.links[to] = self.count
-                if process.kind == "stacks":
+                if process.kind == "control":
                     self.send(process, to, {"t": "hello", "me": process.machine})
                 process.opened(to)
 
@@ -564,7 +564,7 @@
 
     def datagram(self, process: Process, ip: str, what: Callable[[Any], None]) -> None:
         """One that may be lost."""
-        other = self.processes[f"desk@{ip}"]
+        other = self.processes[f"proxy@{ip}"]
         if self.rng.random() > 0.02 and self.cuts.get((process.machine, ip), 0.0) <= self.clock.now:
             self._later(process, other, lambda: what(other))
 
@@ -590,7 +590,7 @@
 
     def order(self, make: Callable[[Any], Change], done: Callable[[], None], until: float) -> None:
         """Sent to one store after the other until one keeps it."""
-        process = self.processes[f"stacks@{self.rng.choice(sorted(CORES))}"]
+        process = self.processes[f"control@{self.rng.choice(sorted(CORES))}"]
         state = {"open": True}
 
         def again() -> None:
@@ -637,12 +637,12 @@
         """Whether nothing has been in trouble since some time before a moment."""
         return when - self.trouble_until > CONTACT_S
 
-    def in_force(self, desk: DeskProcess, config: Configuration) -> None:
-        if config.number <= desk.version:
-            self.broke(f"CONFIG: {desk.name} goes back from {desk.version} to {config.number}")
-        desk.version = config.number
+    def in_force(self, proxy: ProxyProcess, config: Configuration) -> None:
+        if config.number <= proxy.version:
+            self.broke(f"CONFIG: {proxy.name} goes back from {proxy.version} to {config.number}")
+        proxy.version = config.number
 
-    def arrived(self, desk: DeskProcess, name: str, route: str, tenant: str, backend: Backend) -> None:
+    def arrived(self, proxy: ProxyProcess, name: str, route: str, tenant: str, backend: Backend) -> None:
         """A backend begins to work on a request."""
         now = self.clock.now
         ran = self.ran.setdefault(name, [])
@@ -693,15 +693,15 @@
     def look(self) -> None:
         """Each half second: what is overdue."""
         now = self.clock.now
-        for name, (desk, life, until) in list(self.open.items()):
-            if not desk.up or desk.life != life:
+        for name, (proxy, life, until) in list(self.open.items()):
+            if not proxy.up or proxy.life != life:
                 del self.open[name]  # its client's connection ended with the process
             elif now > until + 0.1:
                 self.broke(f"LOST: {name} has no answer")
         version, at = self.acked
         if version >= 0 and self.calm_since(now) and now - at > BOUNDS.apply_within_ms / 1000:
             for process in self.processes.values():
-                if isinstance(process, DeskProcess) and process.up and process.version < version:
+                if isinstance(process, ProxyProcess) and process.up and process.version < version:
                     self.broke(f"CONFIG: {process.name} has {process.version}, acknowledged was {version}")
         self.clock.later(0.5, self.look)
 
@@ -740,7 +740,7 @@
                     if region != other_region:
                         self.cuts[a, b] = now + for_s
         elif kind == "stall":
-            process = self.processes[f"stacks@{core}"]
+            process = self.processes[f"control@{core}"]
             assert isinstance(process, StoreProcess)
             process.disk.stalled_until = now + for_s
         elif kind == "platform":
--- a/standins/system.py
+++ b/standins/system.py
@@ -106,9 +106,9 @@
         """Write its settings and start it."""
         self.folder.mkdir(parents=True, exist_ok=True)
         zone = zone_of(self.ip)
-        front = self.program == "desk"
+        front = self.program == "proxy"
         binds = {"front": FRONT, "ready": READY, "directory": DIRECTORY} if front else (
-            {"control": CONTROL} if self.program == "stacks" else {})
+            {"control": CONTROL} if self.program == "control" else {})
         lines = [f"node_name={'front' if front else 'core'}-{self.ip}", f"role={self.program}", f"ip={self.ip}",
                  f"machine_class={'front' if front else 'core'}", f"zone={zone}", f"region={REGIONS[zone]}",
                  *(f"zones.{z}={r}" for z, r in REGIONS.items()),
@@ -176,7 +176,7 @@
     async def __aenter__(self) -> System:
         for service in (*self.backends, self.platform):
             await service.start()
-        for program, ips in (("stacks", CORES), ("accession", CORES), ("desk", FRONTS)):
+        for program, ips in (("control", CORES), ("registry", CORES), ("proxy", FRONTS)):
             for ip in ips:
                 process = Process(program, ip, self.folder / f"{program}-{ip}", self.platform.address)
                 self.processes[program, ip] = process
@@ -299,12 +299,12 @@
         tally = await system.served(30)
         return tally == {200: 30} and all("ledger" in name for _, name, _ in runs[mark:])
     await system.until("served by the new configuration", again)
-    for program in ("stacks", "accession"):
+    for program in ("control", "registry"):
         await system.processes[program, CORES[0]].start()
 
     ids = [attempt for attempt, _, line in runs if line.startswith("POST")]
     assert len(ids) == len(set(ids)), "a payment ran twice"
-    code = await system.processes["desk", FRONTS[0]].end()
+    code = await system.processes["proxy", FRONTS[0]].end()
     assert code == 0, code
     say("a proxy that is told to end does so with exit code 0")
 
--- a/tests/patron/test_client.py
+++ b/tests/client/test_client.py
@@ -5,7 +5,7 @@
 import httpx
 import pytest
 
-from roadspur.patron import Answered, Patron, PlainPatron, Refused, UnknownEnd
+from roadspur.client import Answered, Client, PlainClient, Refused, UnknownEnd
 
 HOST = "shop.example"
 
@@ -30,17 +30,17 @@
 
 def ask(form, service, method="GET", **more):
     """One call by a form of the library."""
-    if form is PlainPatron:
-        with PlainPatron(["d:1"], HOST, key="k", transport=httpx.MockTransport(service)) as patron:
-            return patron.call(method, "/x", **more)
+    if form is PlainClient:
+        with PlainClient(["d:1"], HOST, key="k", transport=httpx.MockTransport(service)) as client:
+            return client.call(method, "/x", **more)
 
     async def play():
-        async with Patron(["d:1"], HOST, key="k", transport=httpx.MockTransport(service)) as patron:
-            return await patron.call(method, "/x", **more)
+        async with Client(["d:1"], HOST, key="k", transport=httpx.MockTransport(service)) as client:
+            return await client.call(method, "/x", **more)
     return asyncio.run(play())
 
 
-both = pytest.mark.parametrize("form", [Patron, PlainPatron])
+both = pytest.mark.parametrize("form", [Client, PlainClient])
 
 
 @both
@@ -96,6 +96,6 @@
 def test_hooks_see_each_try():
     seen = []
     service = Service(httpx.ReadError("reset"), 200)
-    with PlainPatron(["d:1"], HOST, transport=httpx.MockTransport(service), on_try=seen.append) as patron:
-        patron.get("/x")
+    with PlainClient(["d:1"], HOST, transport=httpx.MockTransport(service), on_try=seen.append) as client:
+        client.get("/x")
     assert [(t.status, t.error.partition(":")[0]) for t in seen] == [(0, "ReadError"), (200, "")]
--- a/tests/patron/test_loopback.py
+++ b/tests/client/test_loopback.py
@@ -7,8 +7,8 @@
 import sys
 from collections import Counter
 
-from roadspur.patron import Answered, Patron, UnknownEnd
-from roadspur.patron.client import served
+from roadspur.client import Answered, Client, UnknownEnd
+from roadspur.client.client import served
 from standins.system import DIRECTORY, FRONTS, HOST, System, hold
 
 SERVERS = [f"{ip}:{DIRECTORY}" for ip in FRONTS]
@@ -17,9 +17,9 @@
 def test_payments_run_once_at_most_and_every_unknown_end_is_named(tmp_path):
     ends = Counter()
 
-    async def pay(patron, number):
+    async def pay(client, number):
         try:
-            ended = await patron.call("POST", f"/pay/{number}", body=b"{}")
+            ended = await client.call("POST", f"/pay/{number}", body=b"{}")
             ends["served" if served(ended) else "refused"] += 1
             return number, served(ended)
         except UnknownEnd:
@@ -29,21 +29,21 @@
     async def play():
         async with System(tmp_path, lambda line: None) as system:
             await hold(system, 0.0)
-            async with Patron(SERVERS, HOST, region="r-1", zone="z-1", key="key-large") as patron:
+            async with Client(SERVERS, HOST, region="r-1", zone="z-1", key="key-large") as client:
                 async def counted() -> bool:
                     return (await system.served(30)).get(200) == 30
                 await system.until("requests are counted and served at all proxies", counted)
                 paid, read = [], []
                 for wave in range(10):
-                    calls = [asyncio.ensure_future(pay(patron, 4 * wave + n)) for n in range(4)]
-                    reads = [asyncio.ensure_future(patron.get("/read/1")) for _ in range(6)]
+                    calls = [asyncio.ensure_future(pay(client, 4 * wave + n)) for n in range(4)]
+                    reads = [asyncio.ensure_future(client.get("/read/1")) for _ in range(6)]
                     if wave == 2:
-                        await system.processes["desk", FRONTS[0]].end(signal.SIGKILL)
+                        await system.processes["proxy", FRONTS[0]].end(signal.SIGKILL)
                         system.backends[0].phase = "draining"
                     paid += await asyncio.gather(*calls)
                     read += await asyncio.gather(*reads)
                 example = await asyncio.to_thread(subprocess.run, [
-                    sys.executable, "examples/patron_script.py", "--directory", SERVERS[1], "--host", HOST,
+                    sys.executable, "examples/client_script.py", "--directory", SERVERS[1], "--host", HOST,
                     "--key", "key-large", "--pay", "/pay/example"], capture_output=True, text=True,
                     env={**os.environ, "PYTHONPATH": "."})
         return system.runs, paid, read, example
--- a/tests/system/test_commands.py
+++ b/tests/system/test_commands.py
@@ -5,8 +5,8 @@
 import pytest
 
 from benchmarks.simnet_faults import FAULTS
-from roadspur.catalogue.commands import invoke
-from roadspur.catalogue.events import Event, page
+from roadspur.common.commands import invoke
+from roadspur.common.events import Event, page
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -37,7 +37,7 @@
         invoke(["--help"])
     assert caught.value.code in (0, None)
     out = capsys.readouterr().out
-    assert all(name in out for name in ("desk", "stacks", "accession", "check", "events"))
+    assert all(name in out for name in ("proxy", "control", "registry", "check", "events"))
 
 
 def test_the_catalogue_of_events_is_the_page():
@@ -48,4 +48,4 @@
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.name)
 def test_the_lines_that_deliberate_faults_change_are_there(fault):
-    assert sum(fault.right in path.read_text() for path in (ROOT / "roadspur" / "stacks").glob("*.py")) == 1
+    assert sum(fault.right in path.read_text() for path in (ROOT / "roadspur" / "control").glob("*.py")) == 1
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -6,10 +6,10 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from roadspur.catalogue.boot import read_boot
-from roadspur.catalogue.checks import read_configuration
-from roadspur.catalogue.configuration import Index, kept_configuration
-from roadspur.catalogue.failures import ANSWERS, PROMISES, Kind
+from roadspur.common.boot import read_boot
+from roadspur.common.checks import read_configuration
+from roadspur.common.configuration import Index, kept_configuration
+from roadspur.common.failures import ANSWERS, PROMISES, Kind
 
 SOUND = {
     "version": "00000007",
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from roadspur.stacks.control import Control
-from roadspur.stacks.parts import Send
-from roadspur.stacks.views import Copy, Kept, View
+from roadspur.control.control import Control
+from roadspur.control.parts import Send
+from roadspur.control.views import Copy, Kept, View
 from simnet.core import Broken, Core, Fault, draw, run
 
 
@@ -340,7 +340,7 @@
     import ast
     from pathlib import Path
     found = []
-    for package in ("catalogue", "courier", "stacks", "accession", "desk"):
+    for package in ("common", "transport", "control", "registry", "proxy"):
         for path in Path("roadspur", package).glob("*.py"):
             for node in ast.walk(ast.parse(path.read_text())):
                 if isinstance(node, ast.Attribute) and node.attr in ("time_ns", "now", "utcnow", "today") or (
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -5,14 +5,14 @@
 import pytest
 
 from roadspur import interface as io
-from roadspur.catalogue.boot import Bounds
-from roadspur.catalogue.configuration import Configuration, Found
-from roadspur.catalogue.shares import ALONE_S, OK, OVER, PROMPT_S
-from roadspur.catalogue.tables import record
-from roadspur.desk.budgets import Colds, Tries
-from roadspur.desk.decisions import Asked, Charge, Counted, Decisions
-from roadspur.desk.directory import addresses
-from roadspur.desk.placement import Place, homes_of
+from roadspur.common.boot import Bounds
+from roadspur.common.configuration import Configuration, Found
+from roadspur.common.shares import ALONE_S, OK, OVER, PROMPT_S
+from roadspur.common.tables import record
+from roadspur.proxy.budgets import Colds, Tries
+from roadspur.proxy.decisions import Asked, Charge, Counted, Decisions
+from roadspur.proxy.directory import addresses
+from roadspur.proxy.placement import Place, homes_of
 
 CONFIG = record(Configuration, {
     "version": "00000001",
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from roadspur.catalogue.boot import Bounds
-from roadspur.catalogue.configuration import Configuration, Index
-from roadspur.catalogue.tables import record
-from roadspur.desk.decisions import Decisions
-from roadspur.desk.front import ATTEMPT, DeskFarewell, DeskIngress, DeskServer, outcome_of
-from roadspur.desk.placement import Place
+from roadspur.common.boot import Bounds
+from roadspur.common.configuration import Configuration, Index
+from roadspur.common.tables import record
 from roadspur.net.upstream import Endpoint, Terms, Upstream
+from roadspur.proxy.decisions import Decisions
+from roadspur.proxy.front import ATTEMPT, ProxyFarewell, ProxyIngress, ProxyServer, outcome_of
+from roadspur.proxy.placement import Place
 from standins.http import read_message
 
 ROUTE = {"hostname": "h.example", "deadline_ms": 2000, "target_ms": 500, "target": "s", "tries": 3}
@@ -86,8 +86,8 @@
             await backend.start()
         self.decisions = Decisions("me", "z", "r", Bounds(retry_slack=60), random.Random(1), loop.time())
         self.upstream = Upstream(loop, 0.5, 10.0, 50, Terms(1 << 20, ATTEMPT, 1.0, outcome_of))
-        self.ingress = DeskIngress(loop, self.decisions, self.upstream, lambda charge: None)
-        self.server = DeskServer(loop, self.ingress, 50)
+        self.ingress = ProxyIngress(loop, self.decisions, self.upstream, lambda charge: None)
+        self.server = ProxyServer(loop, self.ingress, 50)
         self.follow(config())
         self.decisions.ingresses = ["me"]
         places = {b.name: Place(b.name, "s", ("127.0.0.1", b.port), "z", "r", 6, False) for b in self.backends}
@@ -268,7 +268,7 @@
         client = await rig.client()
         assert (await client.ask("/p/")).status == 200
         told = loop.time()
-        leaving = asyncio.ensure_future(rig.server.leave(asyncio.sleep(0), DeskFarewell(told, 6.0)))
+        leaving = asyncio.ensure_future(rig.server.leave(asyncio.sleep(0), ProxyFarewell(told, 6.0)))
         assert (await client.ask("/p/")).status == 200  # somebody still comes
         await leaving
         assert loop.time() - told < 3.5
@@ -278,7 +278,7 @@
 
 
 def test_the_door_closes_early_enough_for_what_came_last():
-    bye = DeskFarewell(100.0, 6.0)
+    bye = ProxyFarewell(100.0, 6.0)
     now = 100.0
     while bye.open(now):
         bye.came(now)
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from roadspur.stacks.leases import GRANT_S, Grantor, Holder
+from roadspur.control.leases import GRANT_S, Grantor, Holder
 from simnet.clock import Clock
 
 IPS = ("a", "b", "c")
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from roadspur.courier import links
-from roadspur.courier.links import Dial, Listener
+from roadspur.transport import links
+from roadspur.transport.links import Dial, Listener
 
 
 def test_a_dial_that_waits_is_tried_at_once_when_the_other_side_shows(monkeypatch):
--- a/tests/system/test_news.py
+++ b/tests/system/test_news.py
@@ -2,7 +2,7 @@
 
 import random
 
-from roadspur.courier.news import Follower, Item, Publisher, State
+from roadspur.transport.news import Follower, Item, Publisher, State
 
 
 def test_a_follower_gets_what_changed_and_acknowledges_it():
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from roadspur.accession.counts import Counts
-from roadspur.catalogue.shares import ALONE, ALONE_S, HERE_S, LOST_S, OVER, PROMPT_S
-from roadspur.desk.quota import Quota
+from roadspur.common.shares import ALONE, ALONE_S, HERE_S, LOST_S, OVER, PROMPT_S
+from roadspur.proxy.quota import Quota
+from roadspur.registry.counts import Counts
 from simnet.clock import Clock
 
 RATE = BURST = 100.0
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from roadspur.accession.instances import EMPTY, Garbage, Survey
-from roadspur.accession.members import ALONE_S, SILENT_S, Members
-from roadspur.accession.registry import Call, Registry, Tell, ToStore
-from roadspur.courier.ring import LACKS_S, Ring
-from roadspur.courier.ring import SILENT_S as RING_S
+from roadspur.registry.instances import EMPTY, Garbage, Survey
+from roadspur.registry.members import ALONE_S, SILENT_S, Members
+from roadspur.registry.registry import Call, Registry, Tell, ToStore
+from roadspur.transport.ring import LACKS_S, Ring
+from roadspur.transport.ring import SILENT_S as RING_S
 
 
 def entry(n, phase="ready", cold=0):
--- a/tests/system/test_search.py
+++ b/tests/system/test_search.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from roadspur.stacks.control import Control
+from roadspur.control.control import Control
 from simnet.search import Budget, made, search
 
 ACKED = (("change", "1"), ("written", "1"), ("arrive", "1", "2"), ("written", "2"), ("arrive", "2", "1"))
--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from roadspur.accession import instances
-from roadspur.catalogue.configuration import Route
-from roadspur.desk import decisions
-from roadspur.desk.quota import Quota
+from roadspur.common.configuration import Route
+from roadspur.proxy import decisions
+from roadspur.proxy.quota import Quota
+from roadspur.registry import instances
 from simnet.core import Broken
 from simnet.system import CORES, World, draw, run
 
@@ -31,7 +31,7 @@
     world = World(seed)
     world.clock.at(2.0, lambda: world.put(1))
     world.clock.run(6.0)
-    assert all(p.ready() for p in world.processes.values() if p.kind == "desk")
+    assert all(p.ready() for p in world.processes.values() if p.kind == "proxy")
     return world
 
 
@@ -40,10 +40,10 @@
     for process in list(world.processes.values()):
         if process.machine in CORES:
             world.stop(process, 60.0)
-    desk = world.processes["desk@d3"]
-    world.stop(desk, 0.5, power=True)
+    proxy = world.processes["proxy@d3"]
+    world.stop(proxy, 0.5, power=True)
     world.clock.run(world.clock.now + 3.5)
-    assert desk.up and desk.ready() and desk.version == 1
+    assert proxy.up and proxy.ready() and proxy.version == 1
     world.served = world.ended = 0
     world.clock.run(world.clock.now + 2.0)
     assert world.served > 30  # those without a limit; it has no share of the limited tenant's
