--- a/roadspur/transport/news.py
+++ b/roadspur/transport/news.py
@@ -2,10 +2,11 @@
 
 Guaranteed: a follower's number never falls within its life, whoever tells it; it holds exactly the items of the
 numbered state that it names. How: a publisher sends each follower what changed since the number that the follower has;
-a message that does not begin at that number is a gap, and a gap is answered by the whole state.
+a message that does not begin at that number is a gap, and a gap is answered by what lies between, or by the whole
+state where removals in between are forgotten.
 
-Pure: messages are plain tables, to be sent by whoever holds the connection. Cost: one message a change and follower, of
-the size of what changed; a whole state at each new connection that lacks more than is remembered.
+Pure: messages are to be sent by whoever holds the connection. Cost: one message a change and follower, of the size of
+what changed; a whole state at each new connection that lacks more than is remembered.
 """
 
 from __future__ import annotations
@@ -13,64 +14,67 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-GONE_MOST = 2000  # removed items that are remembered, so that a follower further behind gets the whole state
+from roadspur.transport.messages import Follow, Items, News, NewsAck
 
-
-class Item(NamedTuple):
-    """A value and the number of the change that set it; None: removed."""
-
-    number: int
-    value: Any
-
-
-Message = dict[str, Any]
+REMOVED_MOST = 2000  # removed items that are remembered, so that a follower further behind gets the whole state
 
 
 class State:
     """Items with their numbers."""
 
-    def __init__(self, number: int = 0, items: Mapping[str, Item] | None = None, floor: int = 0) -> None:
+    def __init__(self, number: int = 0, items: Mapping[str, tuple[int, Any]] | None = None, floor: int = 0) -> None:
         """`floor`: a follower with a lower number gets the whole state, as removals before it are forgotten."""
-        self.number, self.items, self.floor = number, dict(items or {}), floor
+        self.number, self.floor = number, floor
+        self.items: Items = dict(items or {})
+        self.removed = sum(1 for _, value in self.items.values() if value is None)
+
+    def copied(self) -> State:
+        """A state of its own with the same items."""
+        return State(self.number, self.items, self.floor)
 
     def value(self, name: str) -> Any:
         """An item's value, None where there is none."""
         item = self.items.get(name)
-        return item.value if item is not None else None
+        return item[1] if item is not None else None
 
     def values(self, prefix: str) -> dict[str, Any]:
         """All items whose names begin so, by the rest of their names."""
-        return {name[len(prefix):]: item.value for name, item in self.items.items()
-                if item.value is not None and name.startswith(prefix)}
+        return {
+            name[len(prefix) :]: value
+            for name, (_, value) in self.items.items()
+            if value is not None and name.startswith(prefix)
+        }
 
     def set(self, number: int, changes: Mapping[str, Any]) -> None:
-        """Take changes in under a number; forgets the oldest removals beyond `GONE_MOST`."""
+        """Take changes in under a number; forgets the oldest removals beyond `REMOVED_MOST`."""
+        self.merge(number, {name: (number, value) for name, value in changes.items()})
+
+    def merge(self, number: int, items: Items) -> None:
+        """Take items in that have their numbers already."""
         self.number = max(self.number, number)
-        for name, value in changes.items():
-            self.items[name] = Item(number, value)
-        gone = [(item.number, name) for name, item in self.items.items() if item.value is None]
-        if len(gone) > GONE_MOST:
-            gone.sort()
-            for at, name in gone[:len(gone) // 2]:
-                del self.items[name]
-                self.floor = max(self.floor, at)
-
-    def packed(self) -> dict[str, Any]:
-        """The whole state for a disk or a message."""
-        return {"n": self.number, "f": self.floor, "i": {k: [v.number, v.value] for k, v in self.items.items()}}
-
-    @staticmethod
-    def unpacked(packed: Mapping[str, Any]) -> State:
-        """The inverse of `packed`."""
-        return State(packed["n"], {k: Item(v[0], v[1]) for k, v in packed["i"].items()}, packed.get("f", 0))
-
-    def since(self, number: int) -> Message:
-        """What a follower at `number` lacks: `n`, `prev` (None: this is the whole state), items with numbers."""
+        for name, item in items.items():
+            old = self.items.get(name)
+            self.removed += (item[1] is None) - (old is not None and old[1] is None)
+            self.items[name] = item
+        if self.removed > REMOVED_MOST:
+            self._forget()
+
+    def _forget(self) -> None:
+        gone = sorted((number, name) for name, (number, value) in self.items.items() if value is None)
+        for number, name in gone[: len(gone) // 2]:
+            del self.items[name]
+            self.floor = max(self.floor, number)
+        self.removed -= len(gone) // 2
+
+    def after(self, number: int) -> Items:
+        """Items that changed after a number."""
+        return {name: item for name, item in self.items.items() if item[0] > number}
+
+    def since(self, number: int) -> News:
+        """What a follower at `number` lacks."""
         if number < self.floor or number > self.number:
-            return {"t": "news", "n": self.number, "prev": None,
-                    "i": {k: [v.number, v.value] for k, v in self.items.items() if v.value is not None}}
-        return {"t": "news", "n": self.number, "prev": number,
-                "i": {k: [v.number, v.value] for k, v in self.items.items() if v.number > number}}
+            return News(self.number, None, {n: item for n, item in self.items.items() if item[1] is not None})
+        return News(self.number, number, self.after(number))
 
 
 class Publisher:
@@ -81,7 +85,7 @@
         self.sent: dict[str, int] = {}
         self.acked: dict[str, int] = {}
 
-    def follow(self, follower: str, number: int) -> list[tuple[str, Message]]:
+    def follow(self, follower: str, number: int) -> list[tuple[str, News]]:
         """A follower has come, or asks anew, and has `number` (0: nothing)."""
         self.acked[follower] = min(number, self.state.number)
         if number == self.state.number:
@@ -89,7 +93,7 @@
             return []
         return self._send(follower, number)
 
-    def _send(self, follower: str, number: int) -> list[tuple[str, Message]]:
+    def _send(self, follower: str, number: int) -> list[tuple[str, News]]:
         self.sent[follower] = self.state.number
         return [(follower, self.state.since(number))]
 
@@ -98,12 +102,16 @@
         self.sent.pop(follower, None)
         self.acked.pop(follower, None)
 
-    def tell(self) -> list[tuple[str, Message]]:
-        """Messages to all who have not been sent the present number."""
-        out: list[tuple[str, Message]] = []
+    def tell(self) -> list[tuple[str, News]]:
+        """Messages to all who have not been sent the present number; those at one number share theirs."""
+        out: list[tuple[str, News]] = []
+        shared: dict[int, News] = {}
         for follower, number in list(self.sent.items()):
             if number != self.state.number:
-                out += self._send(follower, number)
+                if number not in shared:
+                    shared[number] = self.state.since(number)
+                self.sent[follower] = self.state.number
+                out.append((follower, shared[number]))
         return out
 
     def ack(self, follower: str, number: int) -> None:
@@ -116,28 +124,44 @@
         return sum(1 for n in self.acked.values() if n >= self.state.number), len(self.acked)
 
 
+class Heard(NamedTuple):
+    """What a message of news led to: the items that it changed, and the answer to send."""
+
+    changed: dict[str, Any] | None
+    answer: NewsAck | Follow
+
+
 class Follower:
     """Who follows a state; `state.number` never falls."""
 
-    def __init__(self, state: State | None = None) -> None:
+    def __init__(self, me: str = "", state: State | None = None) -> None:
+        """`me`: the name that it follows under."""
+        self.me = me
         self.state = state or State()
 
-    def heard(self, message: Message) -> tuple[dict[str, Any] | None, Message | None]:
-        """A message of news: (what changed by it or None, the answer to send or None)."""
-        number, prev = message["n"], message["prev"]
-        if number <= self.state.number:
-            return None, {"t": "ack", "n": self.state.number}
-        if prev is not None and prev > self.state.number:
-            return None, {"t": "follow", "n": self.state.number}
-        items = {name: Item(pair[0], pair[1]) for name, pair in message["i"].items()}
-        if prev is None:
-            changed = {name: item.value for name, item in items.items()
-                       if self.state.items.get(name, Item(-1, None)).value != item.value}
-            changed.update({name: None for name, old in self.state.items.items()
-                            if name not in items and old.value is not None})
-            self.state = State(number, items, number)
+    def follow(self) -> Follow:
+        """The first message to a publisher, and the answer to a gap."""
+        return Follow(self.me, self.state.number)
+
+    def heard(self, news: News) -> Heard:
+        """A message of news."""
+        if news.number <= self.state.number:
+            return Heard(None, NewsAck(self.state.number))
+        if news.previous is None:
+            changed = self._replaced(news)
+        elif news.previous > self.state.number:
+            return Heard(None, self.follow())
         else:
-            changed = {name: item.value for name, item in items.items() if item.number > self.state.number}
-            self.state.items.update(items)
-            self.state.number = number
-        return changed, {"t": "ack", "n": number}
+            newer = {name: item for name, item in news.items.items() if item[0] > self.state.number}
+            changed = {name: item[1] for name, item in newer.items()}
+            self.state.merge(news.number, newer)
+        return Heard(changed, NewsAck(news.number))
+
+    def _replaced(self, news: News) -> dict[str, Any]:
+        """Take a whole state in; what it changed."""
+        old = self.state
+        changed = {name: item[1] for name, item in news.items.items() if old.value(name) != item[1]}
+        gone = [name for name, item in old.items.items() if name not in news.items and item[1] is not None]
+        changed.update(dict.fromkeys(gone))
+        self.state = State(news.number, news.items, news.number)
+        return changed
