A view knows its majority and its holders

Cause: the control node, the simulation and the registry ask the same three things of a view.

Change: properties of ViewRecord.

--- a/roadspur/transport/messages.py
+++ b/roadspur/transport/messages.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, Union
 
 import msgspec
@@ -24,6 +25,20 @@
     replicas: tuple[str, ...]  # that hold a copy beside the leader's
     voters: dict[str, str]
 
+    @property
+    def majority(self) -> int:
+        """How many of the voters decide."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def holders(self) -> tuple[str, ...]:
+        """Who has everything that was acknowledged in this epoch."""
+        return self.leader, *self.replicas
+
+    def has_majority(self, names: Iterable[str]) -> bool:
+        """Whether a majority of the voters is among some machines."""
+        return len(self.voters.keys() & set(names)) >= self.majority
+
 
 class Position(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """How far a copy of the control state is: the newest change, and a digest of all that led to it."""
