--- a/simnet/__main__.py
+++ b/simnet/__main__.py
@@ -3,53 +3,89 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 import sys
 import time
 from typing import Any
 
-from simnet import core, system
-from simnet.search import search
+from simnet.rules import Broken
+from simnet.search import BEGINNINGS, search
 
 
 def main() -> int:
     """Exit code 1 where a rule was broken."""
+    options = _options()
+    if options.search is not None:
+        return _search(options.search, options.beginning, options.minutes)
+    world = importlib.import_module(f"simnet.{options.world}")
+    if options.seed is not None:
+        return _replay(world, options.seed)
+    first = options.first if options.first is not None else time.time_ns() % 1_000_000_000
+    return _draw(world, first, options.minutes, options.stop)
+
+
+def _options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m simnet", description=__doc__)
     parser.add_argument("--minutes", type=float, default=1.0, help="for how long to draw seeds (1)")
     parser.add_argument("--first", type=int, default=None, help="the first seed; else the time of day")
     parser.add_argument("--seed", type=int, default=None, help="play this one only, and print what happened")
-    parser.add_argument("--world", choices=["core", "system"], default="core",
-                        help="the control state alone, or the whole system with clients and backends (core)")
+    parser.add_argument(
+        "--world",
+        choices=["core", "system"],
+        default="core",
+        help="the control state alone, or the whole system with clients and backends (core)",
+    )
     parser.add_argument("--stop", action="store_true", help="stop at the first finding")
-    parser.add_argument("--search", type=int, metavar="DEPTH", default=None,
-                        help="all orders of events in the smallest world, to this depth or for --minutes")
-    options = parser.parse_args()
-    if options.search is not None:
-        until = time.monotonic() + options.minutes * 60
-        found = search(options.search, go_on=lambda: time.monotonic() < until)
-        print(f"{found.states} states, all within {found.depth} steps: {found.why or 'no rule broken'}")
+    parser.add_argument(
+        "--search",
+        type=int,
+        metavar="DEPTH",
+        default=None,
+        help="all orders of events in the smallest world, to this depth or for --minutes",
+    )
+    parser.add_argument("--beginning", choices=[*BEGINNINGS, "all"], default="all", help="of the search (all)")
+    return parser.parse_args()
+
+
+def _search(depth: int, beginning: str, minutes: float) -> int:
+    """Search from one beginning, or from each for its part of the time."""
+    beginnings = list(BEGINNINGS) if beginning == "all" else [beginning]
+    broken = 0
+    for name in beginnings:
+        until = time.monotonic() + minutes * 60 / len(beginnings)
+        found = search(depth, beginning=name, go_on=lambda until=until: time.monotonic() < until)  # type: ignore[misc]
+        print(f"{name}: {found.states} states, all within {found.depth} steps: {found.why or 'no rule broken'}")
         for step in found.steps or ():
             print(f"  {' '.join(step)}")
-        return 1 if found.steps else 0
-    world: Any = core if options.world == "core" else system
-    if options.seed is not None:
-        try:
-            done = world.run(options.seed)
-        except core.Broken as broken:
-            print("\n".join(getattr(broken, "__notes__", [])))
-            print(f"seed {options.seed}: {broken}")
-            for fault in world.shrink(options.seed):
-                print(f"  {fault}")
-            return 1
-        print("\n".join(done.log))
-        return 0
-    first = options.first if options.first is not None else time.time_ns() % 1_000_000_000
-    end, seed, broken_days = time.monotonic() + options.minutes * 60, first, 0
+        broken += found.steps is not None
+        if broken:
+            break
+    return 1 if broken else 0
+
+
+def _replay(world: Any, seed: int) -> int:
+    """Play one seed and print what happened."""
+    try:
+        done = world.run(seed)
+    except Broken as broken:
+        print("\n".join(getattr(broken, "__notes__", [])))
+        print(f"seed {seed}: {broken}")
+        for fault in world.shrink(seed):
+            print(f"  {fault}")
+        return 1
+    print("\n".join(done.log))
+    return 0
+
+
+def _draw(world: Any, first: int, minutes: float, stop: bool) -> int:
+    """Play fresh seeds."""
+    end, seed, broken_days = time.monotonic() + minutes * 60, first, 0
     while time.monotonic() < end:
         try:
             world.run(seed)
-        except core.Broken as broken:
+        except Broken as broken:
             broken_days += 1
-            if options.stop:
+            if stop:
                 print(f"found by day {seed - first + 1}: {broken}")
                 return 1
             print(f"seed {seed}: {broken}; the fewest faults: {world.shrink(seed)}", flush=True)
--- /dev/null
+++ b/simnet/disk.py
@@ -0,0 +1,112 @@
+"""A simulated disk: what is synced, and what is under way while it is slow, hangs, is full or loses power.
+
+Writes are synced one after the other, as by the writer's one thread. Where a process ends, those under way are there
+up to some point in their order; each is there whole or not at all.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from roadspur.control.interface import Records, Stored
+from roadspur.transport.messages import Position, ViewRecord
+
+SYNC_S = 0.001
+SPREAD_S = 0.004
+SLOW_FACTOR = 30
+
+EncodedItems = dict[str, bytes]
+
+_decode_item: msgspec.msgpack.Decoder[tuple[int, Any]] = msgspec.msgpack.Decoder(tuple[int, Any])
+
+
+class Pending(NamedTuple):
+    """A write that has begun: its records, their items as bytes, and whether the disk will refuse it."""
+
+    records: Records
+    items: EncodedItems | None
+    refused: bool
+
+
+class Disk:
+    """One machine's disk."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.stalled_until = 0.0
+        self.slow_until = 0.0
+        self.full_until = 0.0
+        self.written_bytes = 0
+        self.pending: deque[Pending] = deque()
+        self._busy_until = 0.0
+        self.wipe()
+
+    def wipe(self) -> None:
+        """All that was on it is lost."""
+        self.promised = 0
+        self.view: ViewRecord | None = None
+        self.position = Position(-1, 0, b"")
+        self.floor = 0
+        self.items: EncodedItems = {}
+        self.leases: dict[str, tuple[str, int]] = {}
+        self.pending.clear()
+
+    def stored(self) -> Stored:
+        """What a process reads at its start."""
+        items = {name: _decode_item.decode(data) for name, data in self.items.items()}
+        return Stored(self.promised, self.view, self.position, self.floor, items, dict(self.leases))
+
+    def item(self, name: str) -> Any:
+        """One item's value as it is on disk."""
+        data = self.items.get(name)
+        return _decode_item.decode(data)[1] if data is not None else None
+
+    def begin(self, now: float, records: Records) -> float:
+        """Begin a write; returns when it ends."""
+        items = None if records.items is None else _encoded(records.items)
+        self.written_bytes += sum(map(len, (items or {}).values()))
+        start = max(now, self._busy_until, self.stalled_until)
+        length = SYNC_S + SPREAD_S * self.rng.random()
+        if start < self.slow_until:
+            length *= SLOW_FACTOR
+        self.pending.append(Pending(records, items, start < self.full_until))
+        self._busy_until = start + length
+        return self._busy_until
+
+    def end(self) -> bool:
+        """The oldest write ends; returns whether it is on disk."""
+        write = self.pending.popleft()
+        if not write.refused:
+            self._apply(write)
+        return not write.refused
+
+    def lose_process(self) -> None:
+        """The process or the power has ended: of the writes under way some first ones are there."""
+        while self.pending and self.rng.random() < 0.5:
+            self.end()
+        self.pending.clear()
+        self._busy_until = 0.0
+
+    def _apply(self, write: Pending) -> None:
+        records = write.records
+        if records.promised is not None:
+            self.promised = records.promised
+        if records.view is not None:
+            self.view = records.view
+        if records.position is not None:
+            self.position = records.position
+            self.floor = records.floor
+        if write.items is not None:
+            self.items = dict(write.items) if records.whole else {**self.items, **write.items}
+        if records.leases is not None:
+            self.leases = dict(records.leases)
+
+
+def _encoded(items: Mapping[str, Any]) -> EncodedItems:
+    """Items as bytes, so that what changes in memory later does not change what was written."""
+    return {name: msgspec.msgpack.encode(item) for name, item in items.items()}
--- a/simnet/search.py
+++ b/simnet/search.py
@@ -1,32 +1,43 @@
-"""An exhaustive search in the smallest world: every order of what can happen next, to a stated depth.
+"""An exhaustive search in a small world: every order of what can happen next, to a stated depth.
 
-Three machines in office, two changes, at most one kill, one cut, one loss of a disk, and a few passings of time. What
-can happen next is one of: the oldest message of a connection arrives, the oldest write of a disk ends, an operator
-sends a change, a fault, time passes. States that have been met are not gone on from. After each step: an epoch has
-one primary, one machine at most holds the office, and whoever holds it has every change that was acknowledged; so has
-some holder of the newest view, on its disk.
+Three voters and two changes, at most one kill, one cut, one loss of a disk, and a few passings of time; a fourth
+machine waits for a vote where a membership change is searched. What can happen next is one of: the oldest message of a
+connection arrives, the oldest write of a disk ends, an operator sends a change, a fault, time passes. States that have
+been met are not gone on from. After each step: an epoch has one leader and three voters, one machine at most holds the
+lease, and whoever holds it has every change that was acknowledged; so has some holder of the newest view, on its disk.
 
-States hold what is to be done after a write as closures, which cannot be copied: each is made anew from its steps.
-Cost: one world of `depth` steps a state, about a millisecond at ten.
+A search begins where the core is calm, where a leader has just been lost, or where a voter has just been lost while a
+learner waits. These worlds are driven there in one order, and copied.
 """
 
 from __future__ import annotations
 
+import copy
 import random
+import types
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
 from typing import Any, NamedTuple
 
-from roadspur.control.control import Control
-from roadspur.control.parts import Answer, Change, Office, Outputs, Send, Write
-from roadspur.control.views import Copy, Kept, View
-from roadspur.transport.news import Item, State
-from simnet.core import Broken
+import msgspec
 
-IPS = ("1", "2", "3")
-VIEW = View(1, "1", ("2",), {"1": "a", "2": "b", "3": "a"})
-PASS_S = 0.95  # of time at once: longer than the guard, so that the next in turn asks
+from roadspur.control.interface import Answer, Change, Output, Send, Stored, Write
+from roadspur.control.node import ControlNode
+from roadspur.transport.messages import AnyMessage, Position, RecordView, ViewRecord, VoteRequest
+from roadspur.transport.news import State
+from simnet.rules import CONFIG, Broken, held_order
+
+VOTERS = {"1": "a", "2": "b", "3": "a"}
+LEARNER, LEARNER_ZONE = "4", "b"
+VIEW = ViewRecord(1, "1", ("2",), VOTERS)
 BEGIN = 100.0
+STEP_S = 0.05  # of time at once while a world is driven to where a search begins
+PASS_S = 0.95  # of time at once in a search: longer than a voter's guard, so that the next in turn asks
+SETTLE_S = 6.0  # in which a driven world must be where the search begins
+LONG_AGO_S = 9.0  # times that lie further back are all alike
+TIMES = (BEGIN - 50.0, BEGIN + 200.0)  # numbers between these are times
 
 Step = tuple[str, ...]
 
@@ -47,6 +58,9 @@
     def random(self) -> float:
         return 0.5
 
+    def __deepcopy__(self, memo: dict[int, Any]) -> Steady:
+        return self
+
 
 STEADY = Steady(1)
 
@@ -56,148 +70,321 @@
 
     def __init__(self) -> None:
         self.now = BEGIN
-        base = State(1, {"config": Item(1, {"v": 0})})
-        self.disks: dict[str, dict[str, Any]] = {ip: {"promise": {"e": 1}, "view": VIEW.packed()} for ip in IPS}
+        self.disks = {ip: Stored(promised=1, view=VIEW) for ip in VOTERS}
         for ip in VIEW.holders:
-            self.disks[ip]["copy"] = Copy(1, base).packed()
-        self.wires: dict[tuple[str, str], deque[dict[str, Any]]] = {(a, b): deque() for a in IPS for b in IPS if a != b}
-        self.writes: dict[str, deque[Write]] = {ip: deque() for ip in IPS}
+            disk = self.disks[ip]
+            disk.items, disk.position = {CONFIG: (1, {"v": 0, "z": ""})}, Position(1, 1, b"1")
+        self.wires: dict[tuple[str, str], deque[AnyMessage]] = {}
+        self.writes: dict[str, deque[Write]] = {ip: deque() for ip in VOTERS}
         self.cut: set[tuple[str, str]] = set()
+        self.gone: set[str] = set()
         self.used = {"change": 0, "kill": 0, "cut": 0, "wipe": 0, "pass": 0}
         self.epochs: dict[int, str] = {}
-        self.acked = 0
-        self.controls = {ip: self._started(ip) for ip in IPS}
-        for control in self.controls.values():  # as in calm, right after a beat
-            control.beat_at = control.primary_at = self.now
-        self.controls["1"].office = Office(VIEW, dict.fromkeys(IPS, self.now), self.now, {"2": self.now})
-
-    def _started(self, ip: str) -> Control:
-        r = self.disks[ip]
-        kept = Kept(r["promise"]["e"] if "promise" in r else 0, View.unpacked(r["view"]) if "view" in r else None,
-                    Copy.unpacked(r["copy"]) if "copy" in r else Copy())
-        return Control(ip, VIEW.electorate[ip], IPS, False, kept, self.now, STEADY)
+        self.acknowledged = 0
+        self.nodes: dict[str, ControlNode] = {ip: self._started(ip, VOTERS[ip]) for ip in VOTERS}
+
+    def _started(self, ip: str, zone: str) -> ControlNode:
+        stored = copy.deepcopy(self.disks[ip])
+        return ControlNode(ip, zone, sorted(VOTERS), False, stored, self.now, STEADY, tolerance=1)
+
+    def add(self, ip: str, zone: str) -> None:
+        """A machine with an empty disk."""
+        self.disks[ip] = Stored()
+        self.writes[ip] = deque()
+        self.nodes[ip] = self._started(ip, zone)
+
+    def lose(self, ip: str) -> None:
+        """A machine is gone for good."""
+        self.gone.add(ip)
+        del self.nodes[ip], self.writes[ip]
+        for pair, waiting in self.wires.items():
+            if ip in pair:
+                waiting.clear()
+
+    def leader(self) -> str | None:
+        """Who holds the lease."""
+        return next(
+            (ip for ip, node in self.nodes.items() if node.leadership is not None and node.holds(self.now)), None
+        )
+
+    # What can happen.
 
     def choices(self, budget: Budget) -> Iterator[Step]:
         """All that can happen next."""
+        yield from self.due()
+        if self.used["change"] < budget.changes:
+            yield "change", self.leader() or min(self.nodes)
+        if self.used["kill"] < budget.kills:
+            yield from (("kill", ip) for ip in self.nodes)
+        if self.used["wipe"] < budget.wipes and not self.gone:
+            yield from (("wipe", ip) for ip in self.nodes)
+        if self.used["cut"] < budget.cuts:
+            yield from (("cut", a, b) for a in self.nodes for b in self.nodes if a != b and (a, b) not in self.cut)
+        if self.used["pass"] < budget.passes:
+            yield ("pass",)
+
+    def due(self) -> Iterator[Step]:
+        """What is under way: arrivals and ends of writes."""
         for (a, b), waiting in self.wires.items():
             if waiting:
                 yield "arrive", a, b
         for ip, writes in self.writes.items():
             if writes:
                 yield "written", ip
-        if self.used["change"] < budget.changes:
-            yield "change", next((ip for ip, c in self.controls.items() if c.office is not None), "1")
-        if self.used["kill"] < budget.kills:
-            yield from (("kill", ip) for ip in IPS)
-        if self.used["wipe"] < budget.wipes:
-            yield from (("wipe", ip) for ip in IPS)
-        if self.used["cut"] < budget.cuts:
-            yield from (("cut", a, b) for a, b in self.wires)
-        if self.used["pass"] < budget.passes:
-            yield ("pass",)
 
-    def step(self, what: Step, again: bool = False) -> None:
-        """Have one thing happen, and check the rules; `again`: they held here before."""
+    def step(self, what: Step) -> None:
+        """Have one thing happen, and check the rules."""
         kind, *where = what
         if kind in self.used:
             self.used[kind] += 1
-        ip = where[0] if where else ""
         if kind == "arrive":
-            table = self.wires[where[0], where[1]].popleft()
-            self._carry(where[1], self.controls[where[1]].message(self.now, ip, table))
+            self._arrive(where[0], where[1])
         elif kind == "written":
-            write = self.writes[ip].popleft()
-            self.disks[ip].update(write.records)
-            self._carry(ip, self.controls[ip].written(self.now, write.token, True))
+            self._written(where[0])
         elif kind == "change":
-            number = self.used["change"]
-            self._carry(ip, self.controls[ip].call(self.now, Change(
-                number, lambda s: bool(s.value("config")["v"] >= number), lambda s: {"config": {"v": number}}, "")))
+            self._change(where[0])
         elif kind == "cut":  # for good, in one direction; what is under way there is lost
             self.cut.add((where[0], where[1]))
-            self.wires[where[0], where[1]].clear()
+            self.wires.pop((where[0], where[1]), None)
         elif kind in ("kill", "wipe"):
-            self._end(ip, wipe=kind == "wipe")
+            self._end(where[0], wipe=kind == "wipe")
         elif kind == "pass":
-            self.now += PASS_S
-            for name, control in self.controls.items():
-                self._carry(name, control.tick(self.now))
-        for name, control in self.controls.items():
-            if control.office is not None and self.epochs.setdefault(control.office.view.epoch, name) != name:
-                raise Broken(f"epoch {control.office.view.epoch} has two primaries")
-        if not again:
-            self.check()
+            self.advance(PASS_S)
+        self.check()
+
+    def advance(self, for_s: float) -> None:
+        """Time passes, and each process sees it once."""
+        self.now += for_s
+        for ip, node in list(self.nodes.items()):
+            self._carry(ip, node.tick(self.now))
+
+    def _arrive(self, sender: str, to: str) -> None:
+        message = self.wires[sender, to].popleft()
+        self._carry(to, self.nodes[to].message(self.now, sender, message))
+
+    def _written(self, ip: str) -> None:
+        write = self.writes[ip].popleft()
+        store(self.disks[ip], write)
+        self._carry(ip, self.nodes[ip].written(self.now, write.token, True))
+
+    def _change(self, ip: str) -> None:
+        number = self.used["change"]
+        change = Change(number, AtLeast(number), Configuration(number), "")
+        self._carry(ip, self.nodes[ip].call(self.now, change))
 
     def _end(self, ip: str, wipe: bool) -> None:
         """A process ends and is back at once; power goes with its disk, and writes that have not ended are lost."""
         self.writes[ip].clear()
         if wipe:
-            self.disks[ip] = {}
+            self.disks[ip] = Stored()
         for pair, waiting in self.wires.items():
             if ip in pair:
                 waiting.clear()
-        self.controls[ip] = self._started(ip)
-        for other, control in self.controls.items():
+        self.nodes[ip] = self._started(ip, {**VOTERS, LEARNER: LEARNER_ZONE}[ip])
+        for other, node in self.nodes.items():
             if other != ip:
-                self._carry(other, control.linked(self.now, ip))
+                self._carry(other, node.linked(self.now, ip))
 
-    def _carry(self, ip: str, outputs: Outputs) -> None:
+    def _carry(self, ip: str, outputs: Iterable[Output]) -> None:
         for out in outputs:
-            if isinstance(out, Send) and out.to in self.controls and (ip, out.to) not in self.cut:
-                self.wires[ip, out.to].append(out.table)
+            if isinstance(out, Send) and out.to in self.nodes and (ip, out.to) not in self.cut:
+                self.wires.setdefault((ip, out.to), deque()).append(out.message)
             elif isinstance(out, Write):
-                self.writes[ip].append(out)
+                self.writes[ip].append(copy.deepcopy(out))
             elif isinstance(out, Answer) and out.answer is None:
-                self.acked = max(self.acked, int(out.call))
+                self.acknowledged = max(self.acknowledged, out.call)
+            elif isinstance(out, Answer) and isinstance(out.answer, State):
+                if held_order(out.answer).number < self.acknowledged:
+                    raise Broken(f"LOST: {ip} answers a read without what was acknowledged")
+
+    # Rules.
 
     def check(self) -> None:
         """The rules that can be seen in one state."""
         holding = []
-        for ip, control in self.controls.items():
-            if control.office is None:
+        for ip, node in self.nodes.items():
+            if node.leadership is None:
                 continue
-            if self.now < control.office.until():
+            view = node.leadership.view
+            if self.epochs.setdefault(view.epoch, ip) != ip:
+                raise Broken(f"epoch {view.epoch} has two leaders")
+            if len(view.voters) != len(VOTERS):
+                raise Broken(f"epoch {view.epoch} has {len(view.voters)} voters")
+            if node.holds(self.now):
                 holding.append(ip)
-                if control.copy.state.value("config")["v"] < self.acked:
-                    raise Broken(f"LOST: {ip} holds the office without what was acknowledged")
+                self._check_read(ip, node)
         if len(holding) > 1:
-            raise Broken(f"two hold the office: {holding}")
-        views = [View.unpacked(d["view"]) for d in self.disks.values() if "view" in d]
+            raise Broken(f"two hold the lease: {holding}")
+        self._check_disks()
+
+    def _check_read(self, ip: str, node: ControlNode) -> None:
+        """Who holds the lease has what was acknowledged."""
+        if held_order(node.state).number < self.acknowledged:
+            raise Broken(f"LOST: {ip} holds the lease without what was acknowledged")
+
+    def _check_disks(self) -> None:
+        views = [disk.view for disk in self.disks.values() if disk.view is not None]
         newest = max(views, key=lambda v: v.epoch)
-        kept = [self.disks[ip]["copy"] for ip in newest.holders if "copy" in self.disks[ip]]
-        if not any(c["e"] >= newest.epoch and State.unpacked(c["s"]).value("config")["v"] >= self.acked for c in kept
-                   if State.unpacked(c["s"]).value("config") is not None):
+        holders = [self.disks[ip] for ip in newest.holders if ip in self.nodes]
+        if not any(d.position.epoch >= newest.epoch and self._stored_number(d) >= self.acknowledged for d in holders):
             raise Broken("LOST: no holder of the newest view has what was acknowledged on its disk")
 
+    def _stored_number(self, disk: Stored) -> int:
+        return held_order(State(0, disk.items)).number
+
     def mark(self) -> str:
         """What tells this state from others: all that later steps depend on. Times count from now."""
-        def since(at: float) -> float:
-            return round(max(-9.0, at - self.now), 3)
-        parts: list[Any] = [sorted(self.used.items()), sorted(self.cut), self.acked]
-        for ip, c in self.controls.items():
-            office, attempt = c.office, c.attempt
-            parts.append((
-                c.promised, c.view, c.copy.packed(), c.forgot, c.asker, c.told, since(c.beat_at), since(c.try_at),
-                since(c.next_beat), since(c.primary_at), sorted(c.taught), len(c.queue), self.disks[ip],
-                [w.records for w in self.writes[ip]],
-                office and (office.view.epoch, {v: since(t) for v, t in office.heard.items()},
-                            {v: since(t) for v, t in office.backups_heard.items()},
-                            since(office.since)),
-                office and office.pending and (office.pending.number, office.pending.here, sorted(office.pending.there),
-                                               since(office.pending.since), since(office.pending.asked)),
-                attempt and (attempt.epoch, attempt.stage, sorted(attempt.said), sorted(attempt.synced),
-                             attempt.next, since(attempt.since), since(attempt.asked)),
-                {ip: since(at) for ip, at in c.shunned.items()}, sorted(c.guests)))
-        parts.append([list(waiting) for waiting in self.wires.values()])
-        return repr(parts)
-
-
-def made(steps: tuple[Step, ...]) -> World:
-    """The state that some steps lead to."""
-    world = World()
-    for step in steps:
-        world.step(step, again=True)
-    return world
+        walk = Walk(self.now)
+        parts = [sorted(self.used.items()), sorted(self.cut), self.acknowledged]
+        return repr((parts, walk.of(self.nodes), walk.of(self.disks), walk.of(self.writes), walk.of(self.wires)))
+
+
+@dataclass(frozen=True, slots=True)
+class AtLeast:
+    """Whether a state has a configuration of some number or a higher one."""
+
+    number: int
+
+    def __call__(self, state: State) -> bool:
+        return held_order(state).number >= self.number
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The item of a configuration."""
+
+    number: int
+
+    def __call__(self, state: State) -> dict[str, Any]:
+        return {CONFIG: {"v": self.number, "z": ""}}
+
+
+def store(disk: Stored, write: Write) -> None:
+    """A write is on disk, all of it."""
+    records = write.records
+    if records.promised is not None:
+        disk.promised = records.promised
+    if records.view is not None:
+        disk.view = records.view
+    if records.position is not None:
+        disk.position, disk.floor = records.position, records.floor
+    if records.items is not None:
+        disk.items = {**({} if records.whole else disk.items), **records.items}
+
+
+class Walk:
+    """Turns whatever a process holds in memory into plain values; times become times from now."""
+
+    def __init__(self, now: float) -> None:
+        self.now = now
+        self.seen: list[int] = []
+
+    def of(self, value: Any) -> Any:
+        """One value, with all that it holds."""
+        if isinstance(value, float):
+            return round(max(-LONG_AGO_S, value - self.now), 3) if TIMES[0] < value < TIMES[1] else value
+        if value is None or isinstance(value, int | str | bytes | Enum | type):
+            return value
+        if id(value) in self.seen:
+            return self.seen.index(id(value)) - len(self.seen)
+        self.seen.append(id(value))
+        try:
+            return self._deep(value)
+        finally:
+            self.seen.pop()
+
+    def _deep(self, value: Any) -> Any:
+        if isinstance(value, Mapping):
+            return sorted((repr(self.of(k)), self.of(v)) for k, v in value.items())
+        if isinstance(value, set | frozenset):
+            return sorted(repr(self.of(v)) for v in value)
+        if isinstance(value, list | tuple | deque):
+            return [self.of(v) for v in value]
+        if isinstance(value, random.Random):
+            return "random"
+        if isinstance(value, types.FunctionType):
+            raise TypeError(f"{value.__qualname__} can not be copied with the state that it refers to")
+        if isinstance(value, types.MethodType):
+            return value.__qualname__
+        fields = msgspec.structs.fields(value) if isinstance(value, msgspec.Struct) else ()
+        names = [f.name for f in fields] or [*getattr(value, "__dict__", {}), *_slots(type(value))]
+        return type(value).__name__, [(name, self.of(getattr(value, name, None))) for name in sorted(names)]
+
+
+def _slots(kind: type) -> list[str]:
+    return [name for base in kind.__mro__ for name in getattr(base, "__slots__", ())]
+
+
+# Where a search begins.
+
+
+def drive(world: World, until: Callable[[World], bool]) -> World:
+    """Let all happen in the order in which it was caused, until something is so."""
+    end = world.now + SETTLE_S
+    while world.now < end:
+        while (step := next(world.due(), None)) is not None:
+            if until(world):
+                return world
+            world.step(step)
+        if until(world):
+            return world
+        world.advance(STEP_S)
+    raise AssertionError("the world did not come to where the search begins")
+
+
+def calm() -> World:
+    """A leader holds the lease, and nothing is under way."""
+
+    def settled(world: World) -> bool:
+        return world.leader() is not None and world.now > BEGIN + 2.0 and next(world.due(), None) is None
+
+    return drive(World(), settled)
+
+
+def under_way(world: World, wanted: type[AnyMessage]) -> list[AnyMessage]:
+    """Messages of a type that have not arrived."""
+    return [m for waiting in world.wires.values() for m in waiting if isinstance(m, wanted)]
+
+
+def taking_over() -> World:
+    """A change was acknowledged, its leader is gone, and a replica has just asked for votes."""
+    world = acknowledged()
+    leader = world.leader()
+    assert leader is not None
+    world.step(("kill", leader))
+    for other in world.nodes:  # it stays silent
+        if other != leader:
+            world.cut |= {(leader, other), (other, leader)}
+    return drive(world, lambda w: bool(under_way(w, VoteRequest)))
+
+
+def acknowledged() -> World:
+    """A change was acknowledged a moment ago."""
+    world = calm()
+    world.step(("change", world.leader() or ""))
+    return drive(world, lambda w: w.acknowledged == 1)
+
+
+def exchanging() -> World:
+    """A voter is gone for good, and the view that has a learner in its place is under way."""
+    world = acknowledged()
+    gone = next(ip for ip in VOTERS if ip != world.leader())
+    world.add(LEARNER, LEARNER_ZONE)
+    world.lose(gone)
+
+    def exchanged(w: World) -> bool:
+        records = [m for m in under_way(w, RecordView) if isinstance(m, RecordView)]
+        return any(LEARNER in m.view.voters for m in records)
+
+    return drive(world, exchanged)
+
+
+BEGINNINGS: dict[str, Callable[[], World]] = {
+    "calm": calm,
+    "acknowledged": acknowledged,
+    "taking over": taking_over,
+    "exchanging": exchanging,
+}
 
 
 class Found(NamedTuple):
@@ -209,26 +396,40 @@
     why: str
 
 
-def search(depth: int, budget: Budget | None = None, first: tuple[Step, ...] = (),
-           go_on: Callable[[], bool] = lambda: True) -> Found:
-    """All states within `depth` steps after the `first` ones, nearest first; `go_on` is asked before each."""
+class Reached(NamedTuple):
+    """A state that is to be gone on from, and how it was reached."""
+
+    world: World
+    steps: tuple[Step, ...]
+
+
+def search(
+    depth: int,
+    budget: Budget | None = None,
+    beginning: str = "calm",
+    go_on: Callable[[], bool] = lambda: True,
+) -> Found:
+    """All states within `depth` steps after a beginning, nearest first; `go_on` is asked before each."""
     budget = budget or Budget()
-    met = {hash(made(first).mark())}
-    level: list[tuple[Step, ...]] = [first]
+    first = BEGINNINGS[beginning]()
+    first.used = dict.fromkeys(first.used, 0)
+    first.used["change"] = first.acknowledged
+    met = {hash(first.mark())}
+    level = [Reached(first, ())]
     for at in range(depth):
-        following: list[tuple[Step, ...]] = []
-        for steps in level:
+        following: list[Reached] = []
+        for reached in level:
             if not go_on():
                 return Found(len(met), at, None, "")
-            for choice in made(steps).choices(budget):
-                world, longer = made(steps), (*steps, choice)
+            for choice in list(reached.world.choices(budget)):
+                world, steps = copy.deepcopy(reached.world), (*reached.steps, choice)
                 try:
                     world.step(choice)
                 except Broken as broken:
-                    return Found(len(met), at, longer, str(broken))
+                    return Found(len(met), at, steps, str(broken))
                 mark = hash(world.mark())
                 if mark not in met:
                     met.add(mark)
-                    following.append(longer)
+                    following.append(Reached(world, steps))
         level = following
     return Found(len(met), depth, None, "")
