--- a/tests/system/test_search.py
+++ b/tests/system/test_search.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from roadspur.control.node import ControlNode
-from simnet.search import BEGINNINGS, LEARNER, Budget, search
+from simnet.search import BEGINNINGS, LEARNER, search
 
 
 def test_the_searches_begin_where_they_say():
