--- a/simnet/cluster.py
+++ b/simnet/cluster.py
@@ -311,7 +311,7 @@
         self.ledger.publish(state)
         if not machine.holds(self.clock.now) or not self.in_contact(machine):
             raise Broken(f"{machine.address} publishes without a lease or without contact with a majority")
-        machine.publisher.state = state
+        machine.publisher.state = state.copied()
         for name, news in machine.publisher.tell():
             follower = self.followers[name]
             before = follower.state.number
--- a/simnet/disk.py
+++ b/simnet/disk.py
@@ -48,10 +48,11 @@
 
     def wipe(self) -> None:
         """All that was on it is lost."""
-        self.promised = 0
-        self.view: ViewRecord | None = None
-        self.position = Position(-1, 0, b"")
-        self.floor = 0
+        empty = Stored()
+        self.promised = empty.promised
+        self.view: ViewRecord | None = empty.view
+        self.position: Position = empty.position
+        self.floor = empty.floor
         self.items: EncodedItems = {}
         self.leases: dict[str, tuple[str, int]] = {}
         self.pending.clear()
