--- a/roadspur/common/failures.py
+++ b/roadspur/common/failures.py
@@ -32,7 +32,7 @@
     INVALID = "invalid"                  # a configuration that must not be in force
     UNKNOWN_CALL = "unknown-call"
     ELSEWHERE = "elsewhere"              # another machine answers this call
-    NO_OFFICE = "no-office"              # nobody can answer this call now
+    NO_LEADER = "no-leader"              # nobody can answer this call now
 
 
 class Form(NamedTuple):
@@ -49,7 +49,7 @@
     Kind.NO_BACKEND: Form(503, 0.5), Kind.STARTING: Form(503, 0.3), Kind.ENDING: Form(503, 0.05),
     Kind.CROWDED: Form(503, 0.2),
     Kind.FAILED: Form(502), Kind.OVERDUE: Form(504), Kind.FAULT: Form(500),
-    Kind.INVALID: Form(400), Kind.UNKNOWN_CALL: Form(404), Kind.ELSEWHERE: Form(307), Kind.NO_OFFICE: Form(503, 0.2),
+    Kind.INVALID: Form(400), Kind.UNKNOWN_CALL: Form(404), Kind.ELSEWHERE: Form(307), Kind.NO_LEADER: Form(503, 0.2),
 }
 PROMISES = frozenset(k for k, form in ANSWERS.items() if form.status in (408, 421, 429, 503))
 
--- /dev/null
+++ b/roadspur/control/calls.py
@@ -0,0 +1,53 @@
+"""Calls that wait for a leader: answered by one, sent on to another, or refused once they have waited too long."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from roadspur.common.failures import Failure, Kind
+from roadspur.control.context import Context
+from roadspur.control.interface import Change, Read
+from roadspur.control.timing import HOLD_S
+
+
+class Calls:
+    """One node's."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._waiting: deque[Change | Read] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, call: Change | Read) -> None:
+        """A call has come."""
+        self._waiting.append(call._replace(until=self._context.now + HOLD_S))
+
+    def put_back(self, change: Change) -> None:
+        """A change was begun under a leadership that is over: it may be in force later or not."""
+        self._waiting.appendleft(change._replace(until=self._context.now + 2 * HOLD_S))
+
+    def take(self) -> Change | Read:
+        """The next call."""
+        return self._waiting.popleft()
+
+    def send_on(self, leader: str) -> None:
+        """All callers go to the machine that leads."""
+        self._answer_all(Failure(Kind.ELSEWHERE, where=leader))
+
+    def end(self) -> None:
+        """This process ends."""
+        self._answer_all(Failure(Kind.ENDING))
+
+    def expire(self) -> None:
+        """Those that have waited too long are refused."""
+        late = [call for call in self._waiting if self._context.now > call.until]
+        if late:
+            self._waiting = deque(call for call in self._waiting if self._context.now <= call.until)
+        for call in late:
+            self._context.answer(call.call, Failure(Kind.NO_LEADER))
+
+    def _answer_all(self, failure: Failure) -> None:
+        while self._waiting:
+            self._context.answer(self._waiting.popleft().call, failure)
--- /dev/null
+++ b/roadspur/control/durable.py
@@ -0,0 +1,98 @@
+"""What a control node keeps on disk: its promise, the newest view, its replica, and the leases that it granted.
+
+Writes go out one at a time; those that come meanwhile are joined into the next one, which is on disk whole or not at
+all. So what a later write rests on is on disk before it, and a write that fails takes what was joined to it along.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from roadspur.common.events import Event
+from roadspur.control.context import Context
+from roadspur.control.interface import Records, Stored, Write
+from roadspur.control.replica import Replica
+from roadspur.transport.messages import Items, ViewRecord
+
+After = Callable[[bool], None]  # told whether a write is on disk
+
+
+class Waiting(NamedTuple):
+    """A write that has not gone out yet."""
+
+    records: Records
+    after: After
+
+
+def joined(parts: list[Records]) -> Records:
+    """Several writes as one: of what stands in several, the last."""
+    whole, items = False, None
+    merged = Records()
+    for part in parts:
+        given = {name: value for name, value in part._asdict().items() if value is not None}
+        if part.position is None:
+            del given["floor"]
+        merged = merged._replace(**given)
+        if part.items is not None:
+            items = _joined_items(items, part)
+            whole = whole or part.whole
+    return merged._replace(items=items, whole=whole)
+
+
+def _joined_items(items: Items | None, part: Records) -> Items:
+    assert part.items is not None
+    if part.whole or items is None:
+        return dict(part.items)
+    return {**items, **part.items}
+
+
+class Durable:
+    """One node's."""
+
+    def __init__(self, context: Context, stored: Stored) -> None:
+        self._context = context
+        self.promised = stored.promised
+        self.view = stored.view  # the newest that is known
+        self.recorded = stored.view.epoch if stored.view is not None else 0  # the epoch of the view on disk
+        self.replica = Replica(stored)
+        self._waiting: list[Waiting] = []
+        self._in_flight: list[After] = []
+        self._token = 0
+
+    def write(self, records: Records, after: After) -> None:
+        """Have records written; `after` is told how that ended."""
+        self._waiting.append(Waiting(records, after))
+        if not self._in_flight:
+            self._start()
+
+    def _start(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        self._in_flight = [each.after for each in waiting]
+        self._token += 1
+        self._context.emit(Write(self._token, joined([each.records for each in waiting])))
+
+    def written(self, token: int, ok: bool) -> None:
+        """A write has ended; `ok`: it is on disk."""
+        if token != self._token or not self._in_flight:
+            return
+        ended, self._in_flight = self._in_flight, []
+        for after in ended:
+            after(ok)
+        if self._waiting and not self._in_flight:
+            self._start()
+
+    def keep_replica(self, items: Items | None, whole: bool, after: After) -> None:
+        """Have the replica's position on disk, with what was changed by it."""
+        replica = self.replica
+        self.write(Records(position=replica.position, floor=replica.state.floor, items=items, whole=whole), after)
+
+    def adopt(self, view: ViewRecord) -> None:
+        """A view was recorded somewhere: this machine knows it, and may hold or vote for nothing any more."""
+        self._context.known.update(view.voters)
+        if self.view is None or view.epoch > self.view.epoch:
+            self.view = view
+
+    def failed(self, what: str) -> None:
+        """A write that mattered is not on disk."""
+        self._context.note(Event.DISK, f"{what} not written")
--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -1,247 +1,276 @@
-"""How an epoch begins: a holder asks, a majority promises, backups get the copy, a majority records the view.
+"""How an epoch begins: a holder asks for votes, gives the replicas its copy, has the view recorded, and leads.
 
-Each promise is on disk before it is told, and given to one asker an epoch. A view with another electorate than the one
-before needs a majority of both.
+Guaranteed: an epoch begins only when a majority of the voters before it and a majority of its own have its view on
+disk, and all of its replicas have its view and its leader's whole copy on disk; and only a holder of the newest view
+that the voting majority knows may begin it. So whoever leads has everything that was ever acknowledged, and the voters
+may be exchanged by any epoch: who asks the voters before it meets one that recorded the exchange and tells of it, or
+one that promised first, without which the exchange never had its majority.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
 
 from roadspur.common.events import Event
-from roadspur.control.machine import Machine
-from roadspur.control.parts import AGAIN_S, GUARD_S, HOLD_S, TRY_S, YIELD_S, Attempt, Office, Publish
-from roadspur.control.views import Copy, View
-
-
-class Elections(Machine):
-    """Attempts at the office, and what a voter answers to them."""
-
-    def _stand(self, why: str, electorate: Mapping[str, str] | None = None) -> None:
-        """Ask for the next epoch, with another electorate where one is given."""
-        assert self.view is not None
-        office = self.office
-        epoch = max(self.promised, self.view.epoch) + 1
-        self._note(Event.CANDIDATE, epoch, why)
-        if office is not None:  # of its own accord: its voters still guard it, and know it as the one that asks
-            self.office = None
-            if office.pending is not None:
-                self.queue.appendleft(office.pending.change._replace(until=self.now + 2 * HOLD_S))
-        self.attempt = Attempt(epoch, self.view, self.now, self.now, wanted=electorate)
-        self._promise(epoch, {}, self._ask)
+from roadspur.control import membership
+from roadspur.control.context import Context
+from roadspur.control.durable import Durable
+from roadspur.control.interface import Records
+from roadspur.control.joining import Joining
+from roadspur.control.role import Candidacy, Role
+from roadspur.control.timing import CANDIDACY_S, FOUND_S, GUARD_S, RETRY_S, SHUN_S
+from roadspur.transport.messages import (
+    Found,
+    Install,
+    Installed,
+    InstallRefused,
+    RecordView,
+    ViewRecord,
+    ViewRecorded,
+    Vote,
+    VoteRefused,
+    VoteRequest,
+)
 
-    def _ask(self) -> None:
-        attempt = self.attempt
-        if attempt is None or attempt.epoch != self.promised:
-            return
-        attempt.said[self.me] = self.view
-        for voter in attempt.view.electorate:
-            if voter not in attempt.said:
-                self._send(voter, "ask", e=attempt.epoch, view=attempt.view.packed())
-
-    def _on_ask(self, sender: str, table: dict[str, Any]) -> None:
-        epoch = table["e"]
-        if self.view is None or self.forgot:
-            return
-        self._adopt(View.unpacked(table["view"]))
-        if self.me not in self.view.electorate:
-            return
-        if sender not in self.view.electorate:
-            self._send(sender, "refused", e=epoch, promised=self.promised, view=self.view.packed())
-            return
-        if epoch == self.promised and sender == self.asker:  # the answer to its first question was lost, or is coming
-            if self.told:
-                self._send(sender, "promised", e=epoch, view=self.view.packed())
+FIRST_EPOCH = 1
+
+
+class Elections:
+    """One node's attempts to lead."""
+
+    def __init__(
+        self, context: Context, durable: Durable, role: Role, joining: Joining, elected: Callable[[Candidacy], None]
+    ) -> None:
+        """`elected` is told of a candidacy that has led to the leadership."""
+        self._context, self._durable, self._role, self._joining = context, durable, role, joining
+        self._elected = elected
+
+    # Founding.
+
+    def found(self) -> None:
+        """All founders tell the first seed; it begins once all seeds have come and nobody else does."""
+        joining, context = self._joining, self._context
+        joining.tell_founders()
+        if min(context.seeds) != context.me:
             return
-        guarded = self.now - self.beat_at < GUARD_S and sender != self.view.primary
-        mine = self.office is not None and self.now < self.office.until()
-        if epoch <= self.promised or guarded or mine:
-            self._send(sender, "refused", e=epoch, promised=self.promised, view=self.view.packed())
+        if self._role.candidacy is not None:
+            self.press()
+        elif self._all_have_come():
+            self._begin_founding()
+
+    def _all_have_come(self) -> bool:
+        joining, context = self._joining, self._context
+        joining.on_found(context.me, Found(context.zone))
+        newest = max(founder.since for founder in joining.founders.values())
+        whole = context.seeds <= joining.founders.keys()
+        return whole and context.now - context.started > FOUND_S and context.now - newest > FOUND_S / 2
+
+    def _begin_founding(self) -> None:
+        context = self._context
+        voters = {name: founder.zone for name, founder in self._joining.founders.items()}
+        nothing = ViewRecord(0, context.me, (), voters)
+        candidacy = Candidacy(FIRST_EPOCH, nothing, context.now, context.now)
+        candidacy.votes = dict.fromkeys(voters, None)
+        self._role.candidacy = candidacy
+        position = self._durable.replica.enter(FIRST_EPOCH)
+        context.note(Event.CANDIDATE, FIRST_EPOCH, "founding")
+        records = Records(position=position, items={}, whole=True)
+        self._role.promise(FIRST_EPOCH, records, self._install)
+
+    # Standing.
+
+    def stand(self, why: str, voters: Mapping[str, str] | None = None) -> None:
+        """Ask for the next epoch, with other voters where they are given."""
+        durable, role = self._durable, self._role
+        assert durable.view is not None
+        epoch = max(durable.promised, durable.view.epoch) + 1
+        self._context.note(Event.CANDIDATE, epoch, why)
+        if role.leadership is not None:  # its voters still guard it, and know it as the one that asks
+            role.begin_anew()
+        else:
+            role.forget_last()
+        role.candidacy = Candidacy(epoch, durable.view, self._context.now, self._context.now, voters=voters)
+        role.promise(epoch, Records(), self._ask)
+
+    def linked(self, other: str) -> None:
+        """A connection to another machine stands anew: what was said to it before may be lost."""
+        candidacy = self._role.candidacy
+        if candidacy is not None and candidacy.stage == "vote" and other not in candidacy.votes:
+            self._ask()
+
+    def _ask(self) -> None:
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.epoch != self._durable.promised:
             return
-        self.attempt = None
-        view = self.view
-
-        def tell() -> None:
-            self.told = True
-            self._send(sender, "promised", e=epoch, view=view.packed())
-        self._promise(epoch, {}, tell)
-        self.asker = sender
-        # It gets the time that its attempt takes on slow ways and disks: to ask at once would end it, and so on.
-        self.try_at = self.now + YIELD_S + self.rng.random() * YIELD_S
-
-    def _on_refused(self, sender: str, table: dict[str, Any]) -> None:
-        attempt = self.attempt
-        if attempt is None or attempt.epoch != table["e"]:
+        candidacy.votes[self._context.me] = self._durable.view
+        for voter in candidacy.view.voters:
+            if voter not in candidacy.votes:
+                self._context.send(voter, VoteRequest(candidacy.epoch, candidacy.view))
+
+    def on_vote_refused(self, sender: str, message: VoteRefused) -> None:
+        """A voter has promised more, or helps another."""
+        candidacy, durable = self._role.candidacy, self._durable
+        if candidacy is None or candidacy.epoch != message.epoch:
             return
-        self._adopt(View.unpacked(table["view"]))
-        if table["promised"] >= attempt.epoch:
-            self.attempt = None
-            self.promised = max(self.promised, table["promised"])  # kept with the next promise; it is no vote
-            self.try_at = self.now + 0.1 + self.rng.random() * 0.4
-
-    def _adopt(self, view: View) -> None:
-        """A newer view than the known one was recorded somewhere: this machine may hold nothing any more."""
-        if self.view is None or view.epoch > self.view.epoch:
-            self.view = view
-
-    def _on_promised(self, sender: str, table: dict[str, Any]) -> None:
-        attempt = self.attempt
-        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "ask":
+        durable.adopt(message.view)
+        if message.promised >= candidacy.epoch:
+            self._role.candidacy = None
+            durable.promised = max(durable.promised, message.promised)  # kept with the next promise; it is no vote
+            self._role.stand_at = self._context.now + 0.1 + self._context.rng.random() * 0.4
+
+    def on_vote(self, sender: str, message: Vote) -> None:
+        """A voter has promised the epoch."""
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.epoch != message.epoch or candidacy.stage != "vote":
             return
-        attempt.said[sender] = View.unpacked(table["view"])
-        self._advance()
-
-    def _advance(self) -> None:
-        """With a majority's promises: follow the newest view that it knows, if this machine holds that one's state."""
-        attempt = self.attempt
-        assert attempt is not None
-        newest = max((v for v in attempt.said.values() if v is not None), key=lambda v: v.epoch)
-        self._adopt(newest)
-        if newest.epoch > attempt.view.epoch:  # others may vote by now: they are asked too
-            attempt.view, attempt.wanted = newest, None
+        candidacy.votes[sender] = message.view
+        candidacy.positions[sender] = message.position
+        self._count_votes(candidacy)
+
+    def _count_votes(self, candidacy: Candidacy) -> None:
+        """With a majority's votes: follow the newest view that it knows, if this machine holds that one's state."""
+        newest = max((view for view in candidacy.votes.values() if view is not None), key=lambda view: view.epoch)
+        self._durable.adopt(newest)
+        if newest.epoch > candidacy.view.epoch:  # others may vote by now: they are asked too
+            candidacy.view, candidacy.voters = newest, None
             self._ask()
-        if not newest.has_majority(attempt.said):
+        if not newest.has_majority(candidacy.votes):
             return
-        if not self.eligible():
-            self.attempt = None
-            self.try_at = self.now + GUARD_S + self.rng.random()
+        if not self._role.eligible():
+            self._role.candidacy = None
+            self._role.stand_at = self._context.now + GUARD_S + self._context.rng.random()
             return
-        self.copy = Copy(attempt.epoch, self.copy.state)
-        attempt.stage = "copy"
-        epoch = attempt.epoch
+        candidacy.stage = "enter"
+        self._durable.replica.enter(candidacy.epoch)
+        self._durable.keep_replica(None, False, lambda ok: self._entered(candidacy, ok))
 
-        def done(ok: bool) -> None:
-            if ok and self.attempt is not None and self.attempt.epoch == epoch == self.promised:
-                self._sync_backups()
-        self._write({"copy": self.copy.packed()}, done)
-
-    def _sync_backups(self) -> None:
-        """Choose the backups, in another zone where one answers, and give them the whole copy."""
-        attempt = self.attempt
-        if attempt is None:
-            return
-        attempt.stage = "sync"
-        voters = attempt.view.electorate
-        electorate = attempt.wanted if attempt.wanted is not None else voters
-        there = set(attempt.said) if attempt.said else set(voters)
-        count = attempt.view.copies(self.tolerance)
-
-        def rank(ip: str) -> tuple[bool, bool, bool, bool, bool, str]:
-            return (ip not in attempt.synced, ip in attempt.tried, self.shunned.get(ip, -1e9) > self.now,
-                    ip not in there, voters[ip] == self.zone, ip)
-        # Of the old electorate alone: a machine that is new votes by the record of the view that names it.
-        order = sorted((ip for ip in voters if ip != self.me and ip in electorate), key=rank)
-        backups = order[:count]
-        abroad = next((ip for ip in order if voters[ip] != self.zone and ip in there and ip not in attempt.tried), None)
-        if abroad is not None and all(voters[ip] == self.zone for ip in backups):
-            backups[-1] = abroad
-        attempt.tried |= set(backups)
-        attempt.asked = self.now
-        attempt.next = View(attempt.epoch, self.me, tuple(backups), electorate)
-        for backup in backups:
-            if backup not in attempt.synced:
-                self._send(backup, "sync", e=attempt.epoch, copy=self.copy.packed())
-
-    def _on_sync(self, sender: str, table: dict[str, Any]) -> None:
-        epoch = table["e"]
-        if epoch < self.promised or self.forgot or (self.founding and sender not in self.seeds):
-            return
-        if self.view is not None and self.view.epoch >= epoch:
+    def _entered(self, candidacy: Candidacy, ok: bool) -> None:
+        if ok and self._current(candidacy):
+            self._install()
+
+    def _current(self, candidacy: Candidacy) -> bool:
+        """Whether an attempt goes on: nothing higher was promised since."""
+        return self._role.candidacy is candidacy and candidacy.epoch == self._durable.promised
+
+    # Replicas.
+
+    def _install(self) -> None:
+        """Choose the replicas, and give them what they lack."""
+        candidacy, context = self._role.candidacy, self._context
+        if candidacy is None:
             return
-        if not self.founding and (self.view is None or self.me not in self.view.electorate):
+        candidacy.stage, candidacy.asked = "install", context.now
+        voters = candidacy.voters if candidacy.voters is not None else candidacy.view.voters
+        replicas = membership.choose_replicas(context.me, voters, context.tolerance, self._preference(candidacy))
+        candidacy.tried |= set(replicas)
+        candidacy.next = ViewRecord(candidacy.epoch, context.me, replicas, dict(voters))
+        for replica in replicas:
+            if replica not in candidacy.installed:
+                self._send_copy(replica, candidacy)
+        self._record_if_installed()
+
+    def _preference(self, candidacy: Candidacy) -> membership.Preference:
+        present = self._joining.learners.present()
+        answered = {*candidacy.votes, *present}
+        now = self._context.now
+        shunned = {name for name, until in self._role.shunned.items() if until > now}
+        leaving = set(self._role.leaving)
+        return membership.Preference(candidacy.installed, candidacy.tried, shunned, leaving, answered)
+
+    def _send_copy(self, to: str, candidacy: Candidacy) -> None:
+        learner = self._joining.learners.present().get(to)
+        position = candidacy.positions.get(to, learner.position if learner is not None else None)
+        self._context.send(to, self._durable.replica.install_for(position))
+
+    def on_installed(self, sender: str, message: Installed) -> None:
+        """A replica has the copy on disk."""
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.epoch != message.epoch or candidacy.stage != "install":
             return
-        self.attempt = None
-        self.copy = Copy.unpacked(table["copy"])
-        self._promise(epoch, {"copy": self.copy.packed()}, lambda: self._send(sender, "synced", e=epoch))
+        if message.position.same_change(self._durable.replica.position):
+            candidacy.installed.add(sender)
+            self._record_if_installed()
 
-    def _on_synced(self, sender: str, table: dict[str, Any]) -> None:
-        attempt = self.attempt
-        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "sync" or attempt.next is None:
+    def on_install_refused(self, sender: str, message: InstallRefused) -> None:
+        """A replica's copy is elsewhere than was thought."""
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.epoch != message.epoch or candidacy.stage != "install":
             return
-        attempt.synced.add(sender)
-        if not attempt.synced >= set(attempt.next.backups):
+        candidacy.positions[sender] = message.position
+        install: Install = self._durable.replica.install_for(message.position)
+        self._context.send(sender, install)
+
+    # The view.
+
+    def _record_if_installed(self) -> None:
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):
             return
-        attempt.stage, attempt.asked = "record", self.now
-        attempt.said = {}
-        following = attempt.next
+        candidacy.stage, candidacy.asked = "record", self._context.now
+        view = candidacy.next
 
         def done(ok: bool) -> None:
-            if ok and self.attempt is attempt and self.promised == attempt.epoch:
-                attempt.said[self.me] = following
-                self._recorded()
-        self._write({"view": following.packed(), "promise": {"e": attempt.epoch}}, done)
-        self._record()
-
-    def _record(self) -> None:
-        attempt = self.attempt
-        assert attempt is not None and attempt.next is not None
-        for voter in {**attempt.view.electorate, **attempt.next.electorate}:
-            if voter not in attempt.said and voter != self.me:
-                self._send(voter, "record", view=attempt.next.packed())
-
-    def _on_record(self, sender: str, table: dict[str, Any]) -> None:
-        view = View.unpacked(table["view"])
-        if (self.forgot and not self.admitted) or view.epoch < self.promised:
-            return
-        was = self.view is not None and self.me in self.view.electorate
-        if self.me not in view.electorate and not was:
-            return  # one that loses its vote records that too, as the electorate before decides with the new one
-        if self.view is not None and view.epoch == self.promised and self.view.epoch == view.epoch:
-            self._send(sender, "recorded", e=view.epoch)
-            return
-        self.attempt = None
-        records: dict[str, Any] = {"view": view.packed()}
-        if self.forgot or (self.view is not None and not was):  # its first vote: it holds nothing
-            self.copy, self.forgot, self.admitted = Copy(), False, False
-            records["copy"] = self.copy.packed()
-        self.view, self.founding = view, False
-        self.beat_at = self.primary_at = self.now
-        self._promise(view.epoch, records, lambda: self._send(sender, "recorded", e=view.epoch))
-        self._note_view(view)
-
-    def _on_recorded(self, sender: str, table: dict[str, Any]) -> None:
-        attempt = self.attempt
-        if attempt is None or attempt.epoch != table["e"] or attempt.stage != "record":
+            if ok and self._current(candidacy):
+                self._durable.recorded = max(self._durable.recorded, view.epoch)
+                candidacy.recorded.add(self._context.me)
+                self._count_records(candidacy)
+
+        self._durable.write(Records(view=view, promised=candidacy.epoch), done)
+        self._ask_to_record(candidacy, view)
+
+    def _ask_to_record(self, candidacy: Candidacy, view: ViewRecord) -> None:
+        for voter in {**candidacy.view.voters, **view.voters}:
+            if voter not in candidacy.recorded and voter != self._context.me:
+                self._context.send(voter, RecordView(view))
+
+    def on_view_recorded(self, sender: str, message: ViewRecorded) -> None:
+        """A voter has the view on disk."""
+        candidacy = self._role.candidacy
+        if candidacy is None or candidacy.epoch != message.epoch or candidacy.stage != "record":
             return
-        attempt.said[sender] = attempt.next
-        self._recorded()
-
-    def _recorded(self) -> None:
-        """With a majority's records, its own among them, the office begins."""
-        attempt = self.attempt
-        assert attempt is not None and attempt.next is not None
-        view = attempt.next
-        if self.me not in attempt.said or not (
-                view.has_majority(attempt.said) and attempt.view.has_majority(attempt.said)):
+        candidacy.recorded.add(sender)
+        self._count_records(candidacy)
+
+    def _count_records(self, candidacy: Candidacy) -> None:
+        """With the majorities' records, its own and its replicas' among them, the leadership begins."""
+        view, recorded = candidacy.next, candidacy.recorded
+        assert view is not None
+        if not {self._context.me, *view.replicas} <= recorded:
             return
-        if self.founding and self.now - attempt.since < TRY_S and len(attempt.said) < len(view.electorate):
+        if not (view.has_majority(recorded) and candidacy.view.has_majority(recorded)):
             return
-        if self.founding:
-            self._note(Event.FOUNDED, ", ".join(sorted(view.electorate)))
-        self.view, self.attempt, self.founding = view, None, False
-        self.office = Office(view, {self.me: self.now}, self.now, dict.fromkeys(view.backups, self.now))
-        for voter in attempt.said:  # they guard it from when they recorded; what they say to the next beat is the lease
-            self.office.heard.setdefault(voter, attempt.asked)
-        self.next_beat = self.now
-        self._note(Event.OFFICE, view.epoch, ", ".join(view.backups))
-        self.out.append(Publish(self.copy.state))
-        self._keep_office()
-
-    def _press(self) -> None:
+        if self._joining.founding:
+            if self._context.now - candidacy.since < CANDIDACY_S and len(recorded) < len(view.voters):
+                return
+            self._context.note(Event.FOUNDED, ", ".join(sorted(view.voters)))
+        self._durable.view = view
+        self._joining.has_vote(True)
+        self._role.candidacy = None
+        self._elected(candidacy)
+
+    # Time.
+
+    def press(self) -> None:
         """Repeat what has no answer; give up what takes too long."""
-        attempt = self.attempt
-        assert attempt is not None
-        if not self.founding and self.now - attempt.since > TRY_S:
-            self.attempt = None
-            self.try_at = self.now + 0.2 + self.rng.random() * 0.5
-        elif self.now - attempt.asked > AGAIN_S:
-            attempt.asked = self.now
-            if attempt.stage == "ask":
-                self._ask()
-            elif attempt.stage == "sync":
-                self._sync_backups()
-            elif attempt.stage == "record":
-                self._record()
-                if self.founding:
-                    self._recorded()
+        candidacy, now = self._role.candidacy, self._context.now
+        assert candidacy is not None
+        if not self._joining.founding and now - candidacy.since > CANDIDACY_S:
+            self._role.candidacy = None
+            self._role.stand_at = now + 0.2 + self._context.rng.random() * 0.5
+        elif now - candidacy.asked > RETRY_S:
+            candidacy.asked = now
+            self._repeat(candidacy)
+
+    def _repeat(self, candidacy: Candidacy) -> None:
+        if candidacy.stage == "vote":
+            self._ask()
+        elif candidacy.stage == "install":
+            assert candidacy.next is not None
+            for silent in set(candidacy.next.replicas) - candidacy.installed:
+                self._role.shunned[silent] = self._context.now + SHUN_S
+            self._install()
+        elif candidacy.stage == "record":
+            assert candidacy.next is not None
+            self._ask_to_record(candidacy, candidacy.next)
+            if self._joining.founding:
+                self._count_records(candidacy)
--- a/roadspur/control/interface.py
+++ b/roadspur/control/interface.py
@@ -59,9 +59,13 @@
 
 
 class Publish(NamedTuple):
-    """The state as it is in force, to be told to all that follow it."""
+    """The state as it is in force, to be told to all that follow it; `items`: what the newest change set.
+
+    Without `items` the whole state may be new. Whoever keeps it copies: the node goes on changing its own.
+    """
 
     state: State
+    items: Items | None = None
 
 
 class Note(NamedTuple):
@@ -103,7 +107,7 @@
 
     promised: int = 0
     view: ViewRecord | None = None
-    position: Position = Position(-1, 0, b"")
+    position: Position = Position(-1, 0, 0)
     floor: int = 0
     items: Items = field(default_factory=dict)
     leases: dict[str, tuple[str, int]] = field(default_factory=dict)
--- a/roadspur/control/leases.py
+++ b/roadspur/control/leases.py
@@ -1,10 +1,12 @@
-"""Duties that one ingress does: grants by each machine of the core, a lease where a majority grants, held by one at a
-time.
+"""Duties that one process does: grants by each voter of the core, a lease where a majority grants, one holder at a time.
 
-Guaranteed: of two holders of one duty at least one knows that its time is over; terms of holders rise. How: a grantor
-grants a term to one holder only, and nobody else for `GRANT_S` after it last did; a holder counts from when it asked,
-and stops `MARGIN_S` before the end. A grantor keeps on disk to whose machine it granted last; one that has started
-anew grants for `GRANT_S` to that machine only, whose old life is dead, or to nobody where it has forgotten.
+Guaranteed: of two holders of one duty at least one knows that its time is over; terms of holders rise, and are fencing
+tokens. How: a grantor grants a term to one holder only, and nobody else for `GRANT_S` after it last did; a holder
+counts from when it asked, and stops `MARGIN_S` before the end. A grantor keeps on disk to whose machine it granted
+last; one that has started anew grants for `GRANT_S` to that machine only, whose old life is dead, or to nobody where it
+has forgotten. It grants only while it is a voter in contact with a majority's leader (`service`), and one that has
+just got a vote grants nothing for `GRANT_S`: so that grants of the voters before and after a change never make two
+majorities.
 
 Pure; seconds on steady clocks, which may differ in rate by less than `MARGIN_S` in `GRANT_S`. Cost: one message and
 one answer a grantor and `RENEW_S`, by each ingress that would do the duty.
@@ -15,7 +17,9 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import NamedTuple
+
+from roadspur.transport.messages import LeaseGranted, LeaseReleased, LeaseRequest, LeaseTaken, Message
 
 GRANT_S = 1.0
 MARGIN_S = 0.2
@@ -23,8 +27,6 @@
 ROUND_S = 0.4  # for a majority's grants to come
 EPOCH = 20  # bits of a term below the epoch of the control state, from which terms go on after all have forgotten
 
-Table = dict[str, Any]
-
 
 @dataclass(slots=True)
 class Grant:
@@ -35,6 +37,13 @@
     until: float
 
 
+class Decision(NamedTuple):
+    """A grantor's answer; `changed`: it is to be on disk before the answer leaves."""
+
+    answer: LeaseGranted | LeaseTaken
+    changed: bool
+
+
 def machine_of(holder: str) -> str:
     """The machine of a holder's life."""
     return holder.partition("/")[0]
@@ -46,30 +55,38 @@
     def __init__(self, now: float, kept: Mapping[str, tuple[str, int]] | None = None) -> None:
         """`kept`: of each duty the machine and term that an earlier life granted last."""
         self.begun = now
-        self.grants = {duty: Grant(f"{machine}/", term, now + GRANT_S)
-                       for duty, (machine, term) in (kept or {}).items()}
-
-    def wanted(self, now: float, table: Table, epoch: int) -> tuple[Table, bool]:
-        """A wish for a duty: the answer, and whether `kept` has changed and is to be on disk before it leaves."""
-        duty, holder, term = table["duty"], table["who"], table["term"]
-        grant = self.grants.setdefault(duty, Grant("/", 0, self.begun + GRANT_S))
+        self.grants = {
+            duty: Grant(f"{machine}/", term, now + GRANT_S) for duty, (machine, term) in (kept or {}).items()
+        }
+
+    def wanted(self, now: float, request: LeaseRequest, epoch: int) -> Decision:
+        """A wish for a duty; `epoch` is that of the control state."""
+        grant = self.grants.setdefault(request.duty, Grant("/", 0, self.begun + GRANT_S))
+        same_machine = machine_of(request.holder) == machine_of(grant.holder)
         # A new life on the holder's machine: the old one is dead.
-        free = now >= grant.until or (holder != grant.holder and machine_of(holder) == machine_of(grant.holder))
-        renewed = grant.holder == holder and grant.term == term
-        if renewed or (free and term > max(grant.term, epoch << EPOCH)):
-            grant.holder, grant.term, grant.until = holder, term, now + GRANT_S
-            return {"t": "granted", "duty": duty, "term": term, "at": table["at"]}, not renewed
-        return {"t": "taken", "duty": duty, "term": max(grant.term, epoch << EPOCH), "free": free}, False
+        free = now >= grant.until or (request.holder != grant.holder and same_machine)
+        renewed = grant.holder == request.holder and grant.term == request.term
+        highest = max(grant.term, epoch << EPOCH)
+        if renewed or (free and request.term > highest):
+            grant.holder, grant.term, grant.until = request.holder, request.term, now + GRANT_S
+            return Decision(LeaseGranted(request.duty, request.term, request.sent), not renewed)
+        return Decision(LeaseTaken(request.duty, highest, free), False)
+
+    def pause(self, now: float) -> None:
+        """This machine has just got a vote: it grants nothing new for `GRANT_S`."""
+        self.begun = now
+        for grant in self.grants.values():
+            grant.until = max(grant.until, now + GRANT_S)
 
     def kept(self) -> dict[str, tuple[str, int]]:
         """What the next life must know."""
         return {duty: (machine_of(grant.holder), grant.term) for duty, grant in self.grants.items()}
 
-    def yielded(self, table: Table) -> None:
+    def released(self, message: LeaseReleased) -> None:
         """A holder ends in order, or has not got a majority and asks no more."""
-        grant = self.grants.get(table["duty"])
-        if grant is not None and grant.holder == table["who"] and grant.term == table["term"]:
-            grant.until = -1.0
+        grant = self.grants.get(message.duty)
+        if grant is not None and grant.holder == message.holder and grant.term == message.term:
+            grant.until = float("-inf")
 
 
 class Holder:
@@ -107,7 +124,7 @@
         """Whether this one does the duty now."""
         return now < self.until()
 
-    def tick(self, now: float, send: Callable[[str, Table], object]) -> None:
+    def tick(self, now: float, send: Callable[[str, Message], object]) -> None:
         """Ask all grantors when it is time."""
         if now < self.next or not self.electorate:
             return
@@ -122,23 +139,24 @@
             self.term, self.granted, self.begun, self.had = self.highest + 1, {}, now, False
         self.next = now + RENEW_S
         for ip in sorted(self.electorate):
-            send(ip, {"t": "want", "duty": self.duty, "who": self.me, "term": self.term, "at": now})
+            send(ip, LeaseRequest(self.duty, self.me, self.term, now))
 
-    def give_back(self, send: Callable[[str, Table], object]) -> None:
+    def give_back(self, send: Callable[[str, Message], object]) -> None:
         """Ask no more under this term."""
         if self.begun is None:
             return
         for ip in sorted(self.electorate):
-            send(ip, {"t": "yield", "duty": self.duty, "who": self.me, "term": self.term})
+            send(ip, LeaseReleased(self.duty, self.me, self.term))
         self.begun, self.granted, self.had = None, {}, False
         self.highest = max(self.highest, self.term)
 
-    def heard(self, sender: str, table: Table) -> None:
+    def heard(self, sender: str, message: LeaseGranted | LeaseTaken) -> None:
         """A grantor's answer."""
-        if table["t"] == "granted" and table["term"] == self.term and self.begun is not None:
-            self.granted[sender] = max(self.granted.get(sender, float("-inf")), table["at"])
-        elif table["t"] == "taken":
-            if table["free"] and self.begun is not None and table["term"] >= self.term and not self.hinted:
-                self.hinted, self.next = True, self.next - RENEW_S  # due at once
-            self.highest = max(self.highest, table["term"])
-            self.granted.pop(sender, None)
+        if isinstance(message, LeaseGranted):
+            if message.term == self.term and self.begun is not None:
+                self.granted[sender] = max(self.granted.get(sender, float("-inf")), message.sent)
+            return
+        if message.free and self.begun is not None and message.term >= self.term and not self.hinted:
+            self.hinted, self.next = True, self.next - RENEW_S  # due at once
+        self.highest = max(self.highest, message.term)
+        self.granted.pop(sender, None)
--- a/roadspur/control/program.py
+++ b/roadspur/control/program.py
@@ -1,25 +1,28 @@
-"""The store of configuration as a process: the control machine, its disk, its doors and its held connections."""
+"""The control program as a process: its service's connections, its disk, its API, ticks.
+
+Each input is taken at the time that the clock shows then, not at the event loop's, which stands still while a batch of
+events is worked off: what lay in the sockets of a process that stood still must meet a lease that is over.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import importlib
 import random
-import zlib
+import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
-from types import ModuleType
 from typing import Any
 
 from roadspur.common.boot import CONTROL
-from roadspur.common.events import Event, say
+from roadspur.common.events import say
 from roadspur.common.failures import Failure, Kind
 from roadspur.common.process import Settings, serve
-from roadspur.control.control import Control
+from roadspur.control import orders
+from roadspur.control.interface import Answer, Change, Note, Outward, Read, Send, Tell, Write
 from roadspur.control.leases import Grantor
-from roadspur.control.parts import Answer, Change, Note, Read, Send, Write
+from roadspur.control.node import ControlNode
+from roadspur.control.service import ControlService
 from roadspur.control.storage import Storage
-from roadspur.control.store import Outward, Store, Tell
 from roadspur.net.server import Bounds
 from roadspur.services.wire import read_address
 from roadspur.transport.api import (
@@ -33,46 +36,17 @@
     ReplaceConfiguration,
 )
 from roadspur.transport.links import Dial, Link, Listener
-from roadspur.transport.news import State
+from roadspur.transport.messages import AnyMessage, Hello
 
 BODY_MOST = 64 * 1024 * 1024
-LEAVE_S = 0.15  # for last words to go out
-LOAD_S = 2.0    # after its start, when this process loads what configurations are checked by, if none has come
+LAST_WORDS_S = 0.15  # for last messages to go out
+HAND_OVER_S = 0.03  # between looks at whether this process may end
+GRACE_LEFT_S = 0.8  # of the grace that the platform gives, for the end itself
+LOAD_S = 2.0  # after its start, when this process loads what configurations are checked by, if none has come
 
 Done = Callable[[Any], None]
 
 
-def checks() -> ModuleType:
-    """What configurations are checked by: loaded late, as an office that is empty waits for this process's start."""
-    return importlib.import_module("roadspur.common.checks")
-
-
-def number_of(state: State) -> int:
-    """The number of the configuration in a state, -1 where there is none."""
-    held = state.value("config")
-    return held["v"] if held is not None else -1
-
-
-def replacing(call: object, number: int, body: bytes) -> Change:
-    """The change that a configuration asks for: the highest number prevails; one no higher alters nothing."""
-    return Change(call, lambda state: number_of(state) >= number,
-                  lambda state: {"config": {"v": number, "z": zlib.compress(body, 6)}}, f"configuration {number:08x}")
-
-
-def evacuating(call: object, zone: str, begin: bool) -> Change:
-    """The change that an evacuation's begin or end asks for. `n` counts, so that each return of a zone is seen."""
-    name = f"evac:{zone}"
-
-    def settled(state: State) -> bool:
-        held = state.value(name)
-        return (held is not None and held["on"]) == begin
-
-    def items(state: State) -> dict[str, Any]:
-        held = state.value(name)
-        return {name: {"on": begin, "n": (held["n"] if held else 0) + 1}}
-    return Change(call, settled, items, f"evacuation of {zone}: {'begin' if begin else 'finish'}")
-
-
 class ControlProgram:
     """One process on a core machine."""
 
@@ -81,38 +55,46 @@
         boot = self.boot = settings.boot
         self.loop = asyncio.get_running_loop()
         self.storage = Storage(Path(boot.data_dir or "."), boot.limits.disk_mb, self._written)
-        seeds = boot.core_ips
-        kept = self.storage.read()
-        now = self.loop.time()
-        self.store = Store(Control(boot.ip, boot.zone, seeds, boot.bootstrap, kept, now, random.Random(),
-                                   boot.tolerance.machines), Grantor(now, kept.grants))
+        stored = self.storage.read()
+        now = time.monotonic()
+        node = ControlNode(
+            boot.ip, boot.zone, boot.core_ips, boot.bootstrap, stored, now, random.Random(), boot.tolerance.machines
+        )
+        self.service = ControlService(node, Grantor(now, stored.leases))
         self.dials: dict[str, Dial] = {}
         self.links: dict[str, Link] = {}  # those that came, by name
         self.listener = Listener(self.loop, self._heard, self._gone)
-        handlers: list[Handler[Any]] = [
-                    Handler(ReplaceConfiguration, self.replace), Handler(ReadConfiguration, self.read),
-                    Handler(BeginEvacuation, lambda c, d: self.evacuate(c.zone, True, d)),
-                    Handler(FinishEvacuation, lambda c, d: self.evacuate(c.zone, False, d))]
-        self.door = CallServer(self.loop, handlers, Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
+        self.api = CallServer(self.loop, self._handlers(), Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
         self.waiting: dict[int, Done] = {}
         self.control_port = read_address(boot.binds.control)[1] if boot.binds.control else 0
 
+    def _handlers(self) -> list[Handler[Any]]:
+        return [
+            Handler(ReplaceConfiguration, self.replace),
+            Handler(ReadConfiguration, self.read),
+            Handler(BeginEvacuation, lambda call, done: self.evacuate(call.zone, True, done)),
+            Handler(FinishEvacuation, lambda call, done: self.evacuate(call.zone, False, done)),
+        ]
+
     async def run(self) -> None:
         """Until it is told to end."""
         boot = self.boot
         await self.listener.listen(boot.ip, boot.port(CONTROL))
         if boot.binds.control:
-            await self.door.listen(*read_address(boot.binds.control))
+            await self.api.listen(*read_address(boot.binds.control))
         self.tick()
-        self.loop.call_later(LOAD_S, checks)
+        self.loop.call_later(LOAD_S, orders.load)
         await serve("control", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
-        """Hand the office over, answer what waits, close."""
-        self.door.stopping = self.door.leaving = True
-        self._carry(self.store.stop(self.loop.time()))
-        await asyncio.sleep(LEAVE_S)
-        self.door.close()
+        """Hand over what this machine holds, answer what waits, close."""
+        self.api.stopping = self.api.leaving = True
+        self._carry(self.service.stop(time.monotonic()))
+        until = time.monotonic() + self.boot.bounds.grace_s - GRACE_LEFT_S
+        while not self.service.node.may_end and time.monotonic() < until:
+            await asyncio.sleep(HAND_OVER_S)
+        await asyncio.sleep(LAST_WORDS_S)
+        self.api.close()
         self.listener.close()
         for dial in self.dials.values():
             dial.close()
@@ -120,44 +102,46 @@
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
-        self.store.control.reseed(self.boot.core_ips)
+        self.service.node.reseed(self.boot.core_ips)
 
     def tick(self) -> None:
-        """A tick of the machine; connections to all of the core that is known."""
-        for ip in self.store.control.others():
+        """A tick of the service; connections to all of the core that is known."""
+        for ip in self.service.node.others():
             if ip not in self.dials:
-                self.dials[ip] = Dial(self.loop, ip, self.boot.port(CONTROL), lambda ip=ip: self._hello(ip),  # type: ignore[misc]
-                                     self._from_dial)
-        self._carry(self.store.tick(self.loop.time()))
+                self.dials[ip] = self._dial(ip)
+        self._carry(self.service.tick(time.monotonic()))
 
-    def _hello(self, ip: str) -> dict[str, Any]:
-        self.loop.call_soon(lambda: self._carry(self.store.linked(self.loop.time(), ip)))
-        return {"t": "hello", "me": self.boot.ip}
+    def _dial(self, ip: str) -> Dial:
+        return Dial(self.loop, ip, self.boot.port(CONTROL), lambda: self._hello(ip), self._from_dial)
+
+    def _hello(self, ip: str) -> Hello:
+        self.loop.call_soon(lambda: self._carry(self.service.linked(time.monotonic(), ip)))
+        return Hello(self.boot.ip)
 
     # Messages.
 
-    def _from_dial(self, dial: Dial, table: dict[str, Any]) -> None:
+    def _from_dial(self, dial: Dial, message: AnyMessage) -> None:
         """Nothing comes back on a connection that this side opened: each opens its own."""
 
-    def _heard(self, link: Link, table: dict[str, Any]) -> None:
-        if table["t"] == "hello":
+    def _heard(self, link: Link, message: AnyMessage) -> None:
+        if isinstance(message, Hello):
             if link.name in self.dials:
                 self.dials[link.name].poke()
             return
         if link.name:
             self.links[link.name] = link
-            self._carry(self.store.heard(self.loop.time(), link.name, table))
+            self._carry(self.service.heard(time.monotonic(), link.name, message))
 
     def _gone(self, link: Link) -> None:
         if self.links.get(link.name) is link:
             del self.links[link.name]
-            self.store.gone(link.name)
+            self.service.gone(link.name)
 
     def _written(self, token: int, ok: bool) -> None:
         self.loop.call_soon_threadsafe(self._ended, token, ok)
 
     def _ended(self, token: int, ok: bool) -> None:
-        self._carry(self.store.written(self.loop.time(), token, ok))
+        self._carry(self.service.written(time.monotonic(), token, ok))
 
     # Outputs.
 
@@ -166,11 +150,11 @@
             if isinstance(out, Send):
                 dial = self.dials.get(out.to)
                 if dial is not None:
-                    dial.send(out.table)
+                    dial.send(out.message)
             elif isinstance(out, Tell):
                 link = self.links.get(out.name)
                 if link is not None:
-                    link.send(out.table)
+                    link.send(out.message)
             elif isinstance(out, Write):
                 self.storage.write(out.token, out.records)
             elif isinstance(out, Answer):
@@ -183,43 +167,43 @@
     # Calls.
 
     def _call(self, make: Callable[[int], Change | Read], done: Done) -> None:
-        number = self.store.calls + 1
-        self.waiting[number] = done
-        _, outputs = self.store.call(self.loop.time(), make)
+        number = self.service.calls + 1
+        self.waiting[number] = self._answered(done)
+        _, outputs = self.service.call(time.monotonic(), make)
         self._carry(outputs)
 
     def _answered(self, done: Done) -> Done:
-        """Addresses of control machines become those of their doors."""
+        """What a leader says of an order or its state counts only while its lease stands as the answer leaves."""
+
         def tell(answer: Any) -> None:
             if isinstance(answer, Failure) and answer.kind is Kind.ELSEWHERE:
                 answer = Failure(Kind.ELSEWHERE, where=f"{answer.where}:{self.control_port}")
+            elif self._rests_on_lease(answer) and not self.service.node.holds(time.monotonic()):
+                answer = Failure(Kind.NO_LEADER)
             done(Kept() if answer is None else answer)
+
         return tell
 
+    @staticmethod
+    def _rests_on_lease(answer: Any) -> bool:
+        """What is kept stays kept; a refusal for good or a document may be out of date."""
+        return isinstance(answer, Document) or (isinstance(answer, Failure) and answer.kind is Kind.INVALID)
+
     def replace(self, call: ReplaceConfiguration, done: Done) -> None:
-        """Checked whole before anything else; INVALID with all faults in one line."""
-        try:
-            config = checks().read_configuration(call.document)
-        except ExceptionGroup as group:
-            text = "; ".join(str(e) for e in group.exceptions)[:400]
-            say(Event.INVALID, text)
-            raise Failure(Kind.INVALID, text) from None
-        self._call(lambda number: replacing(number, config.number, call.document), self._answered(done))
+        """Checked whole before anything else, by the leader; INVALID with all faults in one line."""
+        self._call(lambda number: orders.replace_unread(number, call.document), done)
 
     def read(self, call: ReadConfiguration, done: Done) -> None:
-        """The newest configuration, from a holder of the office."""
-        def answer(state: State) -> Any:
-            held = state.value("config")
-            if held is None:
-                return Failure(Kind.NO_OFFICE, "no configuration yet")
-            return Document(zlib.decompress(held["z"]))
-        self._call(lambda number: Read(number, answer), self._answered(done))
+        """The newest configuration, from the leader."""
+
+        def told(answer: Any) -> None:
+            done(Document(answer) if isinstance(answer, bytes) else answer)
+
+        self._call(orders.read, told)
 
     def evacuate(self, zone: str, begin: bool, done: Done) -> None:
         """A zone is to be left, or taken back."""
-        if not zone or "/" in zone:
-            raise Failure(Kind.INVALID, f"no such zone: {zone[:60]!r}")
-        self._call(lambda number: evacuating(number, zone, begin), self._answered(done))
+        self._call(lambda number: orders.evacuate(number, zone, begin), done)
 
 
 async def main(settings: Settings) -> None:
--- /dev/null
+++ b/roadspur/control/service.py
@@ -0,0 +1,190 @@
+"""All that one control process decides: the control node, grants of leases, and who follows the news.
+
+`ControlNode` keeps the state. Around it stand the grants of duties' leases, which each voter in contact with a majority
+gives, and the news, which only a leader tells whose lease stands on the clock of that very input. Inputs and outputs
+are those of the node, and messages from and to whoever is connected. Pure; seconds on the steady clock.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterable
+
+from roadspur.common.failures import Failure
+from roadspur.control.interface import Answer, Change, Output, Outward, Publish, Read, Records, Tell, Write
+from roadspur.control.leases import Grantor
+from roadspur.control.node import ControlNode
+from roadspur.transport.messages import (
+    AnyMessage,
+    CoreInfo,
+    Follow,
+    ItemsKept,
+    KeepItems,
+    LeaseReleased,
+    LeaseRequest,
+    News,
+    NewsAck,
+)
+from roadspur.transport.news import Publisher, State
+
+NO_EPOCH = -1
+
+
+class ControlService:
+    """One process's."""
+
+    def __init__(self, node: ControlNode, grantor: Grantor) -> None:
+        self.node, self.grantor = node, grantor
+        self.calls = 0
+        self.followers: set[str] = set()
+        self.publisher = Publisher(State())  # of what is in force, which the node's own copy may be ahead of
+        self._granting: dict[int, Tell] = {}  # answers that wait for a write, by its token
+        self._tokens = itertools.count(-1, -1)  # below 0: the node's are above
+        self._keeping: dict[int, Tell] = {}  # answers to wishes that something be kept, by their call
+        self._held = False  # whether the lease stood at the last input
+        self._told_epoch = NO_EPOCH  # of the view that followers know
+        self._voted = node.founding or node.votes
+
+    # Inputs.
+
+    def tick(self, now: float) -> list[Outward]:
+        """Time has passed."""
+        return [*self._carry(now, self.node.tick(now)), *self._tell_core(now)]
+
+    def linked(self, now: float, other: str) -> list[Outward]:
+        """A connection to a machine of the core stands anew."""
+        return self._carry(now, self.node.linked(now, other))
+
+    def written(self, now: float, token: int, ok: bool) -> list[Outward]:
+        """A write has ended."""
+        if token >= 0:
+            return self._carry(now, self.node.written(now, token, ok))
+        answer = self._granting.pop(token, None)
+        return [answer] if ok and answer is not None and self.node.in_contact(now) else []
+
+    def call(self, now: float, make: Callable[[int], Change | Read]) -> tuple[int, list[Outward]]:
+        """A call from outside; its number, by which its `Answer` names it."""
+        self.calls += 1
+        return self.calls, self._carry(now, self.node.call(now, make(self.calls)))
+
+    def stop(self, now: float) -> list[Outward]:
+        """This process is to end in order, once `node.may_end` says so."""
+        return self._carry(now, self.node.stop(now))
+
+    def heard(self, now: float, name: str, message: AnyMessage) -> list[Outward]:
+        """A message from a machine of the core or from one that follows."""
+        if isinstance(message, LeaseRequest):
+            return self._grant(now, name, message)
+        if isinstance(message, LeaseReleased):
+            self.grantor.released(message)
+        elif isinstance(message, Follow):
+            return self._follow(now, name, message.number)
+        elif isinstance(message, NewsAck):
+            self.publisher.ack(name, message.number)
+        elif isinstance(message, KeepItems):
+            return self._keep(now, name, message)
+        elif name:
+            return self._carry(now, self.node.message(now, name, message))
+        return []
+
+    def takes(self, message: AnyMessage) -> bool:
+        """Whether a message is one for this process."""
+        own = (LeaseRequest, LeaseReleased, Follow, NewsAck, KeepItems)
+        return isinstance(message, own) or self.node.takes(message)
+
+    def gone(self, name: str) -> None:
+        """A follower's connection has ended."""
+        self.followers.discard(name)
+        self.publisher.leave(name)
+
+    # Leases.
+
+    def _grant(self, now: float, name: str, request: LeaseRequest) -> list[Outward]:
+        """A voter in contact grants; any other machine of the core says nothing."""
+        self._mind_vote(now)
+        view = self.node.view
+        if view is None or not self.node.in_contact(now):
+            return []
+        answer, changed = self.grantor.wanted(now, request, view.epoch)
+        if not changed:
+            return [Tell(name, answer)]
+        token = next(self._tokens)
+        self._granting[token] = Tell(name, answer)
+        return [Write(token, Records(leases=self.grantor.kept()))]
+
+    def _mind_vote(self, now: float) -> None:
+        """One that has just got a vote does not grant at once."""
+        votes = self.node.founding or self.node.votes
+        if votes and not self._voted:
+            self.grantor.pause(now)
+        self._voted = votes
+
+    # Followers.
+
+    def _follow(self, now: float, name: str, number: int) -> list[Outward]:
+        self.followers.add(name)
+        if self.node.holds(now):
+            return [Tell(name, self._core()), *self._news(self.publisher.follow(name, number))]
+        self.publisher.leave(name)
+        self.publisher.sent[name] = self.publisher.acked[name] = number
+        return [Tell(name, self._core())]
+
+    def _keep(self, now: float, name: str, message: KeepItems) -> list[Outward]:
+        items = message.items
+        self._keeping[self.calls + 1] = Tell(name, ItemsKept(message.request, True))
+
+        def kept(state: State) -> bool:
+            return all(state.value(item) == value for item, value in items.items())
+
+        return self.call(now, lambda call: Change(call, kept, lambda state: items, "the registry's items"))[1]
+
+    def _core(self) -> CoreInfo:
+        view = self.node.view
+        if view is None:
+            return CoreInfo((), 0, "")
+        return CoreInfo(tuple(sorted(view.voters)), view.epoch, view.leader)
+
+    def _tell_core(self, now: float) -> list[Outward]:
+        """Followers are told of a new view, and by a leader that begins."""
+        self._mind_vote(now)
+        view, holds = self.node.view, self.node.holds(now)
+        begun = holds and not self._held
+        self._held = holds
+        if not begun and (view is None or view.epoch == self._told_epoch):
+            return []
+        self._told_epoch = view.epoch if view is not None else NO_EPOCH
+        return [Tell(name, self._core()) for name in sorted(self.followers)]
+
+    def _news(self, messages: Iterable[tuple[str, News]]) -> list[Outward]:
+        return [Tell(name, message) for name, message in messages if name in self.followers]
+
+    # Outputs.
+
+    def _carry(self, now: float, outputs: Iterable[Output]) -> list[Outward]:
+        out: list[Outward] = []
+        for each in outputs:
+            if isinstance(each, Publish):
+                self._publish(each)
+                out += self._tell_core(now)
+                if self.node.holds(now):
+                    out += self._news(self.publisher.tell())
+            elif isinstance(each, Answer) and each.call in self._keeping:
+                tell = self._keeping.pop(each.call)
+                kept = not isinstance(each.answer, Failure)
+                out.append(Tell(tell.name, ItemsKept(_request_of(tell), kept)))
+            else:
+                out.append(each)
+        return out
+
+    def _publish(self, publish: Publish) -> None:
+        """Keep what is in force apart from the node's copy."""
+        held = self.publisher.state
+        if publish.items is None or held.number != publish.state.number - 1:
+            self.publisher.state = publish.state.copied()
+        else:
+            held.merge(publish.state.number, publish.items)
+
+
+def _request_of(tell: Tell) -> str:
+    assert isinstance(tell.message, ItemsKept)
+    return tell.message.request
--- a/roadspur/transport/messages.py
+++ b/roadspur/transport/messages.py
@@ -41,11 +41,19 @@
 
 
 class Position(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """How far a copy of the control state is: the newest change, and a digest of all that led to it."""
+    """How far a copy of the control state is.
+
+    The leader of an epoch gives each number once, so a number and the epoch that it was written in name one change,
+    and two copies whose newest change is the same one have the same history.
+    """
 
     epoch: int  # in which the copy was last whole; -1 for none
     number: int
-    digest: bytes
+    written_in: int  # the epoch of the newest change
+
+    def same_change(self, other: Position) -> bool:
+        """Whether both copies end with the same change."""
+        return self.number == other.number and self.written_in == other.written_in
 
 
 Items = dict[str, tuple[int, Any]]  # name -> number of the change that set it, value (None: removed)
@@ -103,10 +111,11 @@
 
 
 class Vote(Message, tag="vote", frozen=True):
-    """The promise of an epoch, on disk, with the newest view that the voter knows."""
+    """The promise of an epoch, on disk, with the newest view that the voter knows and how far its copy is."""
 
     epoch: int
     view: ViewRecord
+    position: Position
 
 
 class VoteRefused(Message, tag="vote-refused", frozen=True):
@@ -179,7 +188,7 @@
 
 
 class Heartbeat(Message, tag="heartbeat", frozen=True):
-    """The leader's heartbeat: `sent` on its clock; `in_contact`: a majority has answered it of late."""
+    """The leader's heartbeat: `sent` on its clock; `in_contact`: a majority and this voter have answered of late."""
 
     view: ViewRecord
     sent: float
