A configuration is kept as items; orders are known by number and digest

Cause: a change of one route cost the whole compressed document on disks and to each proxy, and orders were known by number only. Ruled out: items as msgpack values (integers beyond 64 bits and nesting do not survive).

--- a/roadspur/common/config_items.py
+++ b/roadspur/common/config_items.py
@@ -1,53 +1,198 @@
 """A configuration as items of the control state, and back.
 
-What the operator sends is one document; it is kept as items, so that a change of one route costs one route on the
-disks, between replicas and on the way to the proxies.
+An operator sends one document. It is kept as items, so that a change of one route costs one route on the disks, between
+replicas and on the way to the proxies:
+
+- `config`: the header: number, digest, and the document's top-level fields that are in no other item;
+- `route:NAME`, `service:NAME`, `tenant:NAME`, `limits`: one JSON value each, whole, with the fields that this release
+  does not know;
+- `taken:SLOT`: number and digest of the last `REMEMBERED` configurations, so that a repeat of one is known.
+
+JSON values are kept as canonical text: numbers of any size and any nesting survive, equal values are equal texts, and
+a document is put together without reading them.
+
+Guaranteed: the document that `assemble` gives is equal as JSON to the one that was sent under its number.
+
+Cost of an order: at the leader one pass over its document and a comparison with each item; everywhere else the items
+that differ. A follower's update: one step a changed item, and one copy of a record of five fields; its look-ups are
+those of `Index`. A whole build, one step an item, is made at the first configuration, after a configuration that was
+not taken in, and after one in the form of release 0.1 (one item with the compressed document), which is still read.
 
 Pure.
 """
 
 from __future__ import annotations
 
+import hashlib
+import json
 import zlib
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
 
-from roadspur.common.configuration import Index, Tenant, kept_configuration
+from roadspur.common.configuration import Configuration, Index, Limits, Route, Service, Tenant
+from roadspur.common.tables import record
 from roadspur.transport.news import State
 
 NONE = -1  # the number of no configuration
+REMEMBERED = 64  # configurations whose digests are kept
+HEADER = "config"
+LIMITS = "limits"
+TAKEN = "taken:"
+TABLES = {"routes": "route:", "services": "service:", "tenants": "tenant:"}  # field -> prefix of its items
+PREFIXES = tuple(TABLES.values())
+COMPRESSED = "z"  # the field of a header in the form of release 0.1 that holds the whole document
+
+
+class Identity(NamedTuple):
+    """What tells one configuration from another."""
+
+    number: int
+    digest: str
+
+
+class Split(NamedTuple):
+    """A document in parts: its identity, the text of its header's fields, which tables it has, and its items."""
+
+    identity: Identity
+    fields: str
+    tables: list[str]
+    items: dict[str, str]
+
+
+def canonical(value: Any) -> str:
+    """The text of a JSON value that is equal for equal values."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+
+
+def digest_of(value: Any) -> str:
+    """The digest of a document that was read as JSON."""
+    return hashlib.sha256(canonical(value).encode("utf-8", "surrogatepass")).hexdigest()
+
+
+def split(number: int, document: Mapping[str, Any]) -> Split:
+    """The parts of a document that was read as JSON."""
+    items: dict[str, str] = {}
+    tables: list[str] = []
+    fields: dict[str, Any] = {}
+    for field, value in document.items():
+        if field in TABLES and isinstance(value, dict):
+            tables.append(field)
+            items.update((TABLES[field] + name, canonical(entry)) for name, entry in value.items())
+        elif field == LIMITS:
+            items[LIMITS] = canonical(value)
+        else:
+            fields[field] = value
+    return Split(Identity(number, digest_of(document)), canonical(fields), tables, items)
 
 
 def number_of(state: State) -> int:
     """The number of the configuration in a state, `NONE` where there is none."""
-    held = state.value("config")
-    return int(held["v"]) if held is not None else NONE
+    header = state.value(HEADER)
+    return int(header["v"]) if header is not None else NONE
+
+
+def identity_of(state: State) -> Identity | None:
+    """The identity of the configuration in a state."""
+    header = state.value(HEADER)
+    if header is None:
+        return None
+    if COMPRESSED in header:
+        return Identity(header["v"], digest_of(json.loads(zlib.decompress(header[COMPRESSED]))))
+    return Identity(header["v"], header["digest"])
+
+
+def was_taken(state: State, identity: Identity) -> bool:
+    """Whether a configuration is the one in a state, or is remembered as an earlier one."""
+    if identity == identity_of(state):
+        return True
+    remembered = (state.value(f"{TAKEN}{slot}") for slot in range(REMEMBERED))
+    return list(identity) in (list(kept) for kept in remembered if kept is not None)
 
 
 def changes(state: State, number: int, document: bytes) -> dict[str, Any]:
     """The items that a configuration sets (None: removes) in a state."""
-    return {"config": {"v": number, "z": zlib.compress(document, 6)}}
+    return difference(state, split(number, json.loads(document)))
+
+
+def difference(state: State, parts: Split) -> dict[str, Any]:
+    """The items that a document's parts set (None: removes) in a state."""
+    header = state.value(HEADER) or {}
+    serial = header.get("serial", 0) + 1
+    present = dict(_configuration_items(state))
+    changed: dict[str, Any] = {name: text for name, text in parts.items.items() if present.get(name) != text}
+    changed.update(dict.fromkeys(present.keys() - parts.items.keys()))
+    if COMPRESSED in header:  # the last of release 0.1, which remembered none
+        changed[f"{TAKEN}0"] = list(identity_of(state) or ())
+    changed[f"{TAKEN}{serial % REMEMBERED}"] = list(parts.identity)
+    changed[HEADER] = {
+        "v": parts.identity.number,
+        "digest": parts.identity.digest,
+        "serial": serial,
+        "fields": parts.fields,
+        "tables": parts.tables,
+    }
+    return changed
+
+
+def _is_part(name: str) -> bool:
+    """Whether an item is a part of a configuration, other than its header."""
+    return name == LIMITS or name.startswith(PREFIXES)
+
+
+def _configuration_items(state: State) -> Iterator[tuple[str, str]]:
+    for name, (_, value) in state.items.items():
+        if value is not None and _is_part(name):
+            yield name, value
 
 
 def assemble(state: State) -> bytes | None:
     """The document of the configuration in a state, None where there is none."""
-    held = state.value("config")
-    return zlib.decompress(held["z"]) if held is not None else None
+    header = state.value(HEADER)
+    if header is None:
+        return None
+    if COMPRESSED in header:
+        return zlib.decompress(header[COMPRESSED])
+    members = [header["fields"][1:-1]] if header["fields"] != "{}" else []
+    members += [f'"{field}":{{{_entries(state, TABLES[field])}}}' for field in header["tables"]]
+    limits = state.value(LIMITS)
+    if limits is not None:
+        members.append(f'"{LIMITS}":{limits}')
+    return ("{" + ",".join(members) + "}").encode()
+
+
+def _entries(state: State, prefix: str) -> str:
+    """The members of one table's object."""
+    return ",".join(f"{canonical(name)}:{text}" for name, text in state.values(prefix).items())
 
 
 class ConfigurationFollower:
-    """The configuration of a followed state, as a proxy or registry asks it."""
+    """The configuration of a followed state, as a proxy or registry asks it.
+
+    `index` stays the same object from one configuration to the next, but after a whole build.
+    """
 
     def __init__(self) -> None:
         self.index: Index | None = None
+        self._behind = True  # whether `index` lacks items that the state has had; only a whole build mends that
 
     def update(self, state: State, changed: Mapping[str, Any]) -> bool:
-        """Take in what news changed in a state; whether a newer configuration is in force by it."""
-        if "config" not in changed or number_of(state) <= self.number:
+        """Take in what news changed in a state; whether a newer configuration is in force by it.
+
+        A configuration whose number is no higher than the one in force is left out.
+        """
+        if HEADER not in changed and not any(map(_is_part, changed)):
+            return False
+        header = state.value(HEADER)
+        if header is None or header["v"] <= self.number:
+            self._behind = True
             return False
-        document = assemble(state)
-        assert document is not None
-        self.index = Index(kept_configuration(document))
+        if self.index is None or self._behind:
+            self._behind = True
+            self.index = Index(_whole(state))
+        else:
+            self._behind = True  # until all is in: an item that cannot be read leaves `index` as it was
+            _apply(self.index, header, changed)
+        self._behind = COMPRESSED in header
         return True
 
     @property
@@ -59,3 +204,32 @@
     def tenants(self) -> Mapping[str, Tenant]:
         """All tenants."""
         return self.index.config.tenants if self.index is not None else {}
+
+
+def _whole(state: State) -> Configuration:
+    """The configuration of a state, read from all its items."""
+    document = assemble(state)
+    assert document is not None
+    return record(Configuration, json.loads(document))
+
+
+def _apply(index: Index, header: Mapping[str, Any], changed: Mapping[str, Any]) -> None:
+    """Take a change of items into an index. All are read before the first is applied."""
+    version = record(Configuration, json.loads(header["fields"])).version
+    limits = index.config.limits
+    if LIMITS in changed:
+        limits = record(Limits, json.loads(changed[LIMITS] or "{}"), LIMITS)
+    routes = _entries_of(Route, "routes", changed)
+    services = _entries_of(Service, "services", changed)
+    tenants = _entries_of(Tenant, "tenants", changed)
+    index.update(version, limits, routes, services, tenants)
+
+
+def _entries_of(kind: type[Any], table: str, changed: Mapping[str, Any]) -> dict[str, Any]:
+    """The records of one table among changed items, by name; None for those that are removed."""
+    prefix = TABLES[table]
+    return {
+        name[len(prefix) :]: record(kind, json.loads(text), table) if text is not None else None
+        for name, text in changed.items()
+        if name.startswith(prefix)
+    }
--- a/roadspur/common/configuration.py
+++ b/roadspur/common/configuration.py
@@ -1,13 +1,14 @@
-"""The operator's configuration: its words, and what a proxy looks things up in.
+"""The operator's configuration: its records, and the index in which a proxy looks up routes and tenants.
 
-What is valid is stated in `roadspur.common.checks`, for the store that acknowledges and for the command that checks
-offline; who has it from the store reads it plainly (`kept_configuration`). Unknown fields are ignored.
+What is valid is stated in `roadspur.common.checks`, for the control node that acknowledges and for the command that
+checks offline. Who has a configuration from a control node reads it without checks. Unknown fields are ignored.
 """
 
 from __future__ import annotations
 
 import json
-from typing import Any, NamedTuple
+from collections.abc import Mapping
+from typing import Any, NamedTuple, TypeVar
 
 from roadspur.common.tables import record
 
@@ -15,7 +16,7 @@
 
 
 class Weighted(NamedTuple):
-    """One of a route's services and its share."""
+    """One of a route's services and its weight."""
 
     target: str
     weight: float
@@ -38,7 +39,7 @@
 
     @property
     def shares(self) -> tuple[Weighted, ...]:
-        """Its services with their weights."""
+        """The route's services with their weights."""
         return self.weighted or ((Weighted(target=self.target, weight=1.0),) if self.target else ())
 
     @property
@@ -48,7 +49,7 @@
 
 
 class Service(NamedTuple):
-    """One service's backends: where they say how they are, connections, and how they bear being cold."""
+    """One service's backends: health path, connections, and the rate that they bear while cold."""
 
     health_path: str = "/health"
     max_conns: int = 100
@@ -93,29 +94,89 @@
 
 
 def kept_configuration(body: bytes) -> Configuration:
-    """A configuration that the store has checked. A step a field."""
+    """A configuration that a control node has checked. Cost: one step a field."""
     return record(Configuration, json.loads(body))
 
 
+E = TypeVar("E")
+
+
+def _merge(table: dict[str, E], entries: Mapping[str, E | None]) -> None:
+    """Set entries of a table; None removes."""
+    for name, entry in entries.items():
+        if entry is None:
+            table.pop(name, None)
+        else:
+            table[name] = entry
+
+
 class Found(NamedTuple):
-    """What a request's host and path lead to."""
+    """The route that a request's host and path lead to, and its name."""
 
     name: str
     route: Route
 
 
 class Index:
-    """A configuration as a proxy asks it. Built in one pass; a look-up costs one step a segment of the path."""
+    """A configuration as a proxy asks it. Built in one pass, updated by one step a changed entry.
+
+    Cost of a look-up: one step a segment of the path, one for a key. The tables of `config` are changed in place by
+    `update`: who needs an earlier configuration keeps the records, not the tables.
+    """
 
     def __init__(self, config: Configuration) -> None:
         self.config = config
         self.hosts: dict[str, dict[str, Found]] = {}
         self.keys: dict[str, str] = {}
         for name, route in config.routes.items():
-            self.hosts.setdefault(route.hostname.lower(), {})[route.path_prefix] = Found(name, route)
+            self._add_route(name, route)
         for name, tenant in config.tenants.items():
-            for key in tenant.api_keys:
-                self.keys[key] = name
+            self._add_tenant(name, tenant)
+
+    def update(
+        self,
+        version: str,
+        limits: Limits,
+        routes: Mapping[str, Route | None],
+        services: Mapping[str, Service | None],
+        tenants: Mapping[str, Tenant | None],
+    ) -> None:
+        """Take in a newer version: all limits, and of each table the entries that differ (None: removed).
+
+        Old entries go before new ones come, as a key or a place may pass from one entry to another.
+        """
+        for name in routes.keys() & self.config.routes.keys():
+            self._remove_route(self.config.routes[name])
+        for name in tenants.keys() & self.config.tenants.keys():
+            self._remove_tenant(self.config.tenants[name])
+        _merge(self.config.routes, routes)
+        _merge(self.config.services, services)
+        _merge(self.config.tenants, tenants)
+        for name, route in routes.items():
+            if route is not None:
+                self._add_route(name, route)
+        for name, tenant in tenants.items():
+            if tenant is not None:
+                self._add_tenant(name, tenant)
+        self.config = self.config._replace(version=version, limits=limits)
+
+    def _add_route(self, name: str, route: Route) -> None:
+        self.hosts.setdefault(route.hostname.lower(), {})[route.path_prefix] = Found(name, route)
+
+    def _remove_route(self, route: Route) -> None:
+        host = route.hostname.lower()
+        prefixes = self.hosts.get(host, {})
+        prefixes.pop(route.path_prefix, None)
+        if not prefixes:
+            self.hosts.pop(host, None)
+
+    def _add_tenant(self, name: str, tenant: Tenant) -> None:
+        for key in tenant.api_keys:
+            self.keys[key] = name
+
+    def _remove_tenant(self, tenant: Tenant) -> None:
+        for key in tenant.api_keys:
+            self.keys.pop(key, None)
 
     def find(self, host: str, path: str) -> Found | None:
         """The route with the longest prefix that begins the path."""
@@ -124,7 +185,7 @@
             return None
         end = path.rfind("/")
         while end >= 0:
-            found = prefixes.get(path[:end + 1])
+            found = prefixes.get(path[: end + 1])
             if found is not None:
                 return found
             end = path.rfind("/", 0, end)
@@ -137,6 +198,10 @@
 
 
 def brief(config: Configuration) -> dict[str, Any]:
-    """A few figures of a configuration, for people."""
-    return {"version": config.version, "routes": len(config.routes), "services": len(config.services),
-            "tenants": len(config.tenants)}
+    """A few figures of a configuration, for display."""
+    return {
+        "version": config.version,
+        "routes": len(config.routes),
+        "services": len(config.services),
+        "tenants": len(config.tenants),
+    }
