Orders and strict reading of configurations are tested

test_orders.py drives the orders through a leader that keeps one change at a time; test_configuration.py has the kinds of invalid configurations that were not listed before.

--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -73,11 +73,46 @@
     (lambda t: t["tenants"]["t2"]["api_keys"].append("k1"), "a key that tenants.t1 holds too"),
     (lambda t: t.update(version="7"), "eight hexadecimal digits"),
     (lambda t: t.pop("version"), "version: Field required"),
+    (lambda t: t.update(version="0000000g"), "eight hexadecimal digits"),
+    (lambda t: t.update(version="0x000007"), "eight hexadecimal digits"),
+    (lambda t: t.update(version="\u0661" * 8), "eight hexadecimal digits"),
+    (lambda t: t.update(version=7), "version: "),
+    (lambda t: t["routes"]["r2"].update(path_prefix="/x/", hostname="A.Example"), "the same host and prefix"),
+    (lambda t: t["routes"]["r1"]["weighted"][1].update(weight="nan"), "finite number"),
+    (lambda t: t["routes"]["r1"].update(weighted=[{"target": "s1", "weight": 1e308}] * 2), "no finite sum"),
+    (lambda t: t["routes"]["r2"].update(target_ms="nan"), "finite number"),
+    (lambda t: t["routes"]["r2"].update(deadline_ms="inf"), "finite number"),
+    (lambda t: t["tenants"]["t1"].update(rate_per_s="inf"), "finite number"),
+    (lambda t: t["services"]["s1"].update(warmup_s="nan"), "finite number"),
+    (lambda t: t["routes"].update({"r" * 401: t["routes"].pop("r2")}), "a name of over 400 bytes"),
+    (lambda t: t.update(later="\ud800"), "not Unicode"),
+    (lambda t: t.update(routes=None), "routes: "),
 ], ids=lambda v: v if isinstance(v, str) else "")
 def test_each_invalid_one_is_refused_and_says_where(change, told):
     assert any(told in fault for fault in faults_of(body(change)))
 
 
+@pytest.mark.parametrize("old, new, told", [
+    ('"rank": 2', '"rank": 2, "rank": 2', "stands twice"),
+    ('"a_field_of_later": 1', '"a_field_of_later": {"x": 1, "x": 2}', "stands twice"),
+    ('"r2": {', '"r1": {', "stands twice"),
+    ('"a_field_of_later": 1', '"a_field_of_later": NaN', "no finite number"),
+    ('"deadline_ms": 3000', '"deadline_ms": 1e999', "no finite number"),
+    ('"a_field_of_later": 1', '"a_field_of_later": -Infinity', "no finite number"),
+    ('"a_field_of_later": 1', '"a_field_of_later": ' + "[" * 62 + "]" * 62, "nested more than"),
+    ('"a_field_of_later": 1', '"a_field_of_later": ' + "[" * 99_999 + "]" * 99_999, "no JSON"),
+    ('"a_field_of_later": 1', '"a_field_of_later": ' + "9" * 5000, "no JSON"),
+])
+def test_what_two_readers_would_read_in_two_ways_is_refused(old, new, told):
+    sent = body().decode().replace(old, new, 1)
+    assert sent != body().decode()
+    assert any(told in fault for fault in faults_of(sent.encode()))
+
+
+def test_the_deepest_nesting_that_is_sound():
+    assert read_configuration(body(lambda t: t.update(later=json.loads("[" * 63 + "]" * 63))))
+
+
 def test_just_under_a_minute_over_is_sound():
     assert read_configuration(body(lambda t: t["routes"]["r2"].update(target_ms=63999)))
 
--- /dev/null
+++ b/tests/system/test_orders.py
@@ -0,0 +1,261 @@
+"""The operator's orders: what each is known by, what is answered, what is in force (the table of docs/hardening.md)."""
+
+import json
+import zlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roadspur.common import checks
+from roadspur.common.config_items import NONE, REMEMBERED, assemble, changes, number_of
+from roadspur.common.failures import Failure, Kind
+from roadspur.control import orders
+from roadspur.control.orders import Standing
+from roadspur.transport.news import State
+
+
+def document(number: int, contents: str = "a") -> bytes:
+    route = {"hostname": "a.example", "path_prefix": f"/{contents}/", "target": "s"}
+    return json.dumps({"version": f"{number:08x}", "routes": {"r": route}, "services": {"s": {}}}).encode()
+
+
+INVALID = json.loads(document(0))
+INVALID["routes"]["r"]["target"] = "nobody"
+
+
+def invalid(number: int) -> bytes:
+    return json.dumps({**INVALID, "version": f"{number:08x}"}).encode()
+
+
+class Leader:
+    """A control node that keeps the contract of `orders`: one change at a time, settled by the state in force."""
+
+    def __init__(self, state: State) -> None:
+        self.state, self.acked, self.waiting, self.calls = state, [], [], 0
+        self.being_kept = None
+
+    def send(self, body: bytes) -> int | None:
+        """The call that an order became, None for one that was refused."""
+        try:
+            order = orders.parse(body, self.state)
+        except ExceptionGroup:
+            return None
+        return self.call(lambda call: orders.replace(call, order))
+
+    def call(self, make) -> int:
+        self.calls += 1
+        self.waiting.append(make(self.calls))
+        self.step()
+        return self.calls
+
+    def step(self) -> None:
+        while self.waiting and self.being_kept is None:
+            change = self.waiting.pop(0)
+            if change.settled(self.state):
+                self.acked.append(change.call)
+            else:
+                self.being_kept = (change, change.items(self.state))
+
+    def kept(self) -> None:
+        change, items = self.being_kept
+        self.state.set(self.state.number + 1, items)
+        self.being_kept = None
+        self.acked.append(change.call)
+        self.step()
+
+    def successor(self, has_last: bool) -> "Leader":
+        """The next leader; `has_last`: whether it has the change that was being kept."""
+        state = self.state.copied()
+        if has_last and self.being_kept is not None:
+            state.set(state.number + 1, self.being_kept[1])
+        return Leader(state)
+
+
+def holding(number: int) -> Leader:
+    leader = Leader(State())
+    leader.send(document(number))
+    leader.kept()
+    return leader
+
+
+def in_force(leader: Leader):
+    found = assemble(leader.state)
+    return json.loads(found) if found is not None else None
+
+
+@pytest.mark.parametrize(
+    "sent, standing",
+    [
+        (document(7), Standing.REPEAT),
+        (json.dumps(json.loads(document(7)), indent=1, sort_keys=True).encode(), Standing.REPEAT),
+        (document(7, "b"), Standing.OTHER_CONTENTS),
+        (document(6, "b"), Standing.PASSED_OVER),
+        (document(8, "b"), Standing.NEWER),
+    ],
+)
+def test_the_highest_number_prevails_and_one_no_higher_alters_nothing(sent, standing):
+    leader = holding(7)
+    assert orders.standing(leader.state, orders.parse(sent)) is standing
+    call = leader.send(sent)
+    if standing is Standing.NEWER:
+        assert call not in leader.acked
+        leader.kept()
+    assert call in leader.acked
+    assert in_force(leader) == json.loads(sent if standing is Standing.NEWER else document(7))
+
+
+@pytest.mark.parametrize("number", [6, 7, 8])
+def test_an_invalid_one_is_refused_under_any_number(number):
+    leader = holding(7)
+    assert leader.send(invalid(number)) is None
+    assert in_force(leader) == json.loads(document(7))
+
+
+@pytest.mark.parametrize("has_last", [False, True])
+def test_a_repeat_after_a_lost_answer_is_acknowledged_by_the_next_leader(has_last):
+    first = holding(7)
+    first.send(document(8))
+    second = first.successor(has_last)
+    call = second.send(document(8))
+    assert (call in second.acked) == has_last
+    if not has_last:
+        second.kept()
+    assert call in second.acked and in_force(second) == json.loads(document(8))
+
+
+def test_a_repeat_that_comes_while_the_first_is_being_kept_waits_for_it():
+    leader = holding(7)
+    first, second = leader.send(document(8)), leader.send(document(8))
+    assert not {first, second} & set(leader.acked)
+    leader.kept()
+    assert {first, second} <= set(leader.acked) and leader.being_kept is None
+
+
+def test_two_operators_under_one_number_leave_one_in_force_whichever_machine_leads():
+    leader = holding(7)
+    leader.send(document(8, "a"))
+    other = leader.send(document(8, "b"))
+    assert other not in leader.acked  # not before something stands under its number
+    successor = leader.successor(False)
+    successor.send(document(8, "b"))
+    successor.kept()
+    assert in_force(successor) == json.loads(document(8, "b"))
+    late = orders.parse(document(8, "a"), successor.state)
+    assert orders.standing(successor.state, late) is Standing.OTHER_CONTENTS
+    assert orders.replace(1, late).settled(successor.state)
+
+
+def stricter(monkeypatch):
+    """From here on every document is invalid."""
+
+    def refuse(config):
+        yield "a check of later"
+
+    monkeypatch.setattr(checks, "_faults", refuse)
+
+
+def test_a_stricter_check_refuses_no_repeat(monkeypatch):
+    leader = Leader(State())
+    for number in range(1, REMEMBERED + 2):
+        leader.send(document(number))
+        leader.kept()
+    stricter(monkeypatch)
+    for number in (2, REMEMBERED + 1):
+        assert leader.send(document(number)) in leader.acked
+    assert leader.send(document(REMEMBERED + 1, "b")) is None
+    assert leader.send(document(1)) is None  # no longer remembered: docs/hardening.md says so
+
+
+def test_a_repeat_of_what_release_0_1_took_is_known_also_once_it_is_passed_over(monkeypatch):
+    leader = Leader(State(1, {"config": (1, {"v": 7, "z": zlib.compress(document(7))})}))
+    assert in_force(leader) == json.loads(document(7)) and number_of(leader.state) == 7
+    leader.send(document(8))
+    leader.kept()
+    assert in_force(leader) == json.loads(document(8))
+    stricter(monkeypatch)
+    assert leader.send(document(7)) in leader.acked
+
+
+def test_reading_gives_the_document_or_says_that_there_is_none():
+    none = orders.read(1).answer(State())
+    assert isinstance(none, Failure) and none.kind is Kind.NO_OFFICE
+    assert json.loads(orders.read(1).answer(holding(7).state)) == json.loads(document(7))
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.data())
+def test_no_number_is_confirmed_for_what_is_neither_kept_nor_passed_over_nor_second(data):
+    """Operators, lost answers and changes of the leader, in any order; a repeat is never refused."""
+    leader, sent = Leader(State()), []
+    confirmed: dict[int, int] = {}
+    for _ in range(data.draw(st.integers(1, 25))):
+        step = data.draw(st.sampled_from(["new", "new", "again", "kept", "kept", "leader"]))
+        if step == "kept" and leader.being_kept is not None:
+            leader.kept()
+        elif step == "leader":
+            leader, confirmed = leader.successor(data.draw(st.booleans())), {}
+        else:
+            if step == "new" or not sent:
+                sent.append(document(data.draw(st.integers(0, 6)), data.draw(st.sampled_from("ab"))))
+            body = sent[-1] if step == "new" else data.draw(st.sampled_from(sent))
+            call = leader.send(body)
+            assert call is not None
+            confirmed[call] = json.loads(body)
+        held, number = in_force(leader), number_of(leader.state)
+        assert held is None and number == NONE or held in [json.loads(body) for body in sent]
+        for call in leader.acked:
+            if call in confirmed and int(confirmed[call]["version"], 16) >= number:
+                wanted = confirmed[call]
+                assert int(wanted["version"], 16) == number
+                second = orders.standing(leader.state, orders.parse(json.dumps(wanted).encode()))
+                assert wanted == held or second is Standing.OTHER_CONTENTS
+
+
+def evacuated(leader: Leader, zone: str) -> bool:
+    held = leader.state.value(f"evac:{zone}")
+    return held is not None and held["on"]
+
+
+def order_evacuation(leader: Leader, begin: bool, zone: str = "z") -> bool:
+    """Whether it was acknowledged without a change; else it is kept."""
+    call = leader.call(lambda number: orders.evacuate(number, zone, begin))
+    settled = call in leader.acked
+    if not settled:
+        leader.kept()
+    assert call in leader.acked and evacuated(leader, zone) == begin
+    return settled
+
+
+def test_an_evacuation_sent_again_is_a_repeat_only_while_the_zone_is_as_it_asks():
+    leader = Leader(State())
+    assert order_evacuation(leader, False)  # none to finish
+    assert not order_evacuation(leader, True)
+    assert order_evacuation(leader, True)
+    assert not order_evacuation(leader, False)
+    assert not order_evacuation(leader, True)  # after another's Finish: acknowledged only once it is in force
+    assert leader.state.value("evac:z")["n"] == 3
+
+
+def test_a_begin_that_comes_while_a_finish_is_being_kept_is_in_force_when_acknowledged():
+    leader = Leader(State())
+    order_evacuation(leader, True)
+    leader.call(lambda number: orders.evacuate(number, "z", False))
+    begin = leader.call(lambda number: orders.evacuate(number, "z", True))
+    leader.kept()
+    assert begin not in leader.acked and not evacuated(leader, "z")
+    leader.kept()
+    assert begin in leader.acked and evacuated(leader, "z")
+
+
+@pytest.mark.parametrize("zone", ["", "a/b", "z" * 401])
+def test_what_can_be_no_zone_is_refused(zone):
+    with pytest.raises(Failure) as caught:
+        orders.evacuate(1, zone, True)
+    assert caught.value.kind is Kind.INVALID
+
+
+def test_a_change_of_one_route_sets_its_item_the_header_and_one_digest():
+    leader = holding(7)
+    changed = changes(leader.state, 8, document(8, "b"))
+    assert set(changed) == {"config", "route:r", "taken:2"}
