Orders are read by whoever leads, when it serves them

Cause: a machine that does not lead must refuse nothing for good, and whether an order is a repeat is a matter of the state.

Change: Unread calls; what alters nothing is logged (212).

--- a/roadspur/common/events.py
+++ b/roadspur/common/events.py
@@ -34,6 +34,7 @@
     VIEW = Entry(203, "info", "epoch %d: leader %s, replicas %s, voters %s")
     CANDIDATE = Entry(204, "info", "stands for epoch %d: %s")
     KEPT = Entry(210, "info", "change %d kept by the leader and all replicas: %s")
+    UNALTERED = Entry(212, "info", "acknowledged and nothing altered: %s")
     INVALID = Entry(211, "info", "configuration refused: %s")
     DISK = Entry(220, "warning", "disk: %s")
     DUTY = Entry(300, "info", "holds the duty, term %s")
--- a/roadspur/control/calls.py
+++ b/roadspur/control/calls.py
@@ -6,7 +6,7 @@
 
 from roadspur.common.failures import Failure, Kind
 from roadspur.control.context import Context
-from roadspur.control.interface import Change, Read
+from roadspur.control.interface import Call, Change
 from roadspur.control.timing import HOLD_S
 
 
@@ -15,12 +15,12 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._waiting: deque[Change | Read] = deque()
+        self._waiting: deque[Call] = deque()
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, call: Change | Read) -> None:
+    def add(self, call: Call) -> None:
         """A call has come."""
         self._waiting.append(call._replace(until=self._context.now + HOLD_S))
 
@@ -28,7 +28,7 @@
         """A change was begun under a leadership that is over: it may be in force later or not."""
         self._waiting.appendleft(change._replace(until=self._context.now + 2 * HOLD_S))
 
-    def take(self) -> Change | Read:
+    def take(self) -> Call:
         """The next call."""
         return self._waiting.popleft()
 
--- a/roadspur/control/interface.py
+++ b/roadspur/control/interface.py
@@ -93,6 +93,17 @@
     until: float = 0.0
 
 
+class Unread(NamedTuple):
+    """An order that only a leader reads: whoever does not lead refuses nothing for good.
+
+    `change` makes it a change of the state in force, or raises the Failure that it is refused by.
+    """
+
+    call: int
+    change: Callable[[State], Change]
+    until: float = 0.0
+
+
 class Read(NamedTuple):
     """A call that is answered from the state, by a leader whose lease stands."""
 
@@ -101,6 +112,9 @@
     until: float = 0.0
 
 
+Call = Change | Unread | Read
+
+
 @dataclass(slots=True)
 class Stored:
     """All that a disk holds, as read at the start of a process; an empty disk gives the defaults."""
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -14,7 +14,7 @@
 from roadspur.control.context import Context
 from roadspur.control.durable import Durable
 from roadspur.control.elections import Elections
-from roadspur.control.interface import Change, Publish, Read
+from roadspur.control.interface import Call, Change, Publish, Read, Unread
 from roadspur.control.joining import Joining, Learner
 from roadspur.control.role import Candidacy, Leadership, Pending, Role
 from roadspur.control.timing import (
@@ -316,18 +316,24 @@
         current = self._role.leadership is leadership and not self._role.stopping
         return current and leadership.pending is None and self._context.now < leadership.until()
 
-    def _serve_one(self, leadership: Leadership, call: Change | Read) -> None:
+    def _serve_one(self, leadership: Leadership, call: Call) -> None:
         state = self._durable.replica.state
         try:
             if isinstance(call, Read):
                 self._context.answer(call.call, call.answer(state))
-            elif call.settled(state):
-                self._context.answer(call.call, None)
             else:
-                self._begin_change(leadership, call)
+                self._serve_change(leadership, call.change(state) if isinstance(call, Unread) else call)
         except Failure as failure:
             self._context.answer(call.call, failure)
 
+    def _serve_change(self, leadership: Leadership, change: Change) -> None:
+        """Keep a change, or acknowledge one that the state in force makes needless."""
+        if change.settled(self._durable.replica.state):
+            self._context.note(Event.UNALTERED, change.what)
+            self._context.answer(change.call, None)
+        else:
+            self._begin_change(leadership, change)
+
     def _begin_change(self, leadership: Leadership, change: Change) -> None:
         replica, now = self._durable.replica, self._context.now
         base, position = replica.position, replica.next_position()
--- a/roadspur/control/leases.py
+++ b/roadspur/control/leases.py
@@ -1,4 +1,4 @@
-"""Duties that one process does: grants by each voter of the core, a lease where a majority grants, one holder at a time.
+"""Duties that one process does: grants by the voters of the core, a lease where a majority grants, one holder at a time.
 
 Guaranteed: of two holders of one duty at least one knows that its time is over; terms of holders rise, and are fencing
 tokens. How: a grantor grants a term to one holder only, and nobody else for `GRANT_S` after it last did; a holder
--- a/roadspur/control/node.py
+++ b/roadspur/control/node.py
@@ -37,7 +37,7 @@
 from roadspur.control.calls import Calls
 from roadspur.control.context import Context
 from roadspur.control.durable import Durable
-from roadspur.control.interface import Change, Output, Read, Stored
+from roadspur.control.interface import Call, Output, Stored
 from roadspur.control.joining import Joining
 from roadspur.control.leading import Leading
 from roadspur.control.role import Leadership, Role
@@ -163,7 +163,7 @@
         self._durable.written(token, ok)
         return self._context.flush()
 
-    def call(self, now: float, call: Change | Read) -> list[Output]:
+    def call(self, now: float, call: Call) -> list[Output]:
         """A call from outside; its `Answer` comes now, or within about `HOLD_S` where nobody leads."""
         self._context.advance(now)
         if self._role.stopping:
--- a/roadspur/control/orders.py
+++ b/roadspur/control/orders.py
@@ -37,11 +37,12 @@
     was_taken,
 )
 from roadspur.common.failures import Failure, Kind
-from roadspur.control.interface import Change, Read
+from roadspur.control.interface import Change, Read, Unread
 from roadspur.transport.news import State
 
 MOST_ZONE_BYTES = 400  # zones' names are keys on the disk, which bounds them at 511
 DIGEST_SHOWN = 12  # digits of a digest in the log
+MOST_REASON = 400  # characters of a refusal
 
 
 class ParsedOrder(NamedTuple):
@@ -111,6 +112,26 @@
     return Change(call, settled, items, f"configuration {number:08x}, contents {digest[:DIGEST_SHOWN]}")
 
 
+def replace_unread(call: int, document: bytes) -> Unread:
+    """The same of a document that is read by whoever leads then. Failure(INVALID) with all faults in one line."""
+
+    def change(state: State) -> Change:
+        try:
+            order = parse(document, state)
+        except ExceptionGroup as group:
+            faults = "; ".join(str(error) for error in group.exceptions)
+            raise Failure(Kind.INVALID, faults[:MOST_REASON]) from None
+        made = replace(call, order)
+        return made._replace(what=f"{made.what}, {standing(state, order).value}")
+
+    return Unread(call, change)
+
+
+def evacuate_unread(call: int, zone: str, begin: bool) -> Unread:
+    """The same of an evacuation's begin or end."""
+    return Unread(call, lambda state: evacuate(call, zone, begin))
+
+
 def evacuate(call: int, zone: str, begin: bool) -> Change:
     """The change that an evacuation's begin or end asks for. Failure(INVALID) for what can be no zone.
 
@@ -132,10 +153,10 @@
 
 
 def read(call: int) -> Read:
-    """The document of the configuration in force; Failure(NO_OFFICE) where there is none."""
+    """The document of the configuration in force; Failure(NO_LEADER) where there is none."""
 
     def answer(state: State) -> bytes | Failure:
         document = assemble(state)
-        return document if document is not None else Failure(Kind.NO_OFFICE, "no configuration yet")
+        return document if document is not None else Failure(Kind.NO_LEADER, "no configuration yet")
 
     return Read(call, answer)
--- a/roadspur/control/program.py
+++ b/roadspur/control/program.py
@@ -18,7 +18,7 @@
 from roadspur.common.failures import Failure, Kind
 from roadspur.common.process import Settings, serve
 from roadspur.control import orders
-from roadspur.control.interface import Answer, Change, Note, Outward, Read, Send, Tell, Write
+from roadspur.control.interface import Answer, Call, Note, Outward, Send, Tell, Write
 from roadspur.control.leases import Grantor
 from roadspur.control.node import ControlNode
 from roadspur.control.service import ControlService
@@ -83,7 +83,7 @@
         if boot.binds.control:
             await self.api.listen(*read_address(boot.binds.control))
         self.tick()
-        self.loop.call_later(LOAD_S, orders.load)
+        self.loop.call_later(LOAD_S, orders.checks)
         await serve("control", self.settings, self.tick, self._changed, self.leave)
 
     async def leave(self) -> None:
@@ -166,7 +166,7 @@
 
     # Calls.
 
-    def _call(self, make: Callable[[int], Change | Read], done: Done) -> None:
+    def _call(self, make: Callable[[int], Call], done: Done) -> None:
         number = self.service.calls + 1
         self.waiting[number] = self._answered(done)
         _, outputs = self.service.call(time.monotonic(), make)
@@ -187,7 +187,7 @@
     @staticmethod
     def _rests_on_lease(answer: Any) -> bool:
         """What is kept stays kept; a refusal for good or a document may be out of date."""
-        return isinstance(answer, Document) or (isinstance(answer, Failure) and answer.kind is Kind.INVALID)
+        return isinstance(answer, bytes) or (isinstance(answer, Failure) and answer.kind is Kind.INVALID)
 
     def replace(self, call: ReplaceConfiguration, done: Done) -> None:
         """Checked whole before anything else, by the leader; INVALID with all faults in one line."""
@@ -203,7 +203,7 @@
 
     def evacuate(self, zone: str, begin: bool, done: Done) -> None:
         """A zone is to be left, or taken back."""
-        self._call(lambda number: orders.evacuate(number, zone, begin), done)
+        self._call(lambda number: orders.evacuate_unread(number, zone, begin), done)
 
 
 async def main(settings: Settings) -> None:
--- a/roadspur/control/service.py
+++ b/roadspur/control/service.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from roadspur.common.failures import Failure
-from roadspur.control.interface import Answer, Change, Output, Outward, Publish, Read, Records, Tell, Write
+from roadspur.control.interface import Answer, Call, Change, Output, Outward, Publish, Records, Tell, Write
 from roadspur.control.leases import Grantor
 from roadspur.control.node import ControlNode
 from roadspur.transport.messages import (
@@ -62,7 +62,7 @@
         answer = self._granting.pop(token, None)
         return [answer] if ok and answer is not None and self.node.in_contact(now) else []
 
-    def call(self, now: float, make: Callable[[int], Change | Read]) -> tuple[int, list[Outward]]:
+    def call(self, now: float, make: Callable[[int], Call]) -> tuple[int, list[Outward]]:
         """A call from outside; its number, by which its `Answer` names it."""
         self.calls += 1
         return self.calls, self._carry(now, self.node.call(now, make(self.calls)))
