Links carry typed messages; what does not fit is refused, logged, and ends its connection

Cause: held connections carried bare tables, whose fields nobody checked. A message that does not fit its type or its receiver is event 121 and ends the connection. The dials to the core's machines get one home, transport/core_links.py. leases.py speaks typed messages as far as the registry needs it.

--- a/roadspur/common/events.py
+++ b/roadspur/common/events.py
@@ -28,6 +28,7 @@
     SETTINGS = Entry(103, "info", "settings read again: seeds %s")
     BAD_SETTINGS = Entry(104, "warning", "settings not taken: %s")
     FAULT = Entry(120, "error", "a fault in %s: %s")
+    REFUSED_MESSAGE = Entry(121, "warning", "a message of %s refused: %s")
     FOUNDED = Entry(200, "info", "founded with %s")
     OFFICE = Entry(201, "info", "primary of epoch %d, backup %s")
     NO_OFFICE = Entry(202, "warning", "epoch %d: office given up: %s")
--- a/roadspur/control/leases.py
+++ b/roadspur/control/leases.py
@@ -15,7 +15,8 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+
+from roadspur.transport.messages import LeaseGranted, LeaseReleased, LeaseRequest, LeaseTaken, Message
 
 GRANT_S = 1.0
 MARGIN_S = 0.2
@@ -23,8 +24,6 @@
 ROUND_S = 0.4  # for a majority's grants to come
 EPOCH = 20  # bits of a term below the epoch of the control state, from which terms go on after all have forgotten
 
-Table = dict[str, Any]
-
 
 @dataclass(slots=True)
 class Grant:
@@ -49,26 +48,26 @@
         self.grants = {duty: Grant(f"{machine}/", term, now + GRANT_S)
                        for duty, (machine, term) in (kept or {}).items()}
 
-    def wanted(self, now: float, table: Table, epoch: int) -> tuple[Table, bool]:
+    def wanted(self, now: float, request: LeaseRequest, epoch: int) -> tuple[LeaseGranted | LeaseTaken, bool]:
         """A wish for a duty: the answer, and whether `kept` has changed and is to be on disk before it leaves."""
-        duty, holder, term = table["duty"], table["who"], table["term"]
+        duty, holder, term = request.duty, request.holder, request.term
         grant = self.grants.setdefault(duty, Grant("/", 0, self.begun + GRANT_S))
         # A new life on the holder's machine: the old one is dead.
         free = now >= grant.until or (holder != grant.holder and machine_of(holder) == machine_of(grant.holder))
         renewed = grant.holder == holder and grant.term == term
         if renewed or (free and term > max(grant.term, epoch << EPOCH)):
             grant.holder, grant.term, grant.until = holder, term, now + GRANT_S
-            return {"t": "granted", "duty": duty, "term": term, "at": table["at"]}, not renewed
-        return {"t": "taken", "duty": duty, "term": max(grant.term, epoch << EPOCH), "free": free}, False
+            return LeaseGranted(duty, term, request.sent), not renewed
+        return LeaseTaken(duty, max(grant.term, epoch << EPOCH), free), False
 
     def kept(self) -> dict[str, tuple[str, int]]:
         """What the next life must know."""
         return {duty: (machine_of(grant.holder), grant.term) for duty, grant in self.grants.items()}
 
-    def yielded(self, table: Table) -> None:
+    def yielded(self, released: LeaseReleased) -> None:
         """A holder ends in order, or has not got a majority and asks no more."""
-        grant = self.grants.get(table["duty"])
-        if grant is not None and grant.holder == table["who"] and grant.term == table["term"]:
+        grant = self.grants.get(released.duty)
+        if grant is not None and grant.holder == released.holder and grant.term == released.term:
             grant.until = -1.0
 
 
@@ -107,7 +106,7 @@
         """Whether this one does the duty now."""
         return now < self.until()
 
-    def tick(self, now: float, send: Callable[[str, Table], object]) -> None:
+    def tick(self, now: float, send: Callable[[str, Message], object]) -> None:
         """Ask all grantors when it is time."""
         if now < self.next or not self.electorate:
             return
@@ -122,23 +121,24 @@
             self.term, self.granted, self.begun, self.had = self.highest + 1, {}, now, False
         self.next = now + RENEW_S
         for ip in sorted(self.electorate):
-            send(ip, {"t": "want", "duty": self.duty, "who": self.me, "term": self.term, "at": now})
+            send(ip, LeaseRequest(self.duty, self.me, self.term, now))
 
-    def give_back(self, send: Callable[[str, Table], object]) -> None:
+    def give_back(self, send: Callable[[str, Message], object]) -> None:
         """Ask no more under this term."""
         if self.begun is None:
             return
         for ip in sorted(self.electorate):
-            send(ip, {"t": "yield", "duty": self.duty, "who": self.me, "term": self.term})
+            send(ip, LeaseReleased(self.duty, self.me, self.term))
         self.begun, self.granted, self.had = None, {}, False
         self.highest = max(self.highest, self.term)
 
-    def heard(self, sender: str, table: Table) -> None:
+    def heard(self, sender: str, message: LeaseGranted | LeaseTaken) -> None:
         """A grantor's answer."""
-        if table["t"] == "granted" and table["term"] == self.term and self.begun is not None:
-            self.granted[sender] = max(self.granted.get(sender, float("-inf")), table["at"])
-        elif table["t"] == "taken":
-            if table["free"] and self.begun is not None and table["term"] >= self.term and not self.hinted:
-                self.hinted, self.next = True, self.next - RENEW_S  # due at once
-            self.highest = max(self.highest, table["term"])
-            self.granted.pop(sender, None)
+        if isinstance(message, LeaseGranted):
+            if message.term == self.term and self.begun is not None:
+                self.granted[sender] = max(self.granted.get(sender, float("-inf")), message.sent)
+            return
+        if message.free and self.begun is not None and message.term >= self.term and not self.hinted:
+            self.hinted, self.next = True, self.next - RENEW_S  # due at once
+        self.highest = max(self.highest, message.term)
+        self.granted.pop(sender, None)
--- /dev/null
+++ b/roadspur/transport/core_links.py
@@ -0,0 +1,72 @@
+"""Connections to the core's machines: which machines there are, and one dial to each of them.
+
+`CoreMembers` is pure. `CoreLinks` holds the connections to one of the core's services, and opens one to each machine
+that it comes to know; a machine once known stays known, as settings and the newest view may name different ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from roadspur.transport.links import Dial
+from roadspur.transport.messages import AnyMessage, CoreInfo, Message
+
+
+class CoreMembers:
+    """The core as the newest epoch that was heard of has it."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.voters: tuple[str, ...] = ()
+        self.leader = ""
+
+    def learn(self, info: CoreInfo) -> bool:
+        """Take in what a control process tells; whether it counts: not of an older epoch, nor without voters."""
+        if info.epoch < self.epoch or not info.voters:
+            return False
+        self.epoch, self.voters, self.leader = info.epoch, info.voters, info.leader
+        return True
+
+
+class CoreLinks:
+    """Dials to one service of the core, by the machines' addresses."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        port: Callable[[], int],
+        hello: Callable[[], Message],
+        on_message: Callable[[Dial, AnyMessage], None],
+        own: str = "",
+    ) -> None:
+        """`own`: an address that is never dialled."""
+        self.loop, self.port, self.hello, self.on_message, self.own = loop, port, hello, on_message, own
+        self.dials: dict[str, Dial] = {}
+
+    def meet(self, addresses: Iterable[str]) -> None:
+        """Open a connection to each of some machines that is not known yet."""
+        for address in addresses:
+            if address != self.own and address not in self.dials:
+                self.dials[address] = Dial(self.loop, address, self.port(), self.hello, self.on_message)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send to one machine; nothing where no connection stands."""
+        dial = self.dials.get(address)
+        if dial is not None:
+            dial.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Send to each machine."""
+        for dial in self.dials.values():
+            dial.send(message)
+
+    def poke(self, address: str) -> None:
+        """Something has come from a machine: try it at once if its connection is down."""
+        if address in self.dials:
+            self.dials[address].poke()
+
+    def close(self) -> None:
+        """End all of them for good."""
+        for dial in self.dials.values():
+            dial.close()
--- /dev/null
+++ b/roadspur/transport/errors.py
@@ -0,0 +1,12 @@
+"""What a receiver raises about a message that it refuses."""
+
+from __future__ import annotations
+
+from roadspur.transport.messages import Message
+
+
+class UnexpectedMessage(ValueError):
+    """A message that is well formed, of a type or with a value that its receiver does not take."""
+
+    def __init__(self, message: Message) -> None:
+        super().__init__(f"{type(message).__name__} is not taken here")
--- a/roadspur/transport/links.py
+++ b/roadspur/transport/links.py
@@ -1,9 +1,12 @@
-"""Held connections between the system's own processes: tables in msgpack, one after the other, over TCP.
+"""Held connections between the system's own processes: framed messages, one after the other, over TCP.
 
 `Dial` keeps one connection to an address and opens it again when it ends; `Listener` takes others' connections. Both
-sides send a beat when they have nothing else to say, and end a connection on which nothing came for `SILENT_S`:
-behind a cut nothing else would tell. What was written to a connection that ends may be lost; who needs an answer asks
-again.
+sides send a `Beat` when they have nothing else to say, and end a connection on which nothing came for `SILENT_S`:
+behind a network partition nothing else would tell. What was written to a connection that ends may be lost; who needs
+an answer asks again.
+
+A message that does not fit its type (`MalformedMessage`), or that its receiver does not take (`UnexpectedMessage`),
+is refused and logged, and its connection is ended.
 
 Cost over the fleet: a beat each `BEAT_S` and connection each way.
 """
@@ -13,33 +16,36 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Any, cast
-
-import msgpack
+from typing import cast
 
 from roadspur.common.events import Event, say
 from roadspur.net.upstream import watch
+from roadspur.transport.codec import Deframer, MalformedMessage, frame
+from roadspur.transport.errors import UnexpectedMessage
+from roadspur.transport.messages import AnyMessage, Beat, Follow, HandOver, Hello, Message
 
 BEAT_S = 0.4
 SILENT_S = 1.5
-OPEN_S = 0.3     # for a connection to stand: the opening packet to a machine that is dark is lost, and not sent again
-PATIENT = 4      # each so many attempts one gets `SILENT_S`, as the way may be that slow
+OPEN_S = 0.3  # to connect: the opening packet to a machine that is down is lost, and not sent again in time
+PATIENT = 4  # each so many attempts one gets `SILENT_S`, as the way may be that slow
 REDIAL_S = 0.1
-MOST = 64 * 1024 * 1024  # bytes of one message
-FULL = 16 * 1024 * 1024  # bytes waiting to be sent, beyond which a peer that does not read is given up
-BEAT = msgpack.packb({"t": "beat"})
-
-Table = dict[str, Any]
+UNSENT_BYTES = 16 * 1024 * 1024  # waiting to be sent, beyond which a peer that does not read is given up
+BEAT = frame(Beat())
 
 
 class Link(asyncio.Protocol):
     """One connection."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_open: Callable[[Link], None],
-                 on_table: Callable[[Link, Table], None], on_end: Callable[[Link, str], None]) -> None:
-        self.loop, self.on_open, self.on_table, self.on_end = loop, on_open, on_table, on_end
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_open: Callable[[Link], None],
+        on_message: Callable[[Link, AnyMessage], None],
+        on_end: Callable[[Link, str], None],
+    ) -> None:
+        self.loop, self.on_open, self.on_message, self.on_end = loop, on_open, on_message, on_end
         self.transport: asyncio.Transport | None = None
-        self.unpacker = msgpack.Unpacker(max_buffer_size=MOST, strict_map_key=False)
+        self.deframer = Deframer()
         self.heard = self.said = loop.time()
         self.name = ""  # who is at the other end, once it has said so
         self.peer = ""  # the address that it came from
@@ -59,22 +65,24 @@
     def data_received(self, data: bytes) -> None:
         self.heard = self.loop.time()
         try:
-            self.unpacker.feed(data)
-            for table in self.unpacker:
-                if not isinstance(table, dict):
-                    raise ValueError("expected a table")
-                if table.get("t") != "beat" and self.open:
-                    self.on_table(self, table)
-        except (ValueError, KeyError, TypeError, msgpack.exceptions.UnpackException) as error:
-            say(Event.FAULT, f"a message of {self.name}", repr(error))
+            for message in self.deframer.feed(data):
+                if not self.open:
+                    return
+                if not isinstance(message, Beat):
+                    self.on_message(self, message)
+        except (MalformedMessage, UnexpectedMessage) as error:
+            say(Event.REFUSED_MESSAGE, self.name or self.peer, error)
+            self.close(str(error))
+        except (ValueError, KeyError, TypeError) as error:
+            say(Event.FAULT, f"a message of {self.name or self.peer}", repr(error))
             self.close(repr(error))
 
-    def send(self, table: Table) -> None:
-        """Send one table; nothing where the connection has ended."""
-        self.write(msgpack.packb(table))
+    def send(self, message: Message) -> None:
+        """Send one message; nothing where the connection has ended."""
+        self.write(frame(message))
 
     def write(self, data: bytes) -> None:
-        """Send a table that is packed already."""
+        """Send a message that is framed already."""
         if not self.open or self.transport is None:
             return
         if self.transport.is_closing():  # given up while it was being opened: nothing else tells
@@ -82,7 +90,7 @@
             return
         self.said = self.loop.time()
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() > FULL:
+        if self.transport.get_write_buffer_size() > UNSENT_BYTES:
             self.close("it does not read")
 
     def _beat(self) -> None:
@@ -119,10 +127,17 @@
 class Dial:
     """A connection to one address that is opened again for as long as it is wanted."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: str, port: int, hello: Callable[[], Table],
-                 on_table: Callable[[Dial, Table], None], on_end: Callable[[Dial], None] | None = None) -> None:
-        """`hello`: the first table on each connection."""
-        self.loop, self.host, self.port, self.hello, self.on_table = loop, host, port, hello, on_table
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        host: str,
+        port: int,
+        hello: Callable[[], Message],
+        on_message: Callable[[Dial, AnyMessage], None],
+        on_end: Callable[[Dial], None] | None = None,
+    ) -> None:
+        """`hello`: the first message on each connection."""
+        self.loop, self.host, self.port, self.hello, self.on_message = loop, host, port, hello, on_message
         self.ended = on_end
         self.link: Link | None = None
         self.closed = False
@@ -168,7 +183,8 @@
     async def _open(self, end: Callable[[Link, str], None], for_s: float) -> Link:
         async with asyncio.timeout(for_s):
             _, link = await self.loop.create_connection(
-                lambda: Link(self.loop, lambda k: None, self._table, end), self.host, self.port)
+                lambda: Link(self.loop, lambda opened: None, self._message, end), self.host, self.port
+            )
             return link
 
     async def _pause(self) -> None:
@@ -187,14 +203,14 @@
         if self.opening is not None:
             self.opening.cancel()
 
-    def _table(self, link: Link, table: Table) -> None:
-        self.on_table(self, table)
+    def _message(self, link: Link, message: AnyMessage) -> None:
+        self.on_message(self, message)
 
-    def send(self, table: Table) -> bool:
-        """Send one table; False where no connection stands."""
+    def send(self, message: Message) -> bool:
+        """Send one message; False where no connection stands."""
         if self.link is None or not self.link.open:
             return False
-        self.link.send(table)
+        self.link.send(message)
         return True
 
     def close(self) -> None:
@@ -208,11 +224,16 @@
 
 
 class Listener:
-    """Takes connections; each is known by the `me` of its first table."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_table: Callable[[Link, Table], None],
-                 on_end: Callable[[Link], None], most: int = 1024) -> None:
-        self.loop, self.on_table, self.most = loop, on_table, most
+    """Takes connections; each is known by the `me` of its first message, a `Hello`, `Follow` or `HandOver`."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_message: Callable[[Link, AnyMessage], None],
+        on_end: Callable[[Link], None],
+        most: int = 1024,
+    ) -> None:
+        self.loop, self.on_message, self.most = loop, on_message, most
         self.on_end = on_end
         self.links: set[Link] = set()
         self.server: asyncio.Server | None = None
@@ -220,7 +241,8 @@
     async def listen(self, host: str, port: int) -> None:
         """Open the port; OSError where it cannot be had."""
         self.server = await self.loop.create_server(
-            lambda: Link(self.loop, self._opened, self._table, self._ended), host, port, backlog=256)
+            lambda: Link(self.loop, self._opened, self._message, self._ended), host, port, backlog=256
+        )
 
     def _opened(self, link: Link) -> None:
         self.links.add(link)
@@ -230,10 +252,10 @@
         if len(self.links) > self.most:
             link.close("too many connections")
 
-    def _table(self, link: Link, table: Table) -> None:
-        if not link.name:
-            link.name = str(table.get("me", ""))
-        self.on_table(link, table)
+    def _message(self, link: Link, message: AnyMessage) -> None:
+        if not link.name and isinstance(message, Hello | Follow | HandOver):
+            link.name = message.me
+        self.on_message(link, message)
 
     def _ended(self, link: Link, why: str) -> None:
         self.links.discard(link)
