--- a/roadspur/proxy/decisions.py
+++ b/roadspur/proxy/decisions.py
@@ -34,19 +34,21 @@
 PLAN = "all"
 AGAIN_S = 0.05     # added to the time until a tenant's next window
 NEARER_X = 1.25    # times the usual time of the best, that one of this zone may take
+UNKNOWN_WINDOW = -1
 PLACE_S = 0.2      # of its aim, for which a request may wait for a backend before it is refused
 
 
 class Charge(NamedTuple):
     """Action: add to a tenant's one count; the answer to a positive amount is a `Counted`.
 
-    What is given back names the window that it was charged in; -1 where that is not known, and it then stays charged.
+    An amount below 0 gives the request's charge back, once it is sure that the request is not sent on by it; `window`
+    is the one that it was charged in, `UNKNOWN_WINDOW` where no verdict has told.
     """
 
     request: str
     tenant: str
     amount: int
-    window: int = -1
+    window: int = UNKNOWN_WINDOW
 
 
 class Counted(NamedTuple):
@@ -55,7 +57,7 @@
     request: str
     verdict: int
     left: float
-    window: int = -1
+    window: int = UNKNOWN_WINDOW
 
 
 class Asked(NamedTuple):
@@ -78,7 +80,7 @@
         self.found, self.tenant, self.service, self.homes = asked.found, asked.tenant, service, homes
         self.sends = self.arrived = 0
         self.ran = self.charged = self.counted = False
-        self.window = -1  # that it was charged in
+        self.window = UNKNOWN_WINDOW  # that it was charged in
         self.aim, self.came, self.sent = now + req.expires_in, now, 0.0
         self.backend = ""
 
@@ -228,7 +230,7 @@
         self.counting.pop(e.request, None)
         flight = self.flights.get(e.request)
         if flight is None or flight.counted or flight.tenant is None:
-            return  # its client has left, and the charge was given back; or its own share has let it in
+            return  # its client has left, or its own share has let it in: the charge was given back
         flight.window = e.window
         if e.verdict == ALONE:
             self.quota.uncounted(now, flight.tenant, e.left)
@@ -247,9 +249,7 @@
     def _alone(self, now: float, flight: Flight, wait: float = 0.0) -> None:
         """The count does not let it in: what is this ingress's own does, or it is refused; its charge is given back."""
         assert flight.tenant is not None
-        if flight.charged:
-            self.acts.append(Charge(flight.req.id, flight.tenant, -1, flight.window))
-            flight.charged = False
+        self._give_back(flight)
         if self.quota.spend(now, flight.tenant):
             self._let_in(now, flight)
         else:
@@ -373,6 +373,7 @@
                 break  # they stand in the order in which they came
             elif self.quota.spend(now, flight.tenant):
                 del self.counting[name]
+                self._give_back(flight)
                 self._let_in(now, flight)
         waiting, self.waiting = self.waiting, []
         for name in waiting:
--- a/roadspur/proxy/knowledge.py
+++ b/roadspur/proxy/knowledge.py
@@ -1,52 +1,75 @@
-"""What a proxy knows and whom it tells: news of the store and of the registry, the ring, the beats to the counter.
+"""What a proxy knows and whom it tells: control state, the registry's news, the ring, beats and charges to the counter.
 
 Guaranteed: what is in force here never goes back within a life, whoever tells it; news are acted on before they are
-acknowledged; without a configuration and a list this proxy is not ready. What a watched proxy has lacked for a while
-is handed over to it.
+acknowledged; without a configuration and a list this proxy is not ready; a charge is answered once and given back
+once at most. What a watched proxy has lacked for a while is handed over to it.
 
-Inputs are ticks and tables; outputs are tables to send and what has changed here, which is put into the decisions
+Inputs are ticks and messages; outputs are messages to send and what has changed here, which is put into the decisions
 before it is told. Pure; seconds on the steady clock.
 """
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from roadspur.common.configuration import Index, kept_configuration
+from roadspur.common.config_items import ConfigurationFollower
+from roadspur.common.configuration import Index
 from roadspur.common.events import Event
-from roadspur.proxy.decisions import Charge, Counted, Decisions
+from roadspur.common.shares import ALONE_S, OVER
+from roadspur.proxy import decisions as decided
+from roadspur.proxy.decisions import Counted, Decisions
 from roadspur.proxy.placement import Place
 from roadspur.services.wire import Address, read_address
-from roadspur.transport.news import Follower, Message
+from roadspur.transport.core_members import CoreMembers
+from roadspur.transport.errors import UnexpectedMessage
+from roadspur.transport.messages import (
+    AnyMessage,
+    Charge,
+    ChargeResult,
+    CoreInfo,
+    Echo,
+    Follow,
+    HandOver,
+    News,
+    NewsAck,
+    Presence,
+    PresenceReport,
+    RingBeat,
+)
+from roadspur.transport.news import Follower
 from roadspur.transport.ring import Ring
 
-MOST_CALLS = 20_000  # to the counter whose answers are still looked for
-
-Table = dict[str, Any]
+MOST_CHARGES = 20_000  # that are remembered; one that is forgotten gets no answer and is not given back
+VERDICT_S = ALONE_S  # after a charge was sent, from which its verdict is too old to be used
 
 
 class ToRegistry(NamedTuple):
-    """A table to the registry on a machine; to each, where `ip` is empty."""
+    """A message to the registry on a machine; to each, where `ip` is empty."""
 
     ip: str
-    table: Table
+    message: AnyMessage
 
 
-class Heartbeat(NamedTuple):
+class ToRing(NamedTuple):
     """A datagram to the ring's port of a machine."""
 
     ip: str
-    table: Table
+    message: RingBeat
 
 
-class HandOver(NamedTuple):
-    """A watched proxy is to be given this."""
+class ToPeer(NamedTuple):
+    """A watched proxy is to be given a copy of the news."""
 
     name: str
     ip: str
-    table: Table
+    message: HandOver
+
+
+class Core(NamedTuple):
+    """Machines of the core, to be connected to."""
+
+    addresses: tuple[str, ...]
 
 
 class InForce(NamedTuple):
@@ -80,41 +103,63 @@
     fields: tuple[object, ...]
 
 
-Output = ToRegistry | Heartbeat | HandOver | InForce | Backends | Serving | Verdict | Note
+Output = ToRegistry | ToRing | ToPeer | Core | InForce | Backends | Serving | Verdict | Note
+
+
+class OpenCharge(NamedTuple):
+    """A charge that has had no answer: of which request, and when it was sent."""
+
+    request: str
+    sent: float
 
 
 class Knowledge:
     """One proxy's."""
 
-    def __init__(self, me: str, life: str, region: str, region_of: Callable[[str], str], about: Table,
-                 decisions: Decisions, now: float) -> None:
+    def __init__(
+        self,
+        me: str,
+        life: str,
+        region: str,
+        region_of: Callable[[str], str],
+        about: dict[str, str],
+        decisions: Decisions,
+        now: float,
+    ) -> None:
         """`about`: what others are told of this proxy: `front`, `ip`, `zone`, `region`."""
         self.me, self.life, self.region, self.region_of, self.about = me, life, region, region_of, about
         self.decisions = decisions
-        self.kept = Follower()
-        self.list = Follower()
+        self.core = CoreMembers()
+        self.control = Follower(me)
+        self.configuration = ConfigurationFollower()
+        self.list = Follower(me)
         self.ring = Ring(me, now)
-        self.index: Index | None = None
         self.known = False  # whether there is a list of backends
         self.serving: set[str] = set()
         self.counter = ""  # the machine whose registry has echoed last
-        self.calls: dict[int, str] = {}
-        self.call = 0
+        self.last_charge = 0
+        self.unanswered: dict[int, OpenCharge] = {}  # by the charge's number
+        self.charged: dict[str, int] = {}  # requests whose charge may still be given back, and its number
         self.out: list[Output] = []
 
+    @property
+    def index(self) -> Index | None:
+        """The configuration in force."""
+        return self.configuration.index
+
     def _flush(self) -> list[Output]:
         out, self.out = self.out, []
         return out
 
     # Whom it tells.
 
-    def follow_kept(self) -> Table:
-        """The first table to a store's process."""
-        return {"t": "follow", "me": self.me, "n": self.kept.state.number}
+    def follow_control(self) -> Follow:
+        """The first message to a control process."""
+        return self.control.follow()
 
-    def follow_list(self) -> Table:
-        """The first table to a registry."""
-        return {"t": "follow", "me": self.me, "n": self.list.state.number}
+    def follow_list(self) -> Follow:
+        """The first message to a registry."""
+        return self.list.follow()
 
     def tick(self, now: float, ready: bool) -> list[Output]:
         """Beats to the counter and on the ring; `ready`: whether requests are served here."""
@@ -124,7 +169,7 @@
         due = self.ring.due(now)
         if due:
             members = self.list.state.values("m:")
-            self.out += [self._heartbeat(members[name]["ip"]) for name in due if name in members]
+            self.out += [ToRing(members[name]["ip"], self._ring_beat()) for name in due if name in members]
         return self._flush()
 
     def here(self, now: float, ready: bool) -> list[Output]:
@@ -133,87 +178,125 @@
         return self._flush()
 
     def _here(self, now: float, ready: bool, full: bool) -> None:
-        table: Table = {"t": "here", "life": self.life, "at": now, "echo": self.decisions.quota.echo}
+        echo = self.decisions.quota.echo
         if full:
-            self.out.append(ToRegistry("", {**table, "ready": ready, "silent": sorted(self.ring.silent(now)),
-                                            "about": self.about}))
+            silent = tuple(sorted(self.ring.silent(now)))
+            self.out.append(ToRegistry("", PresenceReport(self.life, now, echo, ready, silent, self.about)))
         elif self.counter:
-            self.out.append(ToRegistry(self.counter, table))
+            self.out.append(ToRegistry(self.counter, Presence(self.life, now, echo)))
+
+    # The ring.
 
-    def _heartbeat(self, ip: str) -> Heartbeat:
+    def _ring_beat(self) -> RingBeat:
         """With the numbers of the news that this proxy has."""
-        return Heartbeat(ip, {"n": self.me, "k": self.kept.state.number, "m": self.list.state.number})
+        return RingBeat(self.me, self.control.state.number, self.list.state.number)
 
-    def beat(self, now: float, table: Table, ip: str) -> list[Output]:
+    def beat(self, now: float, beat: RingBeat, ip: str) -> list[Output]:
         """Another proxy's heartbeat."""
-        self.ring.beat(now, table["n"])
-        theirs, mine = (table["k"], table["m"]), (self.kept.state.number, self.list.state.number)
+        self.ring.beat(now, beat.name)
+        theirs, mine = (beat.control, beat.registry), (self.control.state.number, self.list.state.number)
         if 0 in mine and theirs > mine:
-            self.out.append(self._heartbeat(ip))  # one that knows nothing does not know its watchers: it answers all
-        if self.ring.behind(now, table["n"], theirs, mine):
-            self.out.append(HandOver(table["n"], ip, {
-                "t": "hand", "me": self.me, "kept": self.kept.state.since(theirs[0]),
-                "list": self.list.state.since(theirs[1])}))
+            # One that knows nothing does not know its watchers: it answers all.
+            self.out.append(ToRing(ip, self._ring_beat()))
+        if self.ring.behind(now, beat.name, theirs, mine):
+            control, registry = self.control.state.since(theirs[0]), self.list.state.since(theirs[1])
+            self.out.append(ToPeer(beat.name, ip, HandOver(self.me, control, registry)))
         return self._flush()
 
-    def handed(self, now: float, table: Table) -> list[Output]:
+    def handed(self, now: float, copy: HandOver) -> list[Output]:
         """A watcher's copy: news like any other, of which only what is newer counts."""
-        self._kept_news(now, table["kept"])
-        self._list_news(now, table["list"])
+        self._control_news(now, copy.control)
+        self._list_news(now, copy.registry)
         return self._flush()
 
-    # The store of configuration.
-
-    def from_store(self, now: float, table: Table) -> tuple[list[Output], Message | None]:
-        """News: what follows, and the acknowledgement, which is of what is in force here only."""
-        reply = self._kept_news(now, table) if table["t"] == "news" else None
+    # The control state.
+
+    def from_control(self, now: float, message: AnyMessage) -> tuple[list[Output], NewsAck | Follow | None]:
+        """A control process's message: what follows, and the acknowledgement, of what is in force here only."""
+        reply: NewsAck | Follow | None = None
+        if isinstance(message, News):
+            reply = self._control_news(now, message)
+        elif isinstance(message, CoreInfo):
+            if self.core.learn(message):
+                self.out.append(Core(message.voters))
+        else:
+            raise UnexpectedMessage(message)
         return self._flush(), reply
 
-    def _kept_news(self, now: float, message: Message) -> Message | None:
-        changed, reply = self.kept.heard(message)
+    def _control_news(self, now: float, news: News) -> NewsAck | Follow:
+        changed, reply = self.control.heard(news)
         if not changed:
             return reply
-        held = changed.get("config")
-        if held is not None and (self.index is None or held["v"] > self.index.config.number):
-            self.index = Index(kept_configuration(zlib.decompress(held["z"])))
-            self.decisions.configured(now, self.index.config)
-            self.out += [InForce(self.index), Note(Event.CONFIG, (
-                self.index.config.version, len(self.index.config.routes)))]
+        if self.configuration.update(self.control.state, changed):
+            self._configured(now)
         if any(name.startswith("evac:") for name in changed):
-            self.decisions.evacuated(now, {z for z, e in self.kept.state.values("evac:").items() if e["on"]})
+            evacuations = self.control.state.values("evac:")
+            self.decisions.evacuated(now, {zone for zone, held in evacuations.items() if held["on"]})
             self._serve()
         return reply
 
+    def _configured(self, now: float) -> None:
+        index = self.configuration.index
+        assert index is not None
+        self.decisions.configured(now, index.config)
+        self.out.append(InForce(index))
+        self.out.append(Note(Event.CONFIG, (index.config.version, len(index.config.routes))))
+
     # The registry.
 
-    def from_registry(self, now: float, ip: str, table: Table) -> tuple[list[Output], Message | None]:
+    def from_registry(self, now: float, ip: str, message: AnyMessage) -> tuple[list[Output], NewsAck | Follow | None]:
         """An echo, a verdict, or news: what follows, and the acknowledgement."""
-        kind, reply = table["t"], None
-        if kind == "sum":
-            request = self.calls.pop(table["id"], None)
-            if request is not None:
-                self.out.append(Verdict(Counted(request, table["v"], table["left"], table["w"])))
-        elif kind == "echo":
-            self.decisions.quota.echoed(now, table["by"], table["at"], table["now"], table["share"])
-            self.counter = ip
-        elif kind == "news":
-            reply = self._list_news(now, table)
+        reply: NewsAck | Follow | None = None
+        if isinstance(message, ChargeResult):
+            self._verdict(now, message)
+        elif isinstance(message, Echo):
+            if self.decisions.quota.echoed(now, message.by, message.sent, message.now, message.share):
+                self.counter = ip
+        elif isinstance(message, News):
+            reply = self._list_news(now, message)
+        else:
+            raise UnexpectedMessage(message)
         return self._flush(), reply
 
-    def charge(self, a: Charge) -> list[Output]:
-        """Charge a tenant's one count; its answer is looked for under the call's number."""
-        self.call += 1
-        if a.amount > 0:
-            self.calls[self.call] = a.request
-            if len(self.calls) > MOST_CALLS:  # answers that never came
-                for number in list(self.calls)[:MOST_CALLS // 2]:
-                    del self.calls[number]
-        if not self.counter:
+    def charge(self, now: float, action: decided.Charge) -> list[Output]:
+        """Charge a tenant's one count, or give a request's charge back."""
+        if action.amount < 0:
+            return self._give_back(action)
+        self.last_charge += 1
+        number = self.last_charge
+        self.unanswered[number] = OpenCharge(action.request, now)
+        self.charged[action.request] = number
+        for remembered in (self.unanswered, self.charged):
+            if len(remembered) > MOST_CHARGES:
+                remembered.pop(next(iter(remembered)))  # type: ignore[call-overload]
+        return self._to_counter(Charge(self.life, number, action.tenant, action.amount, action.window))
+
+    def _give_back(self, action: decided.Charge) -> list[Output]:
+        """Once for each charge; its answer, if none has come yet, reaches nobody."""
+        number = self.charged.pop(action.request, None)
+        if number is None:
             return []
-        return [ToRegistry(self.counter, {"t": "add", "id": self.call, "k": a.tenant, "a": a.amount, "w": a.window})]
-
-    def _list_news(self, now: float, message: Message) -> Message | None:
-        changed, reply = self.list.heard(message)
+        self.unanswered.pop(number, None)
+        return self._to_counter(Charge(self.life, number, action.tenant, action.amount, action.window))
+
+    def _to_counter(self, charge: Charge) -> list[Output]:
+        return [ToRegistry(self.counter, charge)] if self.counter else []
+
+    def _verdict(self, now: float, result: ChargeResult) -> None:
+        """The answer to a charge of this life that waits for it. A late one may be of a window long over."""
+        if result.life != self.life:
+            return
+        charge = self.unanswered.pop(result.number, None)
+        if charge is None:
+            return
+        if now - charge.sent >= VERDICT_S:
+            counted = Counted(charge.request, OVER, 0.0, result.window)
+        else:
+            counted = Counted(charge.request, result.verdict, result.left, result.window)
+        self.out.append(Verdict(counted))
+
+    def _list_news(self, now: float, news: News) -> NewsAck | Follow:
+        changed, reply = self.list.heard(news)
         if not changed:
             return reply
         if any(name.startswith("m:") for name in changed):
@@ -234,8 +317,15 @@
                 moved[name] = None
                 continue
             place = places[name] = Place(
-                name, entry["s"], read_address(entry["a"]), entry["z"], self.region_of(entry["z"]), entry["c"],
-                entry["p"] != "ready", now + entry["cold"] / 1000 if entry["cold"] > 0 else 0.0)
+                name,
+                entry["s"],
+                read_address(entry["a"]),
+                entry["z"],
+                self.region_of(entry["z"]),
+                entry["c"],
+                entry["p"] != "ready",
+                now + entry["cold"] / 1000 if entry["cold"] > 0 else 0.0,
+            )
             if old is None or old.address != place.address:
                 moved[name] = place.address, place.region == self.region
         self.decisions.listed(now, places)
--- a/roadspur/proxy/program.py
+++ b/roadspur/proxy/program.py
@@ -1,13 +1,16 @@
-"""The proxy as a process: news from the core, the counter, heartbeats, clients' doors."""
+"""The proxy as a process: news from the core, the counter, heartbeats, clients' doors.
+
+The clock is read anew for each input: `loop.time()` is that of the loop's iteration, and a process that stood still in
+one would take it for the present.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
-from typing import Any
-
-import msgpack
+from typing import Any, cast
 
 from roadspur.common.birth import BORN
 from roadspur.common.boot import CONTROL, PROXY, REGISTRY, RING
@@ -21,45 +24,59 @@
 from roadspur.proxy.front import ATTEMPT, ProxyFarewell, ProxyIngress, ProxyServer, outcome_of
 from roadspur.proxy.knowledge import (
     Backends,
-    HandOver,
-    Heartbeat,
+    Core,
     InForce,
     Knowledge,
     Output,
     Serving,
+    ToPeer,
     ToRegistry,
+    ToRing,
     Verdict,
 )
 from roadspur.services.wire import read_address
 from roadspur.transport.api import Addresses, CallServer, Handler, Readiness, Ready, Resolve
+from roadspur.transport.codec import MalformedMessage, decode, encode
+from roadspur.transport.core_links import CoreLinks
+from roadspur.transport.errors import UnexpectedMessage
 from roadspur.transport.links import Dial, Link, Listener
-
-CONNECT_S = 0.6      # to a backend of another region
-NEAR_S = 0.25        # to one of this region
-IDLE_S = 16.0        # of which the pools trust half; a backend's Keep-Alive may say less
-SILENT_S = 1.2       # without a word from a backend's kernel, after which a connection ends
-SPARE = 120          # descriptors that are neither clients' nor backends'
-NOTICE_S = 0.4       # between telling that this ingress ends and closing the door at the earliest
+from roadspur.transport.messages import AnyMessage, HandOver, HandOverTaken, RingBeat
+
+CONNECT_S = 0.6  # to a backend of another region
+NEAR_S = 0.25  # to one of this region
+IDLE_S = 16.0  # of which the pools trust half; a backend's Keep-Alive may say less
+SILENT_S = 1.2  # without a word from a backend's kernel, after which a connection ends
+SPARE = 120  # descriptors that are neither clients' nor backends'
+NOTICE_S = 0.4  # between telling that this ingress ends and closing the door at the earliest
 BODY_MOST = 64 * 1024 * 1024
 DOOR = Bounds(body=4096, slow=3.0, idle=10.0)
+HAND_OVER_S = 1.0  # for a copy of the news to be taken
+MOST_WATCHERS = 64  # whose copies are taken at once
 
 
 class Heartbeats(asyncio.DatagramProtocol):
     """Datagrams of the ring."""
 
-    def __init__(self, heard: Callable[[dict[str, Any], str], None]) -> None:
+    def __init__(self, heard: Callable[[RingBeat, str], None]) -> None:
         self.heard = heard
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
+        self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        """What is no beat of the ring is dropped: a datagram is nobody's promise."""
         try:
-            table = msgpack.unpackb(data)
-            self.heard({"n": str(table["n"]), "k": int(table["k"]), "m": int(table["m"])}, addr[0])
-        except (ValueError, KeyError, TypeError, msgpack.exceptions.UnpackException):
-            return  # a datagram is nobody's promise
+            message = decode(data)
+        except MalformedMessage:
+            return
+        if isinstance(message, RingBeat):
+            self.heard(message, addr[0])
+
+    def send(self, beat: RingBeat, address: tuple[str, int]) -> None:
+        """Send one; it may be lost."""
+        if self.transport is not None:
+            self.transport.sendto(encode(beat), address)
 
     def error_received(self, exc: Exception) -> None:
         return
@@ -72,24 +89,31 @@
         self.settings = settings
         boot = self.boot = settings.boot
         loop = self.loop = asyncio.get_running_loop()
-        now = loop.time()
-        self.decisions = Decisions(boot.node_name, boot.zone, boot.region, boot.bounds, random.Random(), now,
-                                   BORN)
+        now = time.monotonic()
+        self.decisions = Decisions(boot.node_name, boot.zone, boot.region, boot.bounds, random.Random(), now, BORN)
         share = max(32, (boot.limits.fd_limit - 200 - SPARE) // 2)
         self.upstream = Upstream(loop, CONNECT_S, IDLE_S, share, Terms(BODY_MOST, ATTEMPT, SILENT_S, outcome_of))
-        self.ingress = ProxyIngress(loop, self.decisions, self.upstream,
-                                   lambda a: self._carry(self.knowledge.charge(a)))
+        self.ingress = ProxyIngress(
+            loop,
+            self.decisions,
+            self.upstream,
+            lambda action: self._carry(self.knowledge.charge(time.monotonic(), action)),
+        )
         self.server = ProxyServer(loop, self.ingress, share)
         self.directory = CallServer(loop, [Handler(Resolve, self.resolve)], DOOR)
         self.readiness = CallServer(loop, [Handler(Readiness, self.ready)], DOOR)
-        self.cores = set(boot.core_ips)
-        self.control: dict[str, Dial] = {}
-        self.registries: dict[str, Dial] = {}
         about = {"front": boot.binds.front, "ip": boot.ip, "zone": boot.zone, "region": boot.region}
-        self.knowledge = Knowledge(boot.node_name, life(), boot.region, lambda zone: self.boot.region_of(zone), about,
-                                   self.decisions, now)
+        self.knowledge = Knowledge(
+            boot.node_name, life(), boot.region, lambda zone: self.boot.region_of(zone), about, self.decisions, now
+        )
         self.beats = Heartbeats(self._beat)
-        self.handing = Listener(loop, self._handed, lambda link: None, most=64)
+        self.control = CoreLinks(
+            loop, lambda: self.boot.port(CONTROL), self.knowledge.follow_control, self._from_control
+        )
+        self.registries = CoreLinks(
+            loop, lambda: self.boot.port(REGISTRY), self.knowledge.follow_list, self._from_registry
+        )
+        self.handing = Listener(loop, self._handed, lambda link: None, most=MOST_WATCHERS)
         self.leaving = False
 
     async def run(self) -> None:
@@ -103,6 +127,7 @@
             await self.directory.listen(*read_address(boot.binds.directory))
         if boot.binds.front:
             await self.server.listen(*read_address(boot.binds.front))
+        self._meet(boot.core_ips)
         self.tick()
         await serve("proxy", self.settings, self.tick, self._changed, self.leave)
 
@@ -110,7 +135,7 @@
         """Tell that this ingress ends, go on for as long as somebody comes, finish what is held, close."""
         self.leaving = True
         self.server.stopping = True
-        self._carry(self.knowledge.here(self.loop.time(), self.is_ready()))
+        self._carry(self.knowledge.here(time.monotonic(), self.is_ready()))
         grace = self.boot.bounds.grace_s
         farewell = ProxyFarewell(self.loop.time(), grace)
         try:
@@ -123,26 +148,23 @@
         self.directory.close()
         self.readiness.close()
         self.handing.close()
-        for dial in (*self.control.values(), *self.registries.values()):
-            dial.close()
+        self.control.close()
+        self.registries.close()
         self.upstream.close()
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
-        self.cores |= set(self.boot.core_ips)
+        self._meet(self.boot.core_ips)
+
+    def _meet(self, addresses: tuple[str, ...] | list[str]) -> None:
+        self.control.meet(addresses)
+        self.registries.meet(addresses)
 
     # Time.
 
     def tick(self) -> None:
-        """Connections, beats to the counter and to the ring."""
-        now = self.loop.time()
-        for ip in self.cores:
-            if ip not in self.control:
-                self.control[ip] = Dial(self.loop, ip, self.boot.port(CONTROL), self.knowledge.follow_kept,
-                                       self._from_control)
-                self.registries[ip] = Dial(self.loop, ip, self.boot.port(REGISTRY), self.knowledge.follow_list,
-                                           self._from_list)
-        self._carry(self.knowledge.tick(now, self.is_ready()))
+        """Beats to the counter and to the ring."""
+        self._carry(self.knowledge.tick(time.monotonic(), self.is_ready()))
 
     def is_ready(self) -> bool:
         """Whether a request could be served here."""
@@ -153,23 +175,26 @@
     def _carry(self, outputs: list[Output]) -> None:
         for out in outputs:
             if isinstance(out, ToRegistry):
-                for ip, dial in self.registries.items():
-                    if out.ip in ("", ip):
-                        dial.send(out.table)
-            elif isinstance(out, Heartbeat):
-                if self.beats.transport is not None:
-                    self.beats.transport.sendto(msgpack.packb(out.table), (out.ip, self.boot.port(RING)))
+                if out.ip:
+                    self.registries.send(out.ip, out.message)
+                else:
+                    self.registries.broadcast(out.message)
+            elif isinstance(out, ToRing):
+                self.beats.send(out.message, (out.ip, self.boot.port(RING)))
+            elif isinstance(out, Core):
+                self._meet(out.addresses)
             elif isinstance(out, Verdict):
                 counted: Any = out.counted
                 self.ingress.submit(counted)
-            elif isinstance(out, HandOver):
+            elif isinstance(out, ToPeer):
                 self.loop.create_task(self._hand_over(out))
             elif isinstance(out, InForce):
                 self.server.follow(out.lookup)
             elif isinstance(out, Backends):
                 for name, where in out.changes.items():
-                    self.upstream.update(name, None if where is None else Endpoint(
-                        where[0], 0.0, NEAR_S if where[1] else CONNECT_S))
+                    self.upstream.update(
+                        name, None if where is None else Endpoint(where[0], 0.0, NEAR_S if where[1] else CONNECT_S)
+                    )
             elif isinstance(out, Serving):
                 for name in self.ingress.serving - out.names:
                     self.upstream.close_idle(name)
@@ -179,48 +204,54 @@
             else:
                 say(out.event, *out.fields)
 
-    def _from_control(self, dial: Dial, table: dict[str, Any]) -> None:
-        if table["t"] == "core":
-            self.cores |= set(table["ips"])
-            return
-        outputs, reply = self.knowledge.from_store(self.loop.time(), table)
+    def _from_control(self, dial: Dial, message: AnyMessage) -> None:
+        outputs, reply = self.knowledge.from_control(time.monotonic(), message)
         self._carry(outputs)
         if reply is not None:  # only what is in force here is acknowledged
             dial.send(reply)
 
-    def _from_list(self, dial: Dial, table: dict[str, Any]) -> None:
-        outputs, reply = self.knowledge.from_registry(self.loop.time(), dial.host, table)
+    def _from_registry(self, dial: Dial, message: AnyMessage) -> None:
+        outputs, reply = self.knowledge.from_registry(time.monotonic(), dial.host, message)
         self._carry(outputs)
         if reply is not None:
             dial.send(reply)
 
     # The ring.
 
-    def _beat(self, table: dict[str, Any], ip: str) -> None:
-        self._carry(self.knowledge.beat(self.loop.time(), table, ip))
+    def _beat(self, beat: RingBeat, ip: str) -> None:
+        self._carry(self.knowledge.beat(time.monotonic(), beat, ip))
 
-    async def _hand_over(self, hand: HandOver) -> None:
+    async def _hand_over(self, peer: ToPeer) -> None:
         """Give one that came back what it should have had, while the core does not."""
-        done = self.loop.create_future()
+        done: asyncio.Future[bool] = self.loop.create_future()
 
-        def ended(link: Link, why: str) -> None:
+        def end(taken: bool) -> None:
             if not done.done():
-                done.set_result(why)
+                done.set_result(taken)
+
+        link = Link(
+            self.loop,
+            lambda link: link.send(peer.message),
+            lambda link, message: end(isinstance(message, HandOverTaken)),
+            lambda link, why: end(False),
+        )
         try:
-            async with asyncio.timeout(1.0):
-                _, link = await self.loop.create_connection(
-                    lambda: Link(self.loop, lambda k: k.send(hand.table), lambda k, t: ended(k, "taken"), ended),
-                    hand.ip, self.boot.port(PROXY))
-                await done
-            link.close()
-            say(Event.HANDED, hand.name, hand.table["kept"]["prev"] or 0, hand.table["list"]["prev"] or 0)
+            async with asyncio.timeout(HAND_OVER_S):
+                await self.loop.create_connection(lambda: link, peer.ip, self.boot.port(PROXY))
+                taken = await done
         except (OSError, TimeoutError):
             return
+        finally:
+            link.close()
+        if taken:
+            copy = peer.message
+            say(Event.HANDED, peer.name, copy.control.previous or 0, copy.registry.previous or 0)
 
-    def _handed(self, link: Link, table: dict[str, Any]) -> None:
-        if table["t"] == "hand":
-            self._carry(self.knowledge.handed(self.loop.time(), table))
-            link.send({"t": "taken"})
+    def _handed(self, link: Link, message: AnyMessage) -> None:
+        if not isinstance(message, HandOver):
+            raise UnexpectedMessage(message)
+        self._carry(self.knowledge.handed(time.monotonic(), message))
+        link.send(HandOverTaken())
 
     # Doors.
 
@@ -234,7 +265,7 @@
         me = members.get(self.boot.node_name)
         if me is not None:
             members[self.boot.node_name] = {**me, "up": self.is_ready()}
-        found = addresses(members, self.knowledge.ring.silent(self.loop.time()), call.region, call.zone)
+        found = addresses(members, self.knowledge.ring.silent(time.monotonic()), call.region, call.zone)
         done(Addresses(tuple(found), min(TTL_S, self.boot.bounds.ttl_max_s)) if found else Failure(Kind.STARTING))
 
 
--- a/roadspur/proxy/quota.py
+++ b/roadspur/proxy/quota.py
@@ -44,7 +44,7 @@
         self.share = 0.0
         self.slack = slack
         self.born = now if born is None else born  # what this machine's last life spent of its share is not known
-        self.echo: list[object] | None = None  # [who, its time] of the newest echo
+        self.echo: tuple[str, float] | None = None  # of the newest: who, its time
         self.asked = float("-inf")  # when the beat was sent that was echoed last
         self.next_beat = self.next_full = now
         self.standing: dict[str, Store] = {}
@@ -72,12 +72,16 @@
             self.next_full = now + TOLD_S
         return True, full
 
-    def echoed(self, now: float, by: str, at: float, their: float, share: float) -> None:
-        """An echo of the beat sent `at`, by a counter at its time `their`."""
-        if now - at >= ALONE_S:
-            return  # too old to end being alone
-        self.echo, self.share = [by, their], share
-        self.asked = max(self.asked, at)
+    def echoed(self, now: float, by: str, sent: float, their: float, share: float) -> bool:
+        """An echo of the beat of a time, by a counter at its time `their`; whether it counts.
+
+        One that is as old as `ALONE_S` does not: it may have lain here while this process stood still. Nor does one
+        of an older beat than the newest that was echoed: it may be a former counter's.
+        """
+        if now - sent >= ALONE_S or sent < self.asked:
+            return False
+        self.echo, self.share, self.asked = (by, their), share, sent
+        return True
 
     def alone(self, now: float) -> bool:
         """Whether the counter has been silent for so long that this ingress's share of the counted part is its own."""
--- a/roadspur/registry/counts.py
+++ b/roadspur/registry/counts.py
@@ -11,12 +11,16 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from roadspur.common.shares import ALONE, COUNTED, FORGET_S, GATHER_S, GIVEN, LOST_S, OK, OVER, ROOM
 
 LONGEST_S = 60.0  # a window lasts at most
+FORMER_LIVES = 4  # of each ingress that are remembered, so that a late message of one does not bring it back
+NO_WINDOW = -1  # the number of no window
 
 
 @dataclass(slots=True)
@@ -38,14 +42,25 @@
     share: float = 0.0
     confirmed: float = float("-inf")
     since: float = float("inf")
+    former_lives: deque[str] = field(default_factory=lambda: deque(maxlen=FORMER_LIVES))
+
+
+class Count(NamedTuple):
+    """What became of a charge: the verdict, seconds, and the number of the window that it counts in.
+
+    Seconds: until the tenant's next window, or with ALONE, for which the ingress was not counted.
+    """
+
+    verdict: int
+    left: float
+    window: int
 
 
 class Counts:
     """All counts, by whoever does the duty."""
 
-    def __init__(self, now: float, base: int = 0) -> None:
-        """`base`: windows are numbered from here on, above those of every earlier counter."""
-        self.begun, self.base = now, base
+    def __init__(self, now: float) -> None:
+        self.begun = now
         self.limits: dict[str, tuple[float, float]] = {}
         self.windows: dict[str, Window] = {}
         self.ingresses: dict[str, Ingress] = {}
@@ -57,15 +72,22 @@
         for node, share in shares.items():
             self.ingresses.setdefault(node, Ingress()).share = share
 
-    def here(self, now: float, node: str, life: str, echoed: float | None) -> None:
-        """A beat; `echoed`: when, by this counter's clock, the newest echo was sent that its sender has had."""
+    def here(self, now: float, node: str, life: str, echoed: float | None) -> bool:
+        """A beat; whether it counts, as it is not of a former life.
+
+        `echoed`: when, by this counter's clock, the newest echo was sent that its sender has had.
+        """
         ingress = self.ingresses.setdefault(node, Ingress())
+        if life in ingress.former_lives:
+            return False
         if ingress.life != life:
+            ingress.former_lives.append(ingress.life)
             ingress.life, ingress.since, ingress.confirmed = life, float("inf"), float("-inf")
         if echoed is not None and now - echoed < LOST_S:
             if now - ingress.confirmed >= LOST_S:
                 ingress.since = now
             ingress.confirmed = max(ingress.confirmed, echoed)
+        return True
 
     def wanted(self, now: float) -> dict[str, float]:
         """Shares that are to be kept for ingresses that have none; they hold once `follow` brings them."""
@@ -95,35 +117,39 @@
                 alone += i.share
         return max(0.0, 1.0 - alone)
 
-    def add(self, now: float, node: str, tenant: str, amount: float, number: int = -1) -> tuple[int, float, int]:
-        """Charge a tenant's count; less than 0 gives a charge back.
-
-        With the verdict come seconds (until the tenant's next window, or with ALONE, for which the ingress was not
-        counted) and the window's number. What is given back counts in the window of that `number` only: of an earlier
-        one it would make room that nobody left.
-        """
+    def add(self, now: float, node: str, tenant: str, amount: float) -> Count:
+        """Charge a tenant's count. What is over the allowance is charged too, until it is given back."""
         limit = self.limits.get(tenant)
         if limit is None or limit[0] <= 0:
-            return OK, 0.0, -1
+            return Count(OK, 0.0, NO_WINDOW)
         window = self._window(now, tenant, *limit)
         left = window.start + window.length - now
-        if amount <= 0:
-            if number == window.number:
-                window.count = max(0.0, window.count + amount)
-            return OK, left, window.number
         ingress = self.ingresses.get(node)
         if ingress is None or ingress.since > window.start or window.start > now:
-            return ALONE, now - max(self.begun, ingress.since if ingress is not None else now), -1
+            uncounted = now - max(self.begun, ingress.since if ingress is not None else now)
+            return Count(ALONE, uncounted, NO_WINDOW)
         window.count += amount
         within = window.count <= window.burst * COUNTED * self.part(now, window.start)
-        return (OK if within else OVER), left, window.number
+        return Count(OK if within else OVER, left, window.number)
+
+    def give_back(self, now: float, tenant: str, amount: float, number: int) -> None:
+        """Take a charge back that counts in the window of a number.
+
+        Nothing where that window is over: it would make room in the present one that nobody left.
+        """
+        limit = self.limits.get(tenant)
+        if limit is None or limit[0] <= 0:
+            return
+        window = self._window(now, tenant, *limit)
+        if window.number == number:
+            window.count = max(0.0, window.count - amount)
 
     def _window(self, now: float, tenant: str, rate: float, burst: float) -> Window:
         length = min(LONGEST_S, max(burst, 1.0) / rate)
         allowance = length * rate
         window = self.windows.get(tenant)
         if window is None:
-            window = self.windows[tenant] = Window(self.begun + length, length, allowance, self.base)
+            window = self.windows[tenant] = Window(self.begun + length, length, allowance)
         if now >= window.start + window.length:
             steps = (now - window.start) // window.length
             window.number += 1
--- a/roadspur/registry/instances.py
+++ b/roadspur/registry/instances.py
@@ -15,8 +15,8 @@
 from urllib.parse import quote
 
 POLL_S = 0.4
-PART = 0.5      # of the platform's calls a second, that are made at most
-BACK_S = 1.0    # after a 429
+PART = 0.5  # of the platform's calls a second, that are made at most
+BACK_S = 1.0  # after a 429
 EMPTY = 5
 COLD_STEP_S = 0.4
 PAGES = 200
@@ -32,9 +32,14 @@
         host, _, port = raw["address"].rpartition(":")
         if not host or not 0 < int(port) < 65536 or not raw["id"]:
             raise ValueError("address or id")
-        return str(raw["id"]), {"s": str(raw["target"]), "a": raw["address"], "z": str(raw["zone"]),
-                                "c": max(1, int(raw.get("capacity") or 1)), "p": str(raw.get("phase", "ready")),
-                                "cold": max(0.0, float(raw.get("cold_left_ms") or 0.0))}
+        return str(raw["id"]), {
+            "s": str(raw["target"]),
+            "a": raw["address"],
+            "z": str(raw["zone"]),
+            "c": max(1, int(raw.get("capacity") or 1)),
+            "p": str(raw.get("phase", "ready")),
+            "cold": max(0.0, float(raw.get("cold_left_ms") or 0.0)),
+        }
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Garbage(f"an instance that cannot be read: {error!r}") from None
 
--- a/roadspur/registry/members.py
+++ b/roadspur/registry/members.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-SILENT_S = 0.9    # without a beat here
-ALONE_S = 1.8     # without a beat here, after which no watcher's word is needed
-WORD_S = 1.0      # for which a watcher's word counts
-GONE_S = 30.0     # after which an ingress is forgotten altogether
+SILENT_S = 0.9  # without a beat here
+ALONE_S = 1.8  # without a beat here, after which no watcher's word is needed
+WORD_S = 1.0  # for which a watcher's word counts
+GONE_S = 30.0  # after which an ingress is forgotten altogether
 VERDICT = 2
 
 
--- a/roadspur/registry/program.py
+++ b/roadspur/registry/program.py
@@ -1,18 +1,25 @@
-"""The registry as a process: its machine's connections, the platform's calls, ticks."""
+"""The registry as a process: its machine's connections, the platform's calls, ticks.
+
+The clock is read anew for each input and before each answer: `loop.time()` is that of the loop's iteration, and a
+process that stood still in one would take it for the present.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from typing import Any
+import time
 
 from roadspur.common.boot import CONTROL, REGISTRY
 from roadspur.common.events import say
 from roadspur.common.process import Settings, life, serve
 from roadspur.registry.platform import Platform
-from roadspur.registry.registry import Call, Output, Registry, Tell, ToStore
+from roadspur.registry.registry import Call, Core, Output, Registry, Tell, ToControl
 from roadspur.services.wire import read_address
+from roadspur.transport.core_links import CoreLinks
+from roadspur.transport.errors import UnexpectedMessage
 from roadspur.transport.links import Dial, Link, Listener
+from roadspur.transport.messages import AnyMessage, Follow
 
 LEAVE_S = 0.1
 
@@ -23,20 +30,25 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         boot = self.boot = settings.boot
-        self.loop = asyncio.get_running_loop()
+        loop = self.loop = asyncio.get_running_loop()
         self.platform = Platform(read_address(boot.cloud_api.address)) if boot.cloud_api.address else None
-        self.registry = Registry(f"{boot.node_name}/{life()}", boot.ip, self.loop.time(), random.Random(),
-                                 boot.cloud_api.rate_per_s, self.platform is not None)
+        me = f"{boot.node_name}/{life()}"
+        rate_per_s, polls = boot.cloud_api.rate_per_s, self.platform is not None
+        self.registry = Registry(me, boot.ip, time.monotonic(), random.Random(), rate_per_s, polls)
         self.calling: asyncio.Task[None] | None = None
-        self.control: dict[str, Dial] = {}
-        self.fellows: dict[str, Dial] = {}
-        self.listener = Listener(self.loop, self._heard, self._gone)
+        self.control = CoreLinks(
+            loop, lambda: self.boot.port(CONTROL), self.registry.control.follow, self._from_control
+        )
+        self.peers = CoreLinks(
+            loop, lambda: self.boot.port(REGISTRY), self.registry.list.follow, self._from_peer, own=boot.ip
+        )
+        self.listener = Listener(loop, self._from_follower, self._gone)
         self.followers: dict[str, Link] = {}
-        self.cores = set(boot.core_ips)
 
     async def run(self) -> None:
         """Until it is told to end."""
         await self.listener.listen(self.boot.ip, self.boot.port(REGISTRY))
+        self._meet(self.boot.core_ips)
         self.tick()
         await serve("registry", self.settings, self.tick, self._changed, self.leave)
 
@@ -45,70 +57,75 @@
         self._carry(self.registry.stop())
         await asyncio.sleep(LEAVE_S)
         self.listener.close()
-        for dial in (*self.control.values(), *self.fellows.values()):
-            dial.close()
+        self.control.close()
+        self.peers.close()
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
-        self.cores |= set(self.boot.core_ips)
+        self._meet(self.boot.core_ips)
+
+    def _meet(self, addresses: tuple[str, ...] | list[str]) -> None:
+        self.control.meet(addresses)
+        self.peers.meet(addresses)
 
     def tick(self) -> None:
-        """Connections to all of the core that is known; a tick of the machine."""
-        for ip in self.cores:
-            if ip not in self.control:
-                self.control[ip] = Dial(
-                    self.loop, ip, self.boot.port(CONTROL), self._follow_control, self._from_control)
-            if ip != self.boot.ip and ip not in self.fellows:
-                self.fellows[ip] = Dial(self.loop, ip, self.boot.port(REGISTRY), self._follow_list, self._from_fellow)
-        self._carry(self.registry.tick(self.loop.time()))
+        """A tick of the state machine."""
+        self._carry(self.registry.tick(time.monotonic()))
+
+    # Outputs.
 
     def _carry(self, outputs: list[Output]) -> None:
         for out in outputs:
             if isinstance(out, Tell):
-                link = self.followers.get(out.name)
-                if link is not None:
-                    link.send(out.table)
-            elif isinstance(out, ToStore):
-                for ip, dial in self.control.items():
-                    if out.ip in ("", ip):
-                        dial.send(out.table)
+                self._tell(out)
+            elif isinstance(out, ToControl):
+                if out.address:
+                    self.control.send(out.address, out.message)
+                else:
+                    self.control.broadcast(out.message)
             elif isinstance(out, Call):
                 self.calling = self.loop.create_task(self._call(out.target))
+            elif isinstance(out, Core):
+                self._meet(out.addresses)
             else:
                 say(out.event, *out.fields)
 
+    def _tell(self, out: Tell) -> None:
+        """Send what only a holder of the duty may say, if the duty is held still."""
+        link = self.followers.get(out.name)
+        if link is not None and self.registry.may_tell(time.monotonic()):
+            link.send(out.message)
+
     async def _call(self, target: str) -> None:
         assert self.platform is not None
         answer = await self.platform.get(target)
         status, body = (answer.status, answer.body) if answer is not None else (0, b"")
-        self._carry(self.registry.answered(self.loop.time(), status, body))
+        self._carry(self.registry.answered(time.monotonic(), status, body))
 
-    def _follow_control(self) -> dict[str, Any]:
-        return {"t": "follow", "me": self.registry.me, "n": self.registry.kept.state.number}
+    # Messages.
 
-    def _from_control(self, dial: Dial, table: dict[str, Any]) -> None:
-        outputs, reply = self.registry.from_store(self.loop.time(), dial.host, table)
-        if table["t"] == "core":
-            self.cores |= set(table["ips"])
+    def _from_control(self, dial: Dial, message: AnyMessage) -> None:
+        outputs, reply = self.registry.from_control(time.monotonic(), dial.host, message)
         if reply is not None:
             dial.send(reply)
         self._carry(outputs)
 
-    def _follow_list(self) -> dict[str, Any]:
-        return {"t": "follow", "me": self.registry.me, "n": self.registry.list.state.number}
-
-    def _from_fellow(self, dial: Dial, table: dict[str, Any]) -> None:
-        reply = self.registry.from_fellow(table)
+    def _from_peer(self, dial: Dial, message: AnyMessage) -> None:
+        outputs, reply = self.registry.from_peer(time.monotonic(), message)
         if reply is not None:
             dial.send(reply)
+        self._carry(outputs)
 
-    def _heard(self, link: Link, table: dict[str, Any]) -> None:
-        if table["t"] == "follow":
+    def _from_follower(self, link: Link, message: AnyMessage) -> None:
+        if not link.name:
+            raise UnexpectedMessage(message)  # it has not said who it is
+        if isinstance(message, Follow):
             self.followers[link.name] = link
-            for dials in (self.control, self.fellows):  # a registry's machine: both of its programs are up
-                if link.peer in dials:
-                    dials[link.peer].poke()
-        self._carry(self.registry.from_follower(self.loop.time(), link.name, table))
+            for links in (self.control, self.peers):  # a registry's machine: both of its programs are up
+                links.poke(link.peer)
+        elif self.followers.get(link.name) is not link:
+            return  # a newer connection has taken this one's place, maybe of a newer life
+        self._carry(self.registry.from_follower(time.monotonic(), link.name, message))
 
     def _gone(self, link: Link) -> None:
         if self.followers.get(link.name) is link:
--- a/roadspur/transport/core_links.py
+++ b/roadspur/transport/core_links.py
@@ -1,7 +1,6 @@
-"""Connections to the core's machines: which machines there are, and one dial to each of them.
+"""Connections to one service of the core: a dial to each machine that is known.
 
-`CoreMembers` is pure. `CoreLinks` holds the connections to one of the core's services, and opens one to each machine
-that it comes to know; a machine once known stays known, as settings and the newest view may name different ones.
+A machine once known stays known, as settings and the newest view may name different ones.
 """
 
 from __future__ import annotations
@@ -10,23 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from roadspur.transport.links import Dial
-from roadspur.transport.messages import AnyMessage, CoreInfo, Message
-
-
-class CoreMembers:
-    """The core as the newest epoch that was heard of has it."""
-
-    def __init__(self) -> None:
-        self.epoch = 0
-        self.voters: tuple[str, ...] = ()
-        self.leader = ""
-
-    def learn(self, info: CoreInfo) -> bool:
-        """Take in what a control process tells; whether it counts: not of an older epoch, nor without voters."""
-        if info.epoch < self.epoch or not info.voters:
-            return False
-        self.epoch, self.voters, self.leader = info.epoch, info.voters, info.leader
-        return True
+from roadspur.transport.messages import AnyMessage, Message
 
 
 class CoreLinks:
--- a/roadspur/transport/ring.py
+++ b/roadspur/transport/ring.py
@@ -18,7 +18,7 @@
 
 WATCHERS = 3
 BEAT_S = 0.25
-LACKS_S = 0.6   # in which the core may bring the news itself, before a watcher does
+LACKS_S = 0.6  # in which the core may bring the news itself, before a watcher does
 SILENT_S = 0.9  # without a beat, after which a watcher calls one silent
 
 
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -115,7 +115,8 @@
     rig.now += 10.0
     rig.d.quota.echoed(rig.now, "c", rig.now - 0.1, 5.0, 0.5)
     name, _ = rig.ask(tenant="t")
-    assert kinds(rig.do(io.TimerFired(1), PROMPT_S + 0.01)) == [io.Attempt]
+    acts = rig.do(io.TimerFired(1), PROMPT_S + 0.01)
+    assert kinds(acts) == [Charge, io.Attempt] and acts[0] == Charge(name, "t", -1)  # it needs its charge no more
     assert kinds(rig.do(Counted(name, OVER, 0.5))) == []
 
 
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -1,22 +1,30 @@
-"""Held connections over loopback: whom to try again, and when."""
+"""Held connections over loopback: whom to try again, and when; what is refused."""
 
 import asyncio
+import struct
+
+import msgspec
+import pytest
 
 from roadspur.transport import links
+from roadspur.transport.codec import frame
+from roadspur.transport.core_members import CoreMembers
+from roadspur.transport.errors import UnexpectedMessage
 from roadspur.transport.links import Dial, Listener
+from roadspur.transport.messages import Beat, CoreInfo, Hello, Message, NewsAck
 
 
 def test_a_dial_that_waits_is_tried_at_once_when_the_other_side_shows(monkeypatch):
     monkeypatch.setattr(links, "REDIAL_S", 60.0)
 
-    async def play() -> dict:
+    async def play() -> Message:
         loop = asyncio.get_running_loop()
         came: asyncio.Future = loop.create_future()
-        listener = Listener(loop, lambda link, table: came.done() or came.set_result(table), lambda link: None)
+        listener = Listener(loop, lambda link, message: came.done() or came.set_result(message), lambda link: None)
         await listener.listen("127.0.0.1", 0)
         port = listener.server.sockets[0].getsockname()[1]
         listener.close()
-        dial = Dial(loop, "127.0.0.1", port, lambda: {"t": "hello", "me": "x"}, lambda dial, table: None)
+        dial = Dial(loop, "127.0.0.1", port, lambda: Hello("x"), lambda dial, message: None)
         while dial.opening is None or not dial.opening.done():  # refused: nobody listens there
             await asyncio.sleep(0)
         await listener.listen("127.0.0.1", port)
@@ -27,7 +35,7 @@
         finally:
             dial.close()
             listener.close()
-    assert asyncio.run(play()) == {"t": "hello", "me": "x"}
+    assert asyncio.run(play()) == Hello("x")
 
 
 def test_a_connection_given_up_while_it_was_opened_ends_quietly():
@@ -39,8 +47,48 @@
             raise RuntimeError("closed")
     ended = []
     loop = asyncio.new_event_loop()
-    link = links.Link(loop, lambda link: None, lambda link, table: None, lambda link, why: ended.append(why))
+    link = links.Link(loop, lambda link: None, lambda link, message: None, lambda link, why: ended.append(why))
     link.transport, link.open = Closed(), True
-    link.send({"t": "beat"})
+    link.send(Beat())
     assert ended == ["closed"] and not link.open
     loop.close()
+
+
+@pytest.mark.parametrize("data", [
+    struct.pack(">I", 3) + b"\xff\xff\xff",          # no message
+    struct.pack(">I", 1 << 31),                       # longer than any
+    struct.pack(">I", 8) + msgspec.msgpack.encode(["hello", 5]),  # a field of another type
+    frame(NewsAck(1)),                                # well formed, and not taken here
+], ids=["no message", "too long", "wrong type", "not taken"])
+def test_what_is_no_message_or_not_taken_is_refused_logged_and_ends_its_connection(monkeypatch, data):
+    said, came = [], []
+    monkeypatch.setattr(links, "say", lambda event, *fields: said.append(event.name))
+
+    def take(link, message):
+        if not isinstance(message, Hello):
+            raise UnexpectedMessage(message)
+        came.append(message)
+
+    async def play() -> bytes:
+        loop = asyncio.get_running_loop()
+        listener = Listener(loop, take, lambda link: None)
+        await listener.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
+        writer.write(frame(Hello("x")) + data + frame(Hello("after it")))
+        try:
+            async with asyncio.timeout(5.0):
+                return await reader.read()
+        except ConnectionError:
+            return b""
+        finally:
+            writer.close()
+            listener.close()
+    assert asyncio.run(play()) == b""
+    assert came == [Hello("x")] and said == ["REFUSED_MESSAGE"]
+
+
+def test_an_older_epoch_does_not_replace_newer_voters():
+    core = CoreMembers()
+    assert core.learn(CoreInfo(("a", "b", "d"), 7, "d"))
+    assert not core.learn(CoreInfo(("a", "b", "c"), 6, "c")) and not core.learn(CoreInfo((), 9, ""))
+    assert (core.epoch, core.voters, core.leader) == (7, ("a", "b", "d"), "d")
--- a/tests/system/test_news.py
+++ b/tests/system/test_news.py
@@ -2,7 +2,8 @@
 
 import random
 
-from roadspur.transport.news import Follower, Item, Publisher, State
+from roadspur.transport.messages import Follow, NewsAck
+from roadspur.transport.news import Follower, Publisher, State
 
 
 def test_a_follower_gets_what_changed_and_acknowledges_it():
@@ -10,7 +11,7 @@
     publisher.state.set(1, {"a": 1})
     (name, message), = publisher.follow("f", 0)
     changed, reply = follower.heard(message)
-    assert (changed, reply) == ({"a": 1}, {"t": "ack", "n": 1})
+    assert (changed, reply) == ({"a": 1}, NewsAck(1))
     publisher.ack(name, 1)
     publisher.state.set(2, {"b": 2, "a": None})
     (_, message), = publisher.tell()
@@ -21,28 +22,28 @@
 
 
 def test_a_gap_is_answered_by_the_whole():
-    publisher, follower = Publisher(State()), Follower()
+    publisher, follower = Publisher(State()), Follower("f")
     for number in range(1, 4):
         publisher.state.set(number, {f"k{number}": number})
     late = publisher.state.since(2)
     changed, reply = follower.heard(late)
-    assert changed is None and reply == {"t": "follow", "n": 0}
-    (_, message), = publisher.follow("f", reply["n"])
+    assert changed is None and reply == Follow("f", 0)
+    (_, message), = publisher.follow("f", reply.number)
     assert follower.heard(message)[0] == {"k1": 1, "k2": 2, "k3": 3}
 
 
 def test_an_older_publisher_changes_nothing():
-    follower = Follower(State(9, {"a": Item(9, "new")}))
-    old = Publisher(State(5, {"a": Item(5, "old")}))
+    follower = Follower("f", State(9, {"a": (9, "new")}))
+    old = Publisher(State(5, {"a": (5, "old")}))
     for _, message in old.follow("f", 9):
         assert follower.heard(message)[0] is None
     assert follower.state.value("a") == "new" and follower.state.number == 9
 
 
 def test_what_is_missing_from_a_whole_state_is_gone():
-    follower = Follower(State(3, {"a": Item(1, 1), "b": Item(3, 2)}))
-    whole = State(8, {"b": Item(3, 2)}, floor=8).since(3)
-    assert whole["prev"] is None
+    follower = Follower("f", State(3, {"a": (1, 1), "b": (3, 2)}))
+    whole = State(8, {"b": (3, 2)}, floor=8).since(3)
+    assert whole.previous is None
     assert follower.heard(whole)[0] == {"a": None}
     assert follower.state.values("") == {"b": 2}
 
@@ -60,8 +61,8 @@
                 before = follower.state.number
                 _, reply = follower.heard(message)
                 assert follower.state.number >= before
-                if reply["t"] == "follow":
-                    for _, again in publisher.follow("f", reply["n"]):
+                if isinstance(reply, Follow):
+                    for _, again in publisher.follow("f", reply.number):
                         follower.heard(again)
             if rng.random() < 0.3:
                 for _, again in publisher.follow("f", follower.state.number):
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -42,7 +42,7 @@
 
     def take_over(self):
         self.term += 1
-        self.counter = Counts(self.clock.now, self.term << 24)
+        self.counter = Counts(self.clock.now)
         self.counter.follow({"t": (RATE, BURST)}, self.shares)
 
     def keep(self):
@@ -106,7 +106,7 @@
 
     def give_back(self, name, number):
         if self.counter is not None:
-            self.counter.add(self.clock.now, name, "t", -1, number)
+            self.counter.give_back(self.clock.now, "t", 1, number)
 
     def restart(self, name):
         self.ingresses[name] = Ingress(name, self.clock.now)
@@ -193,7 +193,7 @@
 
 
 def test_what_is_given_back_late_makes_no_room_in_the_next_window():
-    counts = Counts(0.0, 7)
+    counts = Counts(0.0)
     counts.follow({"t": (10.0, 10.0)}, {"i": 0.1})
     counts.here(0.1, "i", "x", 0.1)
     assert counts.add(0.5, "i", "t", 1)[0] == ALONE  # no window has begun yet
@@ -207,7 +207,7 @@
     counts.ingresses["i"].since = 0.1
     verdicts = []
     for _ in range(10):
-        counts.add(2.1, "i", "t", -1, number)
+        counts.give_back(2.1, "t", 1, number)
         verdicts.append(counts.add(2.1, "i", "t", 1)[0])
     assert verdicts.count(0) == 6  # COUNTED of ten, whatever came back from the window before
 
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -7,7 +7,19 @@
 
 from roadspur.registry.instances import EMPTY, Garbage, Survey
 from roadspur.registry.members import ALONE_S, SILENT_S, Members
-from roadspur.registry.registry import Call, Registry, Tell, ToStore
+from roadspur.registry.registry import Call, Registry, Tell, ToControl
+from roadspur.transport.errors import UnexpectedMessage
+from roadspur.transport.messages import (
+    Beat,
+    Charge,
+    CoreInfo,
+    Echo,
+    Follow,
+    LeaseGranted,
+    LeaseRequest,
+    News,
+    Presence,
+)
 from roadspur.transport.ring import LACKS_S, Ring
 from roadspur.transport.ring import SILENT_S as RING_S
 
@@ -149,30 +161,82 @@
     assert "n0" in watcher.due(5.0)  # a silent one is called: it may come back knowing nothing
 
 
+def grant(registry, now):
+    """The registry asks for the duty, and all three control processes grant it."""
+    requests = []
+    while not requests:
+        asked = [out.message for out in registry.tick(now) if isinstance(out, ToControl)]
+        requests = [message for message in asked if isinstance(message, LeaseRequest)]
+        now += 0.06
+    request = requests[0]
+    for address in "123":
+        registry.from_control(request.sent + 0.01, address, LeaseGranted("registrar", request.term, request.sent))
+    return request.sent + 0.01
+
+
 def on_duty(now=10.0):
-    """A registry that holds the duty by three grants, with a configuration kept."""
+    """A registry that holds the duty by three grants, with control state, and the follower `d`."""
     registry = Registry("m/1", "1", now, random.Random(1), 50.0, True)
-    registry.from_store(now, "1", {"t": "core", "ips": ["1", "2", "3"], "e": 1, "primary": "2"})
-    registry.from_store(now, "1", {"t": "news", "n": 1, "prev": 0, "i": {"share:d": [1, 0.1]}})
-    wishes = [out for out in registry.tick(now) if isinstance(out, ToStore)]
-    for ip in "123":
-        registry.from_store(now + 0.01, ip, {"t": "granted", "duty": "registrar", "term": wishes[0].table["term"],
-                                             "at": now})
+    registry.from_control(now, "1", CoreInfo(("1", "2", "3"), 1, "2"))
+    registry.from_control(now, "1", News(1, 0, {"share:d": (1, 0.1)}))
+    grant(registry, now)
     assert registry.on_duty
-    registry.from_follower(now + 0.02, "d", {"t": "follow", "me": "d", "n": 0})
+    registry.from_follower(now + 0.02, "d", Follow("d", 0))
     return registry
 
 
+PRESENCE = Presence("x", 1.0, None)
+CHARGE = Charge("x", 1, "t", 1, -1)
+
+
+def told(outputs):
+    return [type(out.message) for out in outputs if isinstance(out, Tell)]
+
+
 def test_a_registry_that_was_stopped_beyond_its_lease_counts_and_echoes_nothing_before_its_next_tick():
-    add = {"t": "add", "id": 1, "k": "t", "a": 1, "w": -1}
-    here = {"t": "here", "life": "x", "at": 1.0, "echo": None}
     registry = on_duty()
-    assert [type(o) for o in registry.from_follower(10.1, "d", add)] == [Tell]
-    assert registry.from_follower(12.0, "d", add) == [] and registry.from_follower(12.0, "d", here) == []
-    registry.tick(12.0)
+    assert told(registry.from_follower(10.1, "d", PRESENCE)) == [Echo]
+    assert len(told(registry.from_follower(10.1, "d", CHARGE))) == 1
+    assert told(registry.from_follower(12.0, "d", CHARGE)) == told(registry.from_follower(12.0, "d", PRESENCE)) == []
     assert not registry.on_duty
 
 
+def test_a_registry_that_was_stopped_beyond_its_lease_hands_out_no_list_to_one_that_comes():
+    registry = on_duty()
+    registry.tick(10.05)
+    registry.answered(10.06, 200, page(entry(1)))
+    assert told(registry.from_follower(10.1, "e", Follow("e", 0))) == [News]
+    assert told(registry.from_follower(12.0, "f", Follow("f", 0))) == []  # on the clock of that very input
+    now = grant(registry, 12.5)  # the duty is held anew: those who came meanwhile are told
+    assert registry.on_duty
+    told_names = {out.name for out in registry.tick(now + 0.1) if isinstance(out, Tell) and isinstance(out.message, News)}
+    assert told_names == {"d", "e", "f"}
+
+
+def test_an_answer_that_was_decided_within_the_lease_does_not_leave_after_it():
+    registry = on_duty()
+    assert registry.may_tell(10.1)
+    assert not registry.may_tell(12.0) and not registry.on_duty
+    grants = [LeaseGranted("registrar", registry.holder.term, 10.0)]  # lay in a socket meanwhile
+    assert [registry.from_control(12.0, "1", message)[0] for message in grants] and not registry.on_duty
+
+
+def test_a_message_that_nobody_here_takes_is_refused():
+    registry = on_duty()
+    for take in (lambda m: registry.from_follower(10.1, "d", m), lambda m: registry.from_control(10.1, "1", m),
+                 lambda m: registry.from_peer(10.1, m)):
+        with pytest.raises(UnexpectedMessage):
+            take(Beat())
+
+
+def test_an_older_epoch_does_not_replace_the_electorate_of_the_lease():
+    registry = on_duty()
+    registry.from_control(10.1, "4", CoreInfo(("1", "2", "4"), 3, "4"))
+    registry.from_control(10.1, "1", CoreInfo(("1", "2", "3"), 2, "1"))
+    asked = {out.address for out in registry.tick(10.5) if isinstance(out, ToControl)}
+    assert asked >= {"4"} and "3" not in asked and registry.holder.patience == 0.0
+
+
 def test_a_page_that_an_earlier_duty_asked_for_is_no_list_of_the_next():
     registry = on_duty()
     assert [o for o in registry.tick(10.05) if isinstance(o, Call)]
