An answer that names no request belongs to none; callers on scripted transports

Cause: an answer without X-Attempt-Id was taken for the answer to whatever was out on its connection (upstream.Connection.data_received took the exchange's own id as default). With X-Not-Run or 421 it also counted as proof that the request had not run, which was then sent to a second backend. Ruled out: ids of other requests, which were told apart already. Change: such an answer ends the connection; the attempt counts as one that may have run.

--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -59,7 +59,8 @@
                  mark: bytes = b"") -> None:
         """`guarded`: where connections end at bad moments, nothing of it may run that is not known to.
 
-        `mark`: what `Terms.mark` of its answer must hold; an answer with another one belongs to no request here.
+        `mark`: what `Terms.mark` of its answer must hold; an answer with another one, or with none, belongs to no
+        request here.
         """
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.connection: Connection | None = None
@@ -167,13 +168,15 @@
         answers = self.reader.feed(data)
         mark, own = self.pool.terms.mark, answers
         if mark:  # a surplus answer may come in the place of the one that is waited for
-            own = [a for a in answers if a.headers.get(mark, self.exchange.mark) == self.exchange.mark]
+            own = [a for a in answers if a.headers.get(mark) == self.exchange.mark]
             self.strange = self.strange or len(own) < len(answers)
         if own:
             clean = len(own) == 1 and not (self.strange or self.reader.partial or self.reader.broken)
             self.answered(own[0], clean)
         elif self.reader.broken:
             self.spoilt(self.reader.broken)
+        elif any(mark not in answer.headers for answer in answers):
+            self.spoilt("an answer that names no request")
         elif self.reader.partial:
             self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
 
--- /dev/null
+++ b/tests/system/test_callers.py
@@ -0,0 +1,481 @@
+"""Answers and their callers: the proxy's real server, driver, decisions and upstream on transports in memory.
+
+A seeded run draws what clients and backends do; the clock is scripted, so that nothing sleeps and no socket is opened.
+What every run is checked for stands in `World.check`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from roadspur.common.boot import Bounds
+from roadspur.common.configuration import Configuration, Index
+from roadspur.common.tables import record
+from roadspur.net.server import ClientConnection
+from roadspur.net.upstream import Connection, Endpoint, Pool, Terms, Upstream
+from roadspur.proxy.decisions import Decisions
+from roadspur.proxy.front import ATTEMPT, ProxyIngress, ProxyServer, outcome_of
+from roadspur.proxy.placement import Place
+from roadspur.transport.api import CallServer, Handler, Readiness, Ready
+
+SEEDS = 120
+TRIES = 3
+DEADLINE_MS = 1500
+FREEZE_S = 20.0
+SETTLE_S = 40.0  # after the last event, in which all must have come to its end
+PROMISES = (408, 421, 429, 503)
+ROUTE = {"hostname": "h", "deadline_ms": DEADLINE_MS, "target_ms": 400, "target": "s", "tries": TRIES, "public": True}
+REQUEST = re.compile(rb"X-Attempt-Id: (\S+)\r\n", re.IGNORECASE)
+LENGTH = re.compile(rb"Content-Length: (\d+)\r\n", re.IGNORECASE)
+
+
+class ScriptedClock(selectors.BaseSelector):
+    """A selector without files: to wait is to set the clock forward."""
+
+    now = 1000.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        assert timeout is not None, "nothing is left that could happen"
+        self.now += max(0.0, timeout)
+        return []
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        raise AssertionError("no file is watched here")
+
+    def unregister(self, fileobj: Any) -> Any:
+        raise AssertionError("no file is watched here")
+
+    def get_map(self) -> dict[Any, Any]:
+        return {}
+
+
+class ScriptedLoop(asyncio.SelectorEventLoop):
+    """An event loop on a scripted clock, without a socket."""
+
+    def __init__(self) -> None:
+        self.script = ScriptedClock()
+        super().__init__(self.script)
+
+    def time(self) -> float:
+        return self.script.now
+
+    def _make_self_pipe(self) -> None:
+        self._ssock = self._csock = None
+
+    def _close_self_pipe(self) -> None:
+        return
+
+
+class Wire(asyncio.Transport):
+    """A transport in memory: what is written goes to `heard`, what `deliver` brings waits while the process stands."""
+
+    def __init__(self, world: World, protocol: Any, heard: Callable[[bytes], None]) -> None:
+        super().__init__()
+        self.world, self.protocol, self.heard = world, protocol, heard
+        self.ended = self.cut = False  # by the process; by the other side
+        self.eof = False
+        self.unread: list[bytes | None] = []  # None: the other side's end
+        self.buffered = 0  # bytes that the other side has not taken yet
+
+    # The process's side.
+
+    def write(self, data: Any) -> None:
+        if not self.ended and not self.cut:
+            self.heard(bytes(data))
+
+    def write_eof(self) -> None:
+        self.eof = True
+
+    def is_closing(self) -> bool:
+        return self.ended
+
+    def get_write_buffer_size(self) -> int:
+        return self.buffered
+
+    def pause_reading(self) -> None:
+        return
+
+    def resume_reading(self) -> None:
+        return
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def close(self) -> None:
+        if self.buffered == 0:
+            self.abort()
+
+    def abort(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.world.loop.call_soon(self.protocol.connection_lost, None)
+
+    # The socket below it.
+
+    def recv(self, count: int, flags: int) -> bytes:
+        if not self.unread:
+            raise BlockingIOError
+        return self.unread[0] or b""
+
+    def shutdown(self, how: int) -> None:
+        return
+
+    # The other side.
+
+    def deliver(self, data: bytes | None) -> None:
+        """Bytes for the process, or the connection's end; read at once unless the process stands still."""
+        if self.cut:
+            return
+        self.cut = data is None
+        self.unread.append(data)
+        if not self.world.frozen:
+            self.read()
+
+    def read(self) -> None:
+        """The process reads all that has come, in one batch: bytes first, then the end."""
+        unread, self.unread = self.unread, []
+        data = b"".join(part for part in unread if part)
+        if data and not self.ended:
+            self.protocol.data_received(data)
+        if None in unread and not self.ended:
+            self.ended = True
+            self.protocol.connection_lost(ConnectionResetError())
+
+
+class ScriptedUpstream(Upstream):
+    """Connects to the backends of a world."""
+
+    world: World
+
+    async def connect(self, pool: Pool) -> Connection:
+        return await self.world.connect(pool)
+
+
+class SimClient(ClientConnection):
+    """The server's connection, with its look at the socket from the wire."""
+
+    def unread(self) -> bool:
+        return bool(self.transport.unread)
+
+
+class Run:
+    """A request that has come whole to a backend."""
+
+    def __init__(self, name: bytes) -> None:
+        self.name = name
+        self.ran = True
+        self.proved = False  # that it has not run, by an answer that has been handed over whole
+
+
+class Backend:
+    """One backend's connection: does what it draws with each request."""
+
+    def __init__(self, world: World, name: str, connection: Connection) -> None:
+        self.world, self.name = world, name
+        self.wire = Wire(world, connection, self.heard)
+        self.buffer = b""
+        self.before = b""  # the answer before, which may come again
+        self.steps = world.draw_steps()
+        if world.rng.random() < world.trouble * 0.1:
+            world.later(self.cut)
+
+    def cut(self) -> None:
+        self.wire.deliver(None)
+
+    def heard(self, data: bytes) -> None:
+        self.buffer += data
+        head, found, rest = self.buffer.partition(b"\r\n\r\n")
+        if not found:
+            return
+        length = LENGTH.search(head + b"\r\n")
+        size = int(length[1]) if length else 0
+        if len(rest) < size:
+            return
+        self.buffer = rest[size:]
+        marked = REQUEST.search(head + b"\r\n")
+        assert marked is not None
+        self.serve(self.world.arrived(marked[1]))
+
+    def serve(self, run: Run) -> None:
+        world, rng = self.world, self.world.rng
+        step = rng.choice(self.steps)
+        if step in ("full", "stranger"):
+            run.ran = False
+        if step == "silent":
+            return
+        if step == "reset":
+            world.later(self.cut)
+            return
+        answer = world.answer(run, self.name, {"full": 503, "stranger": 421, "fails": 500, "claims": 503,
+                                               "gone": 404}.get(step, 200), step)
+        before, self.before = self.before, answer
+        cuts = sorted(rng.randrange(1, len(answer)) for _ in range(rng.choice((0, 0, 1, 3))))
+        pieces = [answer[a:b] for a, b in zip([0, *cuts], [*cuts, len(answer)], strict=True)]
+        if step == "late surplus" and before:
+            pieces.insert(0, before)
+        if step == "nameless":
+            pieces.insert(0, REQUEST.sub(b"", before or world.strange_answer()))
+        if step == "nameless promise":
+            pieces.insert(0, b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        if step == "strange":
+            pieces.insert(0, world.strange_answer())
+        if step == "noise":
+            pieces.insert(0, b"\x00\x01 no answer\r\n\r\n")
+        if step == "cut":
+            pieces[-1] = pieces[-1][:-1]
+        if step == "twice":
+            pieces.append(answer)
+        self.send(pieces, run, step == "cut")
+
+    def send(self, pieces: list[bytes], run: Run, cut: bool) -> None:
+        """The pieces one after the other; several may come in one read."""
+        if not pieces:
+            if cut:
+                self.cut()
+            return
+        run.proved = run.proved or (not run.ran and not cut and len(pieces) == 1)
+        self.wire.deliver(pieces[0])
+        gap = self.world.rng.choice((0.0, 0.0, 0.01, 0.1, 0.6))
+        self.world.loop.call_later(gap, self.send, pieces[1:], run, cut)
+
+
+class Client:
+    """One client's connection, and what it has been answered."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.connection = SimClient(world.server)
+        self.wire = Wire(world, self.connection, self.heard)
+        self.asked: list[tuple[bytes, float]] = []  # id (`e`: may run once, `p`: may be repeated), when it was sent
+        self.got = b""
+        self.times: list[float] = []
+        self.connection.connection_made(self.wire)
+
+    def heard(self, data: bytes) -> None:
+        assert not self.wire.eof, "bytes after the end"
+        self.got += data
+        self.times.append(self.world.loop.time())
+
+    def ask(self, name: bytes, path: bytes) -> None:
+        body = b"b" * self.world.rng.choice((0, 5))
+        data = b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\nContent-Length: %d\r\n\r\n%s" % (
+            path, name, len(body), body)
+        cut = self.world.rng.randrange(len(data)) if self.world.rng.random() < 0.3 else 0
+        self.wire.deliver(data[:cut])
+        self.wire.deliver(data[cut:])
+        self.asked.append((name, self.world.loop.time()))
+
+    def answers(self) -> list[tuple[int, bytes, bytes]]:
+        """Status, head and body of each answer; the last may be visibly cut, which is told by status 0."""
+        found, rest = [], self.got
+        while rest:
+            head, whole, rest = rest.partition(b"\r\n\r\n")
+            length = LENGTH.search(head + b"\r\n")
+            assert head.startswith(b"HTTP/1.1 "), head
+            if not whole or length is None or len(rest) < int(length[1]):
+                found.append((0, head, rest))
+                break
+            found.append((int(head[9:12]), head, rest[:int(length[1])]))
+            rest = rest[int(length[1]):]
+        return found
+
+
+class World:
+    """One proxy between drawn clients and drawn backends."""
+
+    def __init__(self, loop: ScriptedLoop, seed: int, backends: int = 3) -> None:
+        self.loop, self.rng = loop, random.Random(seed)
+        self.trouble = self.rng.random()
+        self.frozen = False
+        self.thawed = float("-inf")
+        self.runs: dict[bytes, list[Run]] = {}
+        self.given: dict[bytes, tuple[bytes, int, bytes]] = {}  # seal: id, status, body
+        self.wires: list[Wire] = []
+        self.clients: list[Client] = []
+        self.serial = 0
+        self.again: list[bytes] = []  # effectful ids that were sent a second time without a proof
+        self.decisions = Decisions("me", "z", "r", Bounds(retry_slack=60), random.Random(seed), loop.time())
+        self.upstream = ScriptedUpstream(loop, 0.5, 10.0, 50, Terms(1 << 20, ATTEMPT, 1.0, outcome_of))
+        self.upstream.world = self
+        self.ingress = ProxyIngress(loop, self.decisions, self.upstream, lambda charge: None)
+        self.server = ProxyServer(loop, self.ingress, 50)
+        self.follow("effectful")
+        self.decisions.ingresses = ["me"]
+        self.serve([f"b{n}" for n in range(backends)])
+        self.server.known = True
+
+    def follow(self, variant: str, *, routes: bool = True) -> None:
+        """A configuration is in force: route `e` is of this variant."""
+        self.variant = variant
+        table = {"p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
+                 "e": {**ROUTE, "path_prefix": "/e/", "variant": variant}}
+        config = record(Configuration, {"version": "00000001", "routes": table if routes else {},
+                                        "services": {"s": {}}, "tenants": {}})
+        self.decisions.configured(self.loop.time(), config)
+        self.server.follow(Index(config))
+
+    def serve(self, names: list[str]) -> None:
+        """These are the backends."""
+        places = {name: Place(name, "s", ("10.0.0.1", n + 1), "z", "r", 6, False) for n, name in enumerate(names)}
+        for name in self.upstream.pools.keys() - places.keys():
+            self.upstream.update(name, None)
+        for name, place in places.items():
+            self.upstream.update(name, Endpoint(place.address, 0.0))
+        self.decisions.listed(self.loop.time(), places)
+        self.ingress.serving.clear()
+        self.ingress.serving |= places.keys()
+
+    # What happens.
+
+    def later(self, act: Callable[..., None], *args: Any) -> None:
+        self.loop.call_later(self.rng.choice((0.0, 0.001, 0.02, 0.3, 1.37)), act, *args)
+
+    def draw_steps(self) -> list[str]:
+        """What a connection's backend does, with its share of trouble."""
+        good = ["answers"] * 6
+        bad = ["full", "stranger", "fails", "claims", "gone", "silent", "reset", "cut", "twice", "late surplus",
+               "nameless", "nameless promise", "strange", "noise"]
+        return good + [step for step in bad if self.rng.random() < self.trouble]
+
+    async def connect(self, pool: Pool) -> Connection:
+        await asyncio.sleep(self.rng.choice((0.0, 0.001, 0.05, 0.3)))
+        if self.rng.random() < self.trouble * 0.2:
+            raise ConnectionRefusedError
+        connection = Connection(pool, None)  # type: ignore[arg-type]
+        backend = Backend(self, pool.backend, connection)
+        connection.sock = backend.wire  # type: ignore[assignment]
+        self.upstream.connections.add(connection)
+        connection.connection_made(backend.wire)
+        self.wires.append(backend.wire)
+        return connection
+
+    def arrived(self, name: bytes) -> Run:
+        """A request has come whole to a backend."""
+        runs = self.runs.setdefault(name, [])
+        if name.startswith(b"e") and not all(run.proved for run in runs):
+            self.again.append(name)
+        runs.append(Run(name))
+        return runs[-1]
+
+    def answer(self, run: Run, backend: str, status: int, step: str) -> bytes:
+        seal = b"%s-%d" % (backend.encode(), len(self.given))
+        body = b"" if status == 503 else b"of " + run.name + b" " + seal
+        self.given[seal] = (run.name, status, body)
+        proof = b"X-Not-Run: 1\r\n" if step == "full" else b""
+        return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            status, run.name, seal, proof, len(body), body)
+
+    def strange_answer(self) -> bytes:
+        return self.answer(Run(b"e-nobody"), "other", 200, "answers")
+
+    def client(self) -> Client:
+        client = Client(self)
+        self.clients.append(client)
+        self.wires.append(client.wire)
+        return client
+
+    def ask(self, client: Client) -> None:
+        if not client.wire.ended and not client.wire.cut:
+            self.serial += 1
+            path = b"p" if self.rng.random() < 0.4 else b"e"
+            once = path == b"e" and self.variant == "effectful"
+            client.ask(b"%s%d" % (b"e" if once else b"p", self.serial), path)
+
+    def freeze(self) -> None:
+        """The process stands still for a while; what was due and what has come meets it in one turn, in any order."""
+        self.frozen = True
+        for client in self.clients:
+            if self.rng.random() < 0.3:
+                self.ask(client)
+        self.loop.script.now += self.rng.choice((0.3, 1.4, FREEZE_S))
+        if self.rng.random() < 0.5:
+            self.thaw()  # reads before timers, as one kind of loop has it
+        else:
+            self.loop.call_at(self.loop.time(), self.thaw)
+
+    def thaw(self) -> None:
+        self.frozen = False
+        self.thawed = self.loop.time()
+        wires = [wire for wire in self.wires if wire.unread]
+        self.rng.shuffle(wires)
+        for wire in wires:
+            wire.read()
+
+    async def play(self, events: int = 60) -> None:
+        for _ in range(events):
+            kind = self.rng.random()
+            if kind < 0.2 or not self.clients:
+                self.ask(self.client())
+            elif kind < 0.75:
+                self.ask(self.rng.choice(self.clients[-4:]))
+            elif kind < 0.8:
+                self.rng.choice(self.clients).wire.deliver(None)
+            elif kind < 0.85 and self.trouble > 0.3:
+                self.freeze()
+            elif kind < 0.9:
+                self.follow(self.rng.choice(("effectful", "pure")))
+            elif kind < 0.94:
+                self.serve([f"b{self.rng.randrange(6)}" for _ in range(3)])
+            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.005, 0.05, 0.4, 1.3)))
+        self.follow("effectful")
+        await self.settle()
+
+    async def settle(self) -> None:
+        await asyncio.sleep(SETTLE_S)
+        self.server.close()
+        self.ingress.driver.close()
+        self.upstream.close()
+        await asyncio.sleep(SETTLE_S)
+
+    # What must hold.
+
+    def check(self) -> None:
+        assert not self.again, f"sent again without a proof: {self.again}"
+        for name, runs in self.runs.items():
+            ran = sum(run.ran for run in runs)
+            assert ran <= (1 if name.startswith(b"e") else TRIES), f"{name!r} ran {ran} times"
+        for client in self.clients:
+            answers = client.answers()
+            assert len(answers) <= len(client.asked), "more answers than requests"
+            for (name, _), (status, head, body) in zip(client.asked, answers, strict=False):
+                self.check_answer(name, status, head, body)
+            for _, head, _ in answers[:-1]:
+                assert b"Connection: close" not in head, "an answer after the last one"
+
+    def check_answer(self, name: bytes, status: int, head: bytes, body: bytes) -> None:
+        if status == 0:
+            return  # visibly cut
+        seal = re.search(rb"x-server-seal: (\S+)", head)
+        if seal is not None:
+            assert (name, status, body) == self.given[seal[1]], f"{name!r} got {self.given[seal[1]]}"
+            marked = REQUEST.search(head + b"\r\n")
+            assert marked is not None and marked[1] == name
+        else:
+            assert not 200 <= status < 300, f"{name!r}: a success without a seal"
+        if status in PROMISES and name.startswith(b"e"):
+            assert not any(run.ran for run in self.runs.get(name, [])), f"{name!r}: {status}, and it ran"
+
+
+def play(scenario: Callable[[World], Any], seed: int = 1, backends: int = 3) -> World:
+    """Run a scenario on a scripted loop, and check what must always hold."""
+    loop = ScriptedLoop()
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        async def main() -> World:
+            world = World(loop, seed, backends)
+            await scenario(world)
+            return world
+        world = runner.run(main())
+    world.check()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_each_answer_reaches_its_caller_and_nothing_unproven_is_sent_again(seed: int) -> None:
+    play(World.play, seed)
