--- a/roadspur/control/interface.py
+++ b/roadspur/control/interface.py
@@ -59,9 +59,13 @@
 
 
 class Publish(NamedTuple):
-    """The state as it is in force, to be told to all that follow it."""
+    """The state as it is in force, to be told to all that follow it; `items`: what the newest change set.
+
+    Without `items` the whole state may be new. Whoever keeps it copies: the node goes on changing its own.
+    """
 
     state: State
+    items: Items | None = None
 
 
 class Note(NamedTuple):
@@ -89,6 +93,17 @@
     until: float = 0.0
 
 
+class Unread(NamedTuple):
+    """An order that only a leader reads: whoever does not lead refuses nothing for good.
+
+    `change` makes it a change of the state in force, or raises the Failure that it is refused by.
+    """
+
+    call: int
+    change: Callable[[State], Change]
+    until: float = 0.0
+
+
 class Read(NamedTuple):
     """A call that is answered from the state, by a leader whose lease stands."""
 
@@ -97,13 +112,16 @@
     until: float = 0.0
 
 
+Call = Change | Unread | Read
+
+
 @dataclass(slots=True)
 class Stored:
     """All that a disk holds, as read at the start of a process; an empty disk gives the defaults."""
 
     promised: int = 0
     view: ViewRecord | None = None
-    position: Position = Position(-1, 0, b"")
+    position: Position = Position(-1, 0, 0)
     floor: int = 0
     items: Items = field(default_factory=dict)
     leases: dict[str, tuple[str, int]] = field(default_factory=dict)
