--- a/simnet/disk.py
+++ b/simnet/disk.py
@@ -50,7 +50,7 @@
         """All that was on it is lost."""
         self.promised = 0
         self.view: ViewRecord | None = None
-        self.position = Position(-1, 0, b"")
+        self.position = Position(-1, 0, 0)
         self.floor = 0
         self.items: EncodedItems = {}
         self.leases: dict[str, tuple[str, int]] = {}
