A candidate waits a moment for voters of another zone, and asks once its own promise is on disk

Cause: a majority of one zone came first, so that copies stayed in one zone and the leader began anew without end; a new connection asked for votes before the own promise was on disk.

--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -18,7 +18,7 @@
 from roadspur.control.interface import Records
 from roadspur.control.joining import Joining
 from roadspur.control.role import Candidacy, Role
-from roadspur.control.timing import CANDIDACY_S, FOUND_S, GUARD_S, RETRY_S, SHUN_S
+from roadspur.control.timing import CANDIDACY_S, FOUND_S, GUARD_S, REPLICAS_COME_S, RETRY_S, SHUN_S
 from roadspur.transport.messages import (
     Found,
     Install,
@@ -90,7 +90,7 @@
         else:
             role.forget_last()
         role.candidacy = Candidacy(epoch, durable.view, self._context.now, self._context.now, voters=voters)
-        role.promise(epoch, Records(), self._ask)
+        role.promise(epoch, Records(), self._begin_asking)
 
     def linked(self, other: str) -> None:
         """A connection to another machine stands anew: what was said to it before may be lost."""
@@ -98,6 +98,12 @@
         if candidacy is not None and candidacy.stage == "vote" and other not in candidacy.votes:
             self._ask()
 
+    def _begin_asking(self) -> None:
+        """The own promise is on disk."""
+        if self._role.candidacy is not None and self._current(self._role.candidacy):
+            self._role.candidacy.stage = "vote"
+            self._ask()
+
     def _ask(self) -> None:
         candidacy = self._role.candidacy
         if candidacy is None or candidacy.epoch != self._durable.promised:
@@ -140,10 +146,29 @@
             self._role.candidacy = None
             self._role.stand_at = self._context.now + GUARD_S + self._context.rng.random()
             return
+        if self._awaits_replicas(candidacy):
+            return
         candidacy.stage = "enter"
         self._durable.replica.enter(candidacy.epoch)
         self._durable.keep_replica(None, False, lambda ok: self._entered(candidacy, ok))
 
+    def _awaits_replicas(self, candidacy: Candidacy) -> bool:
+        """Whether those that answered are too few to hold copies for long, or of one zone, and others may answer."""
+        context, voters = self._context, candidacy.voters or candidacy.view.voters
+        unfit = {name for name, until in self._role.shunned.items() if until > context.now} | self._role.leaving.keys()
+        fit = {name: zone for name, zone in voters.items() if name != context.me and name not in unfit}
+        answered = {name: zone for name, zone in fit.items() if name in candidacy.votes}
+        few = len(answered) < membership.replica_count(len(voters), context.tolerance)
+        one_zone = all(zone == context.zone for zone in answered.values())
+        better = {name for name, zone in fit.items() if name not in answered and (few or zone != context.zone)}
+        if not (few or one_zone) or not better:
+            return False
+        if context.now - candidacy.since < REPLICAS_COME_S:
+            return True
+        for name in better:
+            self._role.shunned[name] = context.now + SHUN_S
+        return False
+
     def _entered(self, candidacy: Candidacy, ok: bool) -> None:
         if ok and self._current(candidacy):
             self._install()
@@ -257,7 +282,9 @@
         if not self._joining.founding and now - candidacy.since > CANDIDACY_S:
             self._role.candidacy = None
             self._role.stand_at = now + 0.2 + self._context.rng.random() * 0.5
-        elif now - candidacy.asked > RETRY_S:
+        elif candidacy.stage == "vote" and now - candidacy.since > REPLICAS_COME_S:
+            self._count_votes(candidacy)
+        if self._role.candidacy is candidacy and now - candidacy.asked > RETRY_S:
             candidacy.asked = now
             self._repeat(candidacy)
 
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -72,7 +72,8 @@
         self._installing = {}
         self._context.note(Event.LEADS, view.epoch, ", ".join(view.replicas))
         self._context.emit(Publish(self._durable.replica.state))
-        self.lead()
+        self._send_heartbeats(leadership)
+        self.serve()
 
     def _carry_over(self, leadership: Leadership) -> None:
         """What this machine knew of the voters before: silence goes on counting through an election."""
--- a/roadspur/control/role.py
+++ b/roadspur/control/role.py
@@ -63,13 +63,17 @@
 
 @dataclass(slots=True)
 class Candidacy:
-    """An attempt to lead an epoch: 'vote', 'enter' (own disk), 'install' (replicas' disks), 'record' (the view)."""
+    """An attempt to lead an epoch.
+
+    Its stages: 'promise' (on the own disk), 'vote', 'enter' (the own copy on disk), 'install' (the replicas' copies on
+    their disks), 'record' (the view on disks).
+    """
 
     epoch: int
     view: ViewRecord  # the newest known, to be followed by the next
     since: float
     asked: float
-    stage: str = "vote"
+    stage: str = "promise"
     votes: dict[str, ViewRecord | None] = field(default_factory=dict)
     next: ViewRecord | None = None
     tried: set[str] = field(default_factory=set)
--- a/roadspur/control/timing.py
+++ b/roadspur/control/timing.py
@@ -22,6 +22,7 @@
 TURN_S = 0.15  # by which each holder of a copy stands later than the one before it
 RETURN_S = 0.1  # after its start, in which a leader that comes back finds its voters
 YIELD_S = 0.4  # to twice that: left to another that was promised a vote
+REPLICAS_COME_S = 0.05  # that a candidate with a majority waits for voters that may hold copies for long
 CANDIDACY_S = 1.0  # after which an attempt to lead is given up
 DISK_S = 0.6  # that a write of the leader may take before it steps down
 REPLICA_S = 0.7  # without a word from a replica, or without its answer to a change, before another takes its place
