A leader whose process is to end leads until a replica that stays may take over

Change: it steps down once a fit replica is there; a stopping holder may stand, after any other. Waits for voters of another zone are longer where they were heard just before.

--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -18,7 +18,16 @@
 from roadspur.control.interface import Records
 from roadspur.control.joining import Joining
 from roadspur.control.role import Candidacy, Role
-from roadspur.control.timing import CANDIDACY_S, FOUND_S, GUARD_S, REPLICAS_COME_S, RETRY_S, SHUN_S
+from roadspur.control.timing import (
+    CANDIDACY_S,
+    FOUND_S,
+    GUARD_S,
+    LATE_SHUN_S,
+    REPLICAS_COME_S,
+    REPLICAS_HEARD_S,
+    RETRY_S,
+    SHUN_S,
+)
 from roadspur.transport.messages import (
     Found,
     Install,
@@ -163,10 +172,11 @@
         better = {name for name, zone in fit.items() if name not in answered and (few or zone != context.zone)}
         if not (few or one_zone) or not better:
             return False
-        if context.now - candidacy.since < REPLICAS_COME_S:
+        patience = REPLICAS_HEARD_S if self._role.last is not None else REPLICAS_COME_S
+        if context.now - candidacy.since < patience:
             return True
         for name in better:
-            self._role.shunned[name] = context.now + SHUN_S
+            self._role.shunned[name] = context.now + LATE_SHUN_S
         return False
 
     def _entered(self, candidacy: Candidacy, ok: bool) -> None:
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -100,6 +100,8 @@
         elif now < leadership.until():
             self._repeat_pending(leadership)
             self._reconsider(leadership)
+            if self._role.leadership is leadership and self._role.stopping:
+                self.hand_over()
             if self._role.leadership is leadership:
                 self._feed_learners(leadership)
                 self.serve()
@@ -119,6 +121,15 @@
                 if other not in leadership.view.voters:
                     self._joining.tell_status(other)
 
+    def hand_over(self) -> None:
+        """This process is to end: lead no more as soon as a replica may lead whose process stays."""
+        leadership, now = self._role.leadership, self._context.now
+        if leadership is None:
+            return
+        heard = (name for name in leadership.view.replicas if now - leadership.heard.get(name, NEVER) < LEASE_S)
+        if leadership.pending is None and any(name not in self._role.leaving for name in heard):
+            self._role.step_down("this process ends")
+
     # Voters and replicas.
 
     def _reconsider(self, leadership: Leadership) -> None:
--- a/roadspur/control/node.py
+++ b/roadspur/control/node.py
@@ -41,7 +41,7 @@
 from roadspur.control.joining import Joining
 from roadspur.control.leading import Leading
 from roadspur.control.role import Leadership, Role
-from roadspur.control.timing import GUARD_S, RETRY_S, TURN_S
+from roadspur.control.timing import GUARD_S, RETRY_S, STOPPING_TURN_S, TURN_S
 from roadspur.control.voting import Voting
 from roadspur.transport.messages import (
     AnyMessage,
@@ -178,8 +178,7 @@
         """This process is to end in order: it hands over what it holds, and ends once `may_end` says so."""
         self._context.advance(now)
         self._role.stopping = True
-        self._role.step_down("this process ends")
-        self._role.candidacy = None
+        self._leading.hand_over()
         self._calls.end()
         self._leave()
         return self._context.flush()
@@ -261,16 +260,17 @@
             self._leading.lead()
         elif role.candidacy is not None:
             self._elections.press()
-        elif self._may_stand() and now - role.leader_heard_at > GUARD_S + self._turn() and now >= role.stand_at:
+        elif role.eligible() and now - role.leader_heard_at > GUARD_S + self._turn() and now >= role.stand_at:
             self._elections.stand("the leader is silent")
 
-    def _may_stand(self) -> bool:
-        return self._role.eligible() and not self._role.stopping
-
     def _turn(self) -> float:
-        """Of those that may lead each comes in its turn: all standing at once would only hinder each other."""
+        """Of those that may lead each comes in its turn: all standing at once would only hinder each other.
+
+        One whose process is about to end comes last, but it does: it may be the only one that holds the copy.
+        """
         view = self._durable.view
-        return TURN_S * view.holders.index(self._context.me) if view is not None else 0.0
+        turn = TURN_S * view.holders.index(self._context.me) if view is not None else 0.0
+        return turn + (STOPPING_TURN_S if self._role.stopping else 0.0)
 
     def _leave(self) -> None:
         """Tell whoever must know that this process is about to end, again and again."""
@@ -279,7 +279,8 @@
             return
         self._leave_at = now + RETRY_S
         if view.leader == self._context.me:
-            self._role.tell_step_down(view)
+            if self._role.leadership is None and self._role.candidacy is None:
+                self._role.tell_step_down(view)
         else:
             self._context.send(view.leader, Leaving(view.epoch))
 
