--- a/roadspur/control/role.py
+++ b/roadspur/control/role.py
@@ -135,8 +135,13 @@
         self.leader_heard_at = self.leader_seen_at = self._context.now
         self.followed, self.followed_at = leader, self._context.now
 
-    def promise(self, epoch: int, records: Records, after: Callable[[], None]) -> None:
-        """Promise an epoch; `after` follows where it is on disk and no higher one was promised meanwhile."""
+    def promise(
+        self, epoch: int, records: Records, after: Callable[[], None], otherwise: Callable[[], None] | None = None
+    ) -> None:
+        """Promise an epoch; `after` follows where it is on disk and no higher one was promised meanwhile.
+
+        `otherwise` follows where the disk did not take it.
+        """
         durable = self._durable
         durable.promised, self.voted_for, self.vote_told = epoch, "", False
         if self.leadership is not None and epoch > self.leadership.view.epoch:
@@ -145,6 +150,8 @@
         def done(ok: bool) -> None:
             if not ok:
                 durable.failed(f"promise of epoch {epoch}")
+                if otherwise is not None:
+                    otherwise()
             elif durable.promised == epoch:
                 after()
 
--- a/roadspur/control/timing.py
+++ b/roadspur/control/timing.py
@@ -32,7 +32,7 @@
 ABROAD_S = 0.6  # for which a voter of another zone has been heard, before the copies are spread to it
 HOLD_S = 0.8  # that a call waits for a leader
 LEADER_SEEN_S = 0.5  # since the leader was heard, for which callers are sent to it
-SHUN_S = 5.0  # in which a replica that failed is not chosen again while there is another
+SHUN_S = 2.5  # in which a replica that failed is not chosen again while there is another
 STEADY_S = 2.0  # after its begin, from which a leader may begin anew to win a voter back
 
 NEVER = -1e9
--- a/roadspur/control/voting.py
+++ b/roadspur/control/voting.py
@@ -36,6 +36,7 @@
 
     def __init__(self, context: Context, durable: Durable, role: Role, joining: Joining) -> None:
         self._context, self._durable, self._role, self._joining = context, durable, role, joining
+        self._recording: int | None = None  # the epoch of the view that is being written
 
     # Candidates.
 
@@ -93,7 +94,10 @@
         if durable.recorded == view.epoch == durable.promised:
             self._context.send(sender, ViewRecorded(view.epoch))
             return
+        if self._recording == view.epoch == durable.promised:
+            return  # the answer follows the write
         role.candidacy = None
+        self._recording = view.epoch
         durable.view = view
         self._context.known.update(view.voters)
         self._joining.has_vote(me in view.voters)
@@ -103,11 +107,14 @@
             durable.recorded = max(durable.recorded, view.epoch)
             self._context.send(sender, ViewRecorded(view.epoch))
 
-        role.promise(view.epoch, Records(view=view), recorded)
+        role.promise(view.epoch, Records(view=view), recorded, self._not_recorded)
         self._context.note(
             Event.VIEW, view.epoch, view.leader, ", ".join(view.replicas), ", ".join(sorted(view.voters))
         )
 
+    def _not_recorded(self) -> None:
+        self._recording = None
+
     def _may_record(self, view: ViewRecord) -> bool:
         """A voter may, also one that is taken out; one without a vote if it is named and knows what was promised."""
         if self._joining.forgotten:
--- a/simnet/system.py
+++ b/simnet/system.py
@@ -43,14 +43,14 @@
 CONTACT_S = 5.0
 SILENT_S = 1.5
 DIAL_S = 0.1
-LAG_S = 0.8        # of the platform's list
+LAG_S = 0.8  # of the platform's list
 RATE = BURST = 40.0
 BOUNDS = Bounds()
 CORES = {"c1": ("a1", "a"), "c2": ("a1", "a"), "c3": ("a2", "a")}
 PROXIES = {"d1": ("a1", "a"), "d2": ("a2", "a"), "d3": ("b1", "b"), "d4": ("b2", "b")}
 PLACES = {**CORES, **PROXIES}
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
-ASKED_S = 0.06     # between requests at one proxy, on average
+ASKED_S = 0.06  # between requests at one proxy, on average
 DEADLINE_S = 2.0
 
 Table = dict[str, Any]
@@ -58,12 +58,27 @@
 
 def document(version: int) -> bytes:
     """A configuration: two routes, one limited tenant and one that is not."""
+
     def route(name: str, variant: str) -> Table:
-        return {"hostname": "h", "path_prefix": f"/{name}/", "variant": variant, "deadline_ms": 2000, "target_ms": 600,
-                "target": "s", "tries": 2}
-    return json.dumps({"version": f"{version:08x}", "routes": {"pure": route("p", "pure"), "once": route("o", "x")},
-                       "services": {"s": {"max_conns": 100}}, "limits": {},
-                       "tenants": {"t": {"rate_per_s": RATE, "burst": BURST}, "free": {}}}).encode()
+        return {
+            "hostname": "h",
+            "path_prefix": f"/{name}/",
+            "variant": variant,
+            "deadline_ms": 2000,
+            "target_ms": 600,
+            "target": "s",
+            "tries": 2,
+        }
+
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": {"pure": route("p", "pure"), "once": route("o", "x")},
+            "services": {"s": {"max_conns": 100}},
+            "limits": {},
+            "tenants": {"t": {"rate_per_s": RATE, "burst": BURST}, "free": {}},
+        }
+    ).encode()
 
 
 class Backend:
@@ -122,8 +137,16 @@
     def begin(self) -> None:
         kept = self.disk.kept()
         grants = {d: (p[0], p[1]) for d, p in self.disk.records.get("grants", {}).items()}
-        control = Control(self.machine, PLACES[self.machine][0], sorted(CORES), self.life == 1, kept, self.now(),
-                          random.Random(self.world.rng.random()), 1)
+        control = Control(
+            self.machine,
+            PLACES[self.machine][0],
+            sorted(CORES),
+            self.life == 1,
+            kept,
+            self.now(),
+            random.Random(self.world.rng.random()),
+            1,
+        )
         self.store, self.waiting = Store(control, Grantor(self.now(), grants)), {}
 
     def tick(self) -> None:
@@ -165,6 +188,7 @@
                 self.writes.remove(records)
                 disk.records.update(records)
                 self.carry(self.store.written(self.now(), write.token, True))
+
         world.clock.at(disk.busy_until, end)
 
 
@@ -177,8 +201,9 @@
         super().__init__(world, "registry", machine)
 
     def begin(self) -> None:
-        self.registry = Registry(f"{self.machine}/{self.life}", self.machine, self.now(),
-                                 random.Random(self.world.rng.random()), 50.0, True)
+        self.registry = Registry(
+            f"{self.machine}/{self.life}", self.machine, self.now(), random.Random(self.world.rng.random()), 50.0, True
+        )
 
     def tick(self) -> None:
         self.carry(self.registry.tick(self.now()))
@@ -220,6 +245,7 @@
             if self.life == life and self.up:
                 status, body = world.platform(target)
                 self.carry(self.registry.answered(self.now(), status, body))
+
         world.clock.later(0.002 if world.platform_up() else 1.0, answered)
 
 
@@ -234,8 +260,15 @@
         zone, region = PLACES[self.machine]
         now = self.now()
         self.decisions = Decisions(self.machine, zone, region, BOUNDS, random.Random(self.world.rng.random()), now, now)
-        self.knowledge = Knowledge(self.machine, f"{self.machine}/{self.life}", region, ZONES.__getitem__, {
-            "front": f"{self.machine}:80", "ip": self.machine, "zone": zone, "region": region}, self.decisions, now)
+        self.knowledge = Knowledge(
+            self.machine,
+            f"{self.machine}/{self.life}",
+            region,
+            ZONES.__getitem__,
+            {"front": f"{self.machine}:80", "ip": self.machine, "zone": zone, "region": region},
+            self.decisions,
+            now,
+        )
         self.driver = Driver(self.decisions.settings, self.decisions, self, Scheduler(self), self.now)
         self.driver.carry[Charge] = lambda a: self.carry(self.knowledge.charge(a))
         self.serving: set[str] = set()
@@ -267,11 +300,21 @@
                     if out.ip in ("", ip):
                         self.world.send(self, f"registry@{ip}", out.table)
             elif isinstance(out, Heartbeat):
-                self.world.datagram(self, out.ip, lambda to, t=out.table: to.carry(  # type: ignore[misc]
-                    to.knowledge.beat(to.now(), t, self.machine)))
+                self.world.datagram(
+                    self,
+                    out.ip,
+                    lambda to, t=out.table: to.carry(  # type: ignore[misc]
+                        to.knowledge.beat(to.now(), t, self.machine)
+                    ),
+                )
             elif isinstance(out, HandOver):
-                self.world.datagram(self, out.ip, lambda to, t=out.table: to.carry(  # type: ignore[misc]
-                    to.knowledge.handed(to.now(), copy.deepcopy(t))))
+                self.world.datagram(
+                    self,
+                    out.ip,
+                    lambda to, t=out.table: to.carry(  # type: ignore[misc]
+                        to.knowledge.handed(to.now(), copy.deepcopy(t))
+                    ),
+                )
             elif isinstance(out, InForce):
                 self.world.in_force(self, out.lookup.config)
                 self.driver.classes |= self.decisions.classes
@@ -298,6 +341,7 @@
 
         def final(final: Final) -> None:
             world.answered(name, route, final, sent)
+
         self.driver.take(io.Request(name, route, "all", 0, DEADLINE_S, 1.0), final, (route, tenant))
 
     # The driver's port to backends.
@@ -353,6 +397,7 @@
         def done() -> None:
             broken = backend.dead or (backend.loses_answers and world.rng.random() < 0.3)
             world.clock.later(way, lambda: self.end(io.Outcome.RESET if broken else io.Outcome.OK))
+
         world.clock.later(took, done)
 
     def expire(self) -> None:
@@ -377,6 +422,7 @@
         def fire() -> None:
             if not timer.cancelled and self.proxy.life == self.life and self.proxy.up:
                 callback(*args)
+
         self.proxy.world.clock.later(max(0.0, delay), fire)
         return timer
 
@@ -461,6 +507,7 @@
             if process.up and process.life == life and isinstance(process, ProxyProcess):
                 process.request()
                 self.clock.later(self.rng.expovariate(1 / ASKED_S), ask)
+
         self.clock.later(0.0, tick)
         self.clock.later(0.01 * self.rng.random(), dial)
         if process.kind == "proxy":
@@ -496,8 +543,10 @@
         """Open what does not stand, and end what a cut has silenced."""
         for to in self._wants(process):
             other = self.processes[to]
-            cut = max(self.cuts.get((process.machine, other.machine), 0.0),
-                      self.cuts.get((other.machine, process.machine), 0.0))
+            cut = max(
+                self.cuts.get((process.machine, other.machine), 0.0),
+                self.cuts.get((other.machine, process.machine), 0.0),
+            )
             if to in process.links:
                 if cut > self.clock.now + SILENT_S:
                     self._drop(process, other)
@@ -531,6 +580,7 @@
         def arrive() -> None:
             if b.up and b.life == life:
                 what()
+
         self.clock.at(due, arrive)
 
     def send(self, process: Process, to: str, table: Table) -> None:
@@ -544,6 +594,7 @@
             if process.links.get(to) == link:
                 self.by_name[to, who] = process.name, link
                 other.heard(process.name, who, table)
+
         self._later(process, other, arrive)
 
     @staticmethod
@@ -560,6 +611,7 @@
         def arrive() -> None:
             if other.links.get(process.name) == known[1]:
                 other.replied(process.name, table)
+
         self._later(process, other, arrive)
 
     def datagram(self, process: Process, ip: str, what: Callable[[Any], None]) -> None:
@@ -579,12 +631,23 @@
             return 0, b""
         if self.rng.random() < 0.03:
             return self.rng.choice(((429, b""), (200, b'{"instances": ['), (500, b"")))
-        rows = [{"target": "s", "id": b.name, "address": f"10.9.0.{n + 1}:80", "zone": b.zone, "capacity": 6,
-                 "phase": "draining" if b.listed_draining is not None and self.clock.now >= b.listed_draining
-                 else "ready"} for n, b in enumerate(self.backends.values())]
+        rows = [
+            {
+                "target": "s",
+                "id": b.name,
+                "address": f"10.9.0.{n + 1}:80",
+                "zone": b.zone,
+                "capacity": 6,
+                "phase": "draining"
+                if b.listed_draining is not None and self.clock.now >= b.listed_draining
+                else "ready",
+            }
+            for n, b in enumerate(self.backends.values())
+        ]
         second = "page_token" in target
-        return 200, json.dumps({"instances": rows[3:] if second else rows[:3],
-                                "next_token": None if second else "2"}).encode()
+        return 200, json.dumps(
+            {"instances": rows[3:] if second else rows[:3], "next_token": None if second else "2"}
+        ).encode()
 
     # The operator.
 
@@ -604,6 +667,7 @@
             elif state["open"]:
                 state["open"] = False
                 done()
+
         self.clock.later(1.0, again)
         if process.up and isinstance(process, StoreProcess):
             process.call(make, answered)
@@ -615,17 +679,27 @@
         def done() -> None:
             if version > self.acked[0]:
                 self.acked = version, self.clock.now
-        self.order(lambda call: Change(call, lambda s: (s.value("config") or {"v": -1})["v"] >= version,
-                                       lambda s: {"config": held}, ""), done, self.clock.now + 8.0)
+
+        self.order(
+            lambda call: Change(
+                call, lambda s: (s.value("config") or {"v": -1})["v"] >= version, lambda s: {"config": held}, ""
+            ),
+            done,
+            self.clock.now + 8.0,
+        )
 
     def evacuate(self, zone: str, on: bool) -> None:
         """A zone's backends are to get nothing, or something again."""
         name = f"evac:{zone}"
         if not on:
             self.evacuated[zone] = False, self.clock.now
-        self.order(lambda call: Change(call, lambda s: (s.value(name) or {"on": False})["on"] == on,
-                                       lambda s: {name: {"on": on, "n": 1}}, ""),
-                   lambda: self.evacuated.update({zone: (on, self.clock.now)}), self.clock.now + 8.0)
+        self.order(
+            lambda call: Change(
+                call, lambda s: (s.value(name) or {"on": False})["on"] == on, lambda s: {name: {"on": on, "n": 1}}, ""
+            ),
+            lambda: self.evacuated.update({zone: (on, self.clock.now)}),
+            self.clock.now + 8.0,
+        )
 
     # What is seen.
 
@@ -685,8 +759,11 @@
         """After every step."""
         if self.broken:
             raise Broken(self.broken)
-        holding = [p.name for p in self.processes.values() if isinstance(p, RegistryProcess) and p.up
-                   and p.registry.on_duty and p.registry.holder.holds(p.now())]
+        holding = [
+            p.name
+            for p in self.processes.values()
+            if isinstance(p, RegistryProcess) and p.up and p.registry.on_duty and p.registry.holder.holds(p.now())
+        ]
         if len(holding) > 1:
             self.broke(f"two hold the duty: {holding}")
 
@@ -790,8 +867,25 @@
             raise Broken("no configuration was ever acknowledged")
 
 
-KINDS = ("kill", "power", "core kill", "core power", "core wipe", "kill core", "kill all", "power all", "cut",
-         "core cut", "cut one way", "region cut", "stall", "platform", "crash", "answers lost", "hot")
+KINDS = (
+    "kill",
+    "power",
+    "core kill",
+    "core power",
+    "core wipe",
+    "kill core",
+    "kill all",
+    "power all",
+    "cut",
+    "core cut",
+    "cut one way",
+    "region cut",
+    "stall",
+    "platform",
+    "crash",
+    "answers lost",
+    "hot",
+)
 
 
 def draw(seed: int) -> tuple[list[tuple[float, str, float]], list[tuple[float, str]]]:
@@ -827,7 +921,7 @@
     """The fewest of a seed's troubles that still break a rule, each tried without."""
     troubles, at = draw(seed)[0], 0
     while at < len(troubles):
-        fewer = troubles[:at] + troubles[at + 1:]
+        fewer = troubles[:at] + troubles[at + 1 :]
         try:
             run(seed, fewer)
             at += 1
