--- /dev/null
+++ b/tests/system/test_charges.py
@@ -0,0 +1,251 @@
+"""Charges on a network that loses, repeats and reorders, between sides that begin anew: each counts once, and what is
+let in stays within the allowance. A model beside it counts with sets."""
+
+import random
+
+import pytest
+
+from roadspur.common.boot import Bounds
+from roadspur.common.shares import ALONE_S, COUNTED, LOST_S, OK, OVER
+from roadspur.proxy import decisions as decided
+from roadspur.proxy.decisions import Decisions
+from roadspur.proxy.knowledge import VERDICT_S, Knowledge, ToRegistry, Verdict
+from roadspur.registry import charges
+from roadspur.registry.charges import ChargeLedger
+from roadspur.registry.counts import Counts
+from roadspur.transport.errors import UnexpectedMessage
+from roadspur.transport.messages import Charge, ChargeResult, Echo, Presence, PresenceReport
+
+RATE = BURST = 10.0
+LIMITS = {"t": (RATE, BURST)}
+ALLOWED = COUNTED * BURST
+
+
+def proxy_of(name, life, now):
+    decisions = Decisions(name, "z", "r", Bounds(), random.Random(1), now)
+    return Knowledge(name, life, "r", lambda zone: "r", {}, decisions, now)
+
+
+def counter_of(now, shares=()):
+    counts = Counts(now)
+    counts.follow(LIMITS, dict.fromkeys(shares, 0.1))
+    return ChargeLedger(counts)
+
+
+class Fleet:
+    """Some proxies, one counter at a time, and all that is under way between them."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.names = ["p", "q", "r"]
+        self.proxies = {}
+        self.lives = self.requests = self.counters = 0
+        self.to_counter, self.to_proxy = [], []
+        self.open = {}  # request -> its proxy
+        self.let_in = {}  # request -> counter, window
+        self.counted = {}  # the model: (life, number) -> window, of the present counter
+        self.given_back = set()
+        for name in self.names:
+            self.restart(name)
+        self.take_over()
+
+    def take_over(self):
+        self.ledger = counter_of(self.now, self.names)
+        self.counters += 1
+        self.counted, self.given_back = {}, set()
+
+    def restart(self, name):
+        self.lives += 1
+        self.proxies[name] = proxy_of(name, f"life {self.lives}", self.now)
+        self.proxies[name].counter = "c"
+        self.open = {request: proxy for request, proxy in self.open.items() if proxy.me != name}
+
+    def carry(self, name, outputs):
+        for out in outputs:
+            if isinstance(out, ToRegistry):
+                self.to_counter.append((name, out.message))
+            elif isinstance(out, Verdict):
+                self.decide(name, out.counted)
+
+    def ask(self, name):
+        self.requests += 1
+        request = f"request {self.requests}"
+        self.open[request] = self.proxies[name]
+        self.carry(name, self.proxies[name].charge(self.now, decided.Charge(request, "t", 1)))
+
+    def decide(self, name, counted):
+        assert self.open.pop(counted.request, None) is self.proxies[name], "an answer for nobody who waits"
+        if counted.verdict == OK:
+            self.let_in[counted.request] = self.counters, counted.window
+        if counted.verdict != OK or self.rng.random() < 0.1:  # refused after all: it never ran
+            self.let_in.pop(counted.request, None)
+            self.give_back(name, counted.request)
+
+    def give_up(self):
+        if self.open:
+            request = self.rng.choice(sorted(self.open))
+            name = self.open.pop(request).me
+            self.give_back(name, request)
+
+    def give_back(self, name, request):
+        for _ in range(self.rng.choice((1, 1, 2))):  # the decisions' own mistake would cost nothing either
+            self.carry(name, self.proxies[name].charge(self.now, decided.Charge(request, "t", -1)))
+
+    def beat(self, name):
+        proxy = self.proxies[name]
+        self.to_counter.append((name, Presence(proxy.life, self.now, None)))
+
+    def arrive(self, bag):
+        """One of the messages under way arrives, or is lost; now and then it comes again."""
+        if not bag:
+            return None
+        at = self.rng.choice((0, self.rng.randrange(len(bag))))
+        fate = self.rng.random()
+        message = bag[at] if fate < 0.15 else bag.pop(at)
+        return None if fate > 0.93 else message
+
+    def at_counter(self, name, message):
+        if isinstance(message, Presence):
+            if self.ledger.counts.here(self.now, name, message.life, self.now):
+                self.ledger.counts.ingresses[name].since = float("-inf")
+            return
+        result = self.ledger.take(self.now, name, message)
+        key = message.life, message.number
+        if message.amount < 0:
+            if self.ledger.counts.ingresses[name].life == message.life:
+                self.given_back.add(key)
+        elif result is not None:
+            first = self.counted.setdefault(key, result.window)
+            assert result.window == first, "a repeated charge has another answer"
+            self.to_proxy.append((name, result))
+
+    def step(self):
+        name = self.rng.choice(self.names)
+        what = self.rng.random()
+        if what < 0.2:
+            self.ask(name)
+        elif what < 0.26:
+            self.beat(name)
+        elif what < 0.29:
+            self.give_up()
+        elif what < 0.66:
+            if (came := self.arrive(self.to_counter)) is not None:
+                self.at_counter(*came)
+        elif what < 0.995:
+            if (came := self.arrive(self.to_proxy)) is not None:
+                self.carry(came[0], self.proxies[came[0]].from_registry(self.now, "c", came[1])[0])
+        elif what < 0.998:
+            self.restart(name)
+        elif what < 0.9988:
+            self.take_over()
+        self.now += 0.01 * self.rng.random()
+
+    def check(self):
+        window = self.ledger.counts.windows.get("t")
+        if window is not None:
+            charged = {key for key, number in self.counted.items() if number == window.number}
+            assert window.count == len(charged - self.given_back)
+        in_window = {}
+        for key in self.let_in.values():
+            in_window[key] = in_window.get(key, 0) + 1
+        assert all(count <= ALLOWED for count in in_window.values())
+
+
+@pytest.mark.parametrize("first", range(0, 40, 10))
+def test_each_charge_counts_once_and_what_is_let_in_stays_within_the_allowance(first):
+    let_in = given_back = 0
+    for seed in range(first, first + 10):
+        fleet = Fleet(seed)
+        for name in fleet.names:
+            fleet.at_counter(name, Presence(fleet.proxies[name].life, fleet.now, None))
+        for _ in range(1500):
+            fleet.step()
+            fleet.check()
+        let_in += len(fleet.let_in)
+        given_back += len(fleet.given_back)
+    assert let_in > 100 and given_back > 100  # it is no empty run
+
+
+def known(ledger, name="p", life="x", now=2.0):
+    """A proxy that is counted."""
+    ledger.counts.here(now, name, life, now)
+    ledger.counts.ingresses[name].since = 0.0
+    return ledger
+
+
+def test_memory_is_bounded_and_a_forgotten_charge_counts_no_second_time(monkeypatch):
+    monkeypatch.setattr(charges, "REMEMBERED", 8)
+    ledger = known(counter_of(0.0))
+    for number in range(1, 20):
+        ledger.take(2.0, "p", Charge("x", number, "t", 1, -1))
+    count = ledger.counts.windows["t"].count
+    assert count == 19 and len(ledger.senders["p"].charges) == 8
+    assert ledger.take(2.1, "p", Charge("x", 3, "t", 1, -1)) is None
+    ledger.take(2.1, "p", Charge("x", 3, "t", -1, -1))
+    assert ledger.counts.windows["t"].count == count
+
+
+def test_a_new_counter_gives_no_charge_of_another_back():
+    ledger = known(counter_of(0.0))
+    first = ledger.take(2.0, "p", Charge("x", 1, "t", 1, -1))
+    later = known(counter_of(0.0))
+    for number in range(2, 6):
+        later.take(2.0, "p", Charge("x", number, "t", 1, -1))
+    later.take(2.1, "p", Charge("x", 1, "t", -1, first.window))  # its windows have the same numbers
+    assert later.counts.windows["t"].count == 4
+
+
+def test_a_charge_that_comes_after_it_was_given_back_is_not_counted():
+    ledger = known(counter_of(0.0))
+    ledger.take(2.0, "p", Charge("x", 2, "t", 1, -1))
+    ledger.take(2.0, "p", Charge("x", 1, "t", -1, -1))
+    assert ledger.take(2.0, "p", Charge("x", 1, "t", 1, -1)) is None
+    assert ledger.counts.windows["t"].count == 1
+
+
+def test_a_message_of_a_former_life_neither_counts_nor_brings_it_back():
+    ledger = known(known(counter_of(0.0), life="old"), life="new")
+    assert ledger.take(2.0, "p", Charge("old", 1, "t", 1, -1)) is None
+    assert not ledger.counts.here(2.1, "p", "old", 2.1)
+    assert ledger.take(2.1, "p", Charge("new", 1, "t", 1, -1)).verdict == OK
+
+
+@pytest.mark.parametrize("amount", [0.0, float("nan"), float("inf"), float("-inf")])
+def test_an_amount_that_is_none_is_refused(amount):
+    with pytest.raises(UnexpectedMessage):
+        known(counter_of(0.0)).take(2.0, "p", Charge("x", 1, "t", amount, -1))
+
+
+def test_an_answer_for_an_earlier_life_or_a_request_that_was_given_up_reaches_nobody():
+    proxy = proxy_of("p", "x", 5.0)
+    proxy.counter = "c"
+    proxy.charge(5.0, decided.Charge("r1", "t", 1))
+    proxy.charge(5.0, decided.Charge("r2", "t", 1))
+    assert proxy.from_registry(5.1, "c", ChargeResult("w", 1, OK, 0.5, 3)) == ([], None)
+    back, = proxy.charge(5.1, decided.Charge("r1", "t", -1))
+    assert back.message == Charge("x", 1, "t", -1, -1)
+    assert proxy.charge(5.1, decided.Charge("r1", "t", -1)) == []  # once
+    assert proxy.from_registry(5.2, "c", ChargeResult("x", 1, OK, 0.5, 3)) == ([], None)
+    (verdict,), _ = proxy.from_registry(5.2, "c", ChargeResult("x", 2, OK, 0.5, 3))
+    assert verdict.counted.request == "r2"
+    assert proxy.from_registry(5.2, "c", ChargeResult("x", 2, OK, 0.5, 3)) == ([], None)  # it comes again
+
+
+def test_a_verdict_that_lay_in_a_socket_lets_nothing_in():
+    proxy = proxy_of("p", "x", 5.0)
+    proxy.counter = "c"
+    proxy.charge(5.0, decided.Charge("r", "t", 1))
+    (verdict,), _ = proxy.from_registry(5.0 + VERDICT_S, "c", ChargeResult("x", 1, OK, 0.5, 3))
+    assert verdict.counted.verdict == OVER and LOST_S < VERDICT_S <= ALONE_S
+
+
+def test_an_echo_that_lay_in_a_socket_does_not_name_the_counter():
+    proxy = proxy_of("p", "x", 5.0)
+    report = [out.message for out in proxy.tick(5.0, True) if isinstance(out, ToRegistry)]
+    assert [type(message) for message in report] == [PresenceReport]
+    proxy.from_registry(5.2, "new", Echo("new/1", 5.0, 1.0, 0.1))
+    proxy.from_registry(5.2, "old", Echo("old/1", 4.9, 1.0, 0.2))
+    assert proxy.counter == "new" and proxy.decisions.quota.share == 0.1
+    proxy.from_registry(9.0, "old", Echo("old/1", 5.1, 1.0, 0.2))
+    assert proxy.counter == "new" and proxy.decisions.quota.echo == ("new/1", 1.0)
