Last answers leave whole; a call is answered once, whatever its handler does

Causes, in net/server.py: (1) every connection that closes after its answer was aborted 0.5 s later, also with the answer still going out: a client on a slow link, or any during a planned end, lost it; (2) a client that reads slowly was let go after the header timeout, counted from when it fell behind instead of from when it last took anything, and at once when this process had stood still; (3) a close with requests unread became a reset, which can destroy the answer before it; (4) a handler that answered twice answered the connection's next request. Ruled out: a second answer by the driver, which answers once a request. Change: lingering closes follow the bytes that are still unsent; a reply belongs to its request.

--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import http
 import itertools
 import select
@@ -21,7 +22,8 @@
 SLOW_S = 2.0  # for a first byte, for the rest of a request, and for a client to read its answers
 IDLE_S = 5.0  # between requests
 SWEEP_S = 0.25
-LINGER_S = 0.5  # for a client to read the last answer
+LINGER_S = 0.5  # for a client to close its side, once the last answer has left this program
+STOOD_S = 1.0   # by which a timer comes late if this process has stood still
 LINGER_BYTES = 256 * 1024  # that are read, and thrown away, meanwhile
 HOP_BY_HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
               b"upgrade", b"expect", b"content-length", b"x-budget"}
@@ -60,12 +62,13 @@
         self.waiting: deque[tuple[Any, bool]] = deque()
         self.call: Any = None  # the one that is being decided on
         self.keep = True  # whether the connection stays open after the present answer
-        self.closing = self.deaf = self.paused = self.crowded = False
+        self.closing = self.deaf = self.paused = self.crowded = self.lost = False
         self.heard = next(server.order)
         self.used = False  # a request has come
         self.began = 0.0  # when the request that is now coming in began; 0 between requests
         self.since = self.loop.time()  # of being idle
-        self.full_since = 0.0  # of a client that does not read; 0 if it does
+        self.full = False  # the client does not read as fast as it is answered
+        self.unsent, self.taken = 0, 0.0  # bytes of answers still here, and when there last were more of them or fewer
         self.reset()
 
     def reset(self) -> None:
@@ -82,7 +85,7 @@
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
+        self.closing = self.lost = True
         self.server.connections.discard(self)
         self.waiting.clear()
         call, self.call = self.call, None
@@ -120,12 +123,21 @@
 
     def pause_writing(self) -> None:
         """The client does not read its answers: what it asks for further waits, and not for long."""
-        self.full_since = self.loop.time()
+        self.full, self.taken = True, self.loop.time()
 
     def resume_writing(self) -> None:
-        self.full_since = 0.0
+        self.full = False
         self.proceed()
 
+    def stuck(self, now: float) -> bool:
+        """Whether the client has taken nothing for too long of what is owed to it; however slow, one that reads isn't."""
+        if self.transport is None:
+            return False
+        unsent = self.transport.get_write_buffer_size()
+        if unsent != self.unsent:
+            self.unsent, self.taken = unsent, now
+        return unsent > 0 and now - self.taken > self.server.bounds.slow
+
     # From the parser.
 
     def on_message_begin(self) -> None:
@@ -186,20 +198,22 @@
 
     def proceed(self) -> None:
         """Go on with what has been read ahead, until there is one that must wait for its answer."""
-        while self.waiting and self.call is None and not self.closing and not self.full_since:
+        while self.waiting and self.call is None and not self.closing and not self.full:
             item, self.keep = self.waiting.popleft()
             if isinstance(item, Early):
                 self.write(item.status, item.lines, item.why.encode())
             else:
                 self.call = item
-                self.server.take(item, self.reply)
+                self.server.take(item, functools.partial(self.reply, item))
         if (self.paused and self.transport is not None and not self.closing and not self.deaf
                 and len(self.waiting) <= PIPELINE):
             self.paused = False
             self.transport.resume_reading()
 
-    def reply(self, status: int, lines: bytes, body: bytes) -> None:
-        """The final answer to the present request."""
+    def reply(self, item: Any, status: int, lines: bytes, body: bytes) -> None:
+        """The final answer to a request; any further one is dropped, as it would be the next request's."""
+        if self.call is not item:
+            return
         self.call = None
         if status == 400:  # found to be bad only there: an id that another holds
             self.deaf, self.keep = True, False
@@ -220,15 +234,39 @@
             self.close()
 
     def close(self) -> None:
-        """Close. A client still sending gets a moment to read the answer, which a reset would destroy."""
+        """Close, once the answers have left. A reset, which would destroy them, is put off while the client sends."""
         if self.closing or self.transport is None:
             return
         self.closing = True
-        if self.deaf:
+        now = self.taken = self.loop.time()
+        if self.transport.is_closing():
+            return
+        if self.deaf or self.waiting or self.unread():
+            self.turn_deaf()
             self.transport.write_eof()
         else:
             self.transport.close()
-        self.loop.call_later(LINGER_S, self.transport.abort)  # whether or not it reads
+        self.loop.call_later(LINGER_S, self.linger, now + LINGER_S)
+
+    def turn_deaf(self) -> None:
+        """Throw away from here on what the client sends."""
+        if not self.deaf:
+            self.deaf, self.size = True, 0
+        if self.paused and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def linger(self, due: float) -> None:
+        """End it, whether or not the client has closed its side, but not while it takes its last answer."""
+        if self.lost or self.transport is None:
+            return
+        now = self.loop.time()
+        if now > due + STOOD_S:
+            self.taken = now
+        if self.transport.get_write_buffer_size() and not self.stuck(now):
+            self.loop.call_later(LINGER_S, self.linger, now + LINGER_S)
+        else:
+            self.transport.abort()
 
     def idle(self) -> bool:
         """Between requests, with nothing unread: closing it can at most cross a request."""
@@ -247,8 +285,8 @@
         """Nothing is waited for without end: a first byte, the rest of a request, the next one, a reader."""
         if self.closing or self.transport is None:
             return
-        if self.full_since:
-            if now - self.full_since > self.server.bounds.slow:
+        if self.full:
+            if self.stuck(now):
                 self.closing = True
                 self.transport.abort()
         elif self.began:
@@ -271,6 +309,7 @@
         self.stopping = self.leaving = False
         self.farewell: Farewell | None = None
         self.listener: asyncio.Server | None = None
+        self.sweep_due = loop.time() + SWEEP_S
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     async def listen(self, host: str, port: int) -> None:
@@ -303,8 +342,12 @@
 
     def sweep(self) -> None:
         now = self.loop.time()
+        stood = now > self.sweep_due + STOOD_S
         for connection in list(self.connections):
+            if stood:  # nobody could take anything meanwhile
+                connection.taken = now
             connection.sweep(now)
+        self.sweep_due = now + SWEEP_S
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
     async def leave(self, notice: Awaitable[object], farewell: Farewell | None = None) -> None:
--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -17,14 +17,16 @@
 
 from roadspur.common.boot import Bounds
 from roadspur.common.configuration import Configuration, Index
+from roadspur.common.failures import Failure, Kind
 from roadspur.common.tables import record
 from roadspur.net.server import ClientConnection
 from roadspur.net.upstream import Connection, Endpoint, Pool, Terms, Upstream
 from roadspur.proxy.decisions import Decisions
 from roadspur.proxy.front import ATTEMPT, ProxyIngress, ProxyServer, outcome_of
 from roadspur.proxy.placement import Place
-from roadspur.transport.api import CallServer, Handler, Readiness, Ready
+from roadspur.transport.api import CallServer, Handler, Readiness
 
+NOT_READY = Failure(Kind.STARTING)
 SEEDS = 120
 TRIES = 3
 DEADLINE_MS = 1500
@@ -80,6 +82,7 @@
         super().__init__()
         self.world, self.protocol, self.heard = world, protocol, heard
         self.ended = self.cut = False  # by the process; by the other side
+        self.closing = False  # once the other side has taken what it is owed
         self.eof = False
         self.unread: list[bytes | None] = []  # None: the other side's end
         self.buffered = 0  # bytes that the other side has not taken yet
@@ -94,7 +97,7 @@
         self.eof = True
 
     def is_closing(self) -> bool:
-        return self.ended
+        return self.ended or self.closing
 
     def get_write_buffer_size(self) -> int:
         return self.buffered
@@ -109,8 +112,8 @@
         return default
 
     def close(self) -> None:
-        if self.buffered == 0:
-            self.abort()
+        self.closing = True
+        self.taken(0)
 
     def abort(self) -> None:
         if not self.ended:
@@ -129,6 +132,12 @@
 
     # The other side.
 
+    def taken(self, count: int) -> None:
+        """The other side has taken some of what the process has written."""
+        self.buffered = max(0, self.buffered - count)
+        if self.closing and not self.buffered:
+            self.abort()
+
     def deliver(self, data: bytes | None) -> None:
         """Bytes for the process, or the connection's end; read at once unless the process stands still."""
         if self.cut:
@@ -479,3 +488,75 @@
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_each_answer_reaches_its_caller_and_nothing_unproven_is_sent_again(seed: int) -> None:
     play(World.play, seed)
+
+
+class Doors:
+    """A door for calls whose handler keeps what it is handed."""
+
+    def __init__(self, world: World) -> None:
+        self.done: list[Callable[[Any], None]] = []
+        world.server = CallServer(world.loop, [Handler(Readiness, lambda call, done: self.done.append(done))],
+                                  world.server.bounds)
+        self.client = world.client()
+
+    def ask(self, more: bytes = b"") -> None:
+        self.client.wire.deliver(b"GET /readiness HTTP/1.1\r\nHost: h\r\n%s\r\n" % more)
+        self.client.asked.append((b"p", 0.0))
+
+
+def test_a_handler_that_answers_twice_answers_nobody_else() -> None:
+    async def scenario(world: World) -> None:
+        doors = Doors(world)
+        doors.ask()
+        doors.ask()
+        doors.done[0](NOT_READY)
+        await asyncio.sleep(0.01)
+        doors.done[0](NOT_READY)
+        assert len(doors.client.answers()) == 1
+        doors.done[1](NOT_READY)
+    play(scenario)
+
+
+def test_a_last_answer_goes_out_whole_to_a_client_that_takes_it_slowly() -> None:
+    async def scenario(world: World) -> None:
+        doors = Doors(world)
+        wire = doors.client.wire
+        doors.ask(b"Connection: close\r\n")
+        wire.buffered = 40
+        doors.done[0](NOT_READY)
+        for _ in range(39):
+            await asyncio.sleep(0.5)
+            wire.taken(1)
+            assert not wire.ended
+        world.loop.script.now += FREEZE_S  # what the client takes meanwhile shows only afterwards
+        await asyncio.sleep(0.1)
+        assert not wire.ended
+        wire.taken(1)
+        assert wire.ended
+    play(scenario)
+
+
+def test_a_client_that_takes_nothing_is_let_go_and_one_that_reads_on_is_not() -> None:
+    async def scenario(world: World) -> None:
+        clients = [world.client() for _ in range(2)]
+        for client in clients:
+            client.wire.buffered = 1000
+            client.connection.pause_writing()
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            clients[0].wire.taken(1)
+        assert [client.wire.ended for client in clients] == [False, True]
+    play(scenario)
+
+
+def test_a_connection_with_unread_requests_is_not_reset_under_its_last_answer() -> None:
+    async def scenario(world: World) -> None:
+        doors = Doors(world)
+        doors.ask()
+        doors.ask(b"X: read ahead\r\n")
+        world.server.leaving = True
+        doors.done[0](NOT_READY)
+        assert doors.client.wire.eof and not doors.client.wire.closing
+        await asyncio.sleep(1.0)
+        assert doors.client.wire.ended
+    play(scenario)
