--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -166,7 +166,8 @@
         context, voters = self._context, candidacy.voters or candidacy.view.voters
         unfit = {name for name, until in self._role.shunned.items() if until > context.now} | self._role.leaving.keys()
         fit = {name: zone for name, zone in voters.items() if name != context.me and name not in unfit}
-        answered = {name: zone for name, zone in fit.items() if name in candidacy.votes}
+        heard = candidacy.votes.keys() | self._joining.learners.present().keys()
+        answered = {name: zone for name, zone in fit.items() if name in heard}
         few = len(answered) < membership.replica_count(len(voters), context.tolerance)
         one_zone = all(zone == context.zone for zone in answered.values())
         better = {name for name, zone in fit.items() if name not in answered and (few or zone != context.zone)}
