--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -243,6 +243,7 @@
         if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):
             return
         candidacy.stage, candidacy.asked = "record", self._context.now
+        candidacy.record_asked = self._context.now
         view = candidacy.next
 
         def done(ok: bool) -> None:
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -61,7 +61,7 @@
         """This machine was elected."""
         view, now = self._durable.view, self._context.now
         assert view is not None
-        acked = {voter: candidacy.asked for voter in candidacy.recorded}  # they guard since they recorded
+        acked = {voter: candidacy.record_asked for voter in candidacy.recorded}
         acked[self._context.me] = now
         leadership = Leadership(view, now, acked, dict.fromkeys(view.voters, now), {}, now)
         self._carry_over(leadership)
--- a/roadspur/control/role.py
+++ b/roadspur/control/role.py
@@ -79,6 +79,7 @@
     tried: set[str] = field(default_factory=set)
     installed: set[str] = field(default_factory=set)
     recorded: set[str] = field(default_factory=set)
+    record_asked: float = NEVER  # when voters were first asked to record the view: those that did guard it since
     voters: Mapping[str, str] | None = None  # other voters than those of `view`
     positions: dict[str, Position] = field(default_factory=dict)  # how far copies elsewhere are
 
