--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from roadspur.common.events import Event
 from roadspur.control import membership
@@ -159,7 +160,7 @@
             return
         candidacy.stage = "enter"
         self._durable.replica.enter(candidacy.epoch)
-        self._durable.keep_replica(None, False, lambda ok: self._entered(candidacy, ok))
+        self._durable.keep_replica(None, False, partial(self._entered, candidacy))
 
     def _awaits_replicas(self, candidacy: Candidacy) -> bool:
         """Whether those that answered are too few to hold copies for long, or of one zone, and others may answer."""
@@ -243,16 +244,16 @@
             return
         candidacy.stage, candidacy.asked = "record", self._context.now
         view = candidacy.next
-
-        def done(ok: bool) -> None:
-            if ok and self._current(candidacy):
-                self._durable.recorded = max(self._durable.recorded, view.epoch)
-                candidacy.recorded.add(self._context.me)
-                self._count_records(candidacy)
-
-        self._durable.write(Records(view=view, promised=candidacy.epoch), done)
+        self._durable.write(Records(view=view, promised=candidacy.epoch), partial(self._recorded, candidacy))
         self._ask_to_record(candidacy, view)
 
+    def _recorded(self, candidacy: Candidacy, ok: bool) -> None:
+        """The candidate's own disk has ended its write of the view."""
+        if ok and self._current(candidacy):
+            self._durable.recorded = max(self._durable.recorded, candidacy.epoch)
+            candidacy.recorded.add(self._context.me)
+            self._count_records(candidacy)
+
     def _ask_to_record(self, candidacy: Candidacy, view: ViewRecord) -> None:
         for voter in {**candidacy.view.voters, **view.voters}:
             if voter not in candidacy.recorded and voter != self._context.me:
--- a/roadspur/control/joining.py
+++ b/roadspur/control/joining.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import partial
 from typing import NamedTuple
 
 from roadspur.common.events import Event
@@ -169,15 +170,15 @@
         durable.adopt(newest)
         self._role.leader_heard_at = self._context.now
         self._told = {}
+        durable.write(Records(promised=durable.promised, view=newest), partial(self._remembered, newest))
 
-        def remembered(ok: bool) -> None:
-            if ok:
-                self.forgotten = False
-                durable.recorded = max(durable.recorded, newest.epoch)
-                holders = ", ".join(newest.replicas)
-                self._context.note(Event.VIEW, newest.epoch, newest.leader, holders, ", ".join(sorted(newest.voters)))
-
-        durable.write(Records(promised=durable.promised, view=newest), remembered)
+    def _remembered(self, newest: ViewRecord, ok: bool) -> None:
+        if not ok:
+            return
+        self.forgotten = False
+        self._durable.recorded = max(self._durable.recorded, newest.epoch)
+        holders, voters = ", ".join(newest.replicas), ", ".join(sorted(newest.voters))
+        self._context.note(Event.VIEW, newest.epoch, newest.leader, holders, voters)
 
     # Answering.
 
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from roadspur.common.events import Event
 from roadspur.common.failures import Failure
 from roadspur.control import membership
@@ -353,7 +355,7 @@
         undo = replica.apply(position, items)
         leadership.pending = Pending(change, base, position, items, undo, now, now)
         leadership.disk_since = now
-        self._durable.keep_replica(items, False, lambda ok: self._written(leadership, ok))
+        self._durable.keep_replica(items, False, partial(self._written, leadership))
         self._send_pending(leadership)
         append = Append(leadership.view.epoch, base, position, items)
         for name, learner in self._joining.learners.present().items():
--- a/roadspur/control/role.py
+++ b/roadspur/control/role.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
 from roadspur.common.events import Event
 from roadspur.control.calls import Calls
@@ -146,16 +147,16 @@
         durable.promised, self.voted_for, self.vote_told = epoch, "", False
         if self.leadership is not None and epoch > self.leadership.view.epoch:
             self.step_down(f"epoch {epoch} was promised")
-
-        def done(ok: bool) -> None:
-            if not ok:
-                durable.failed(f"promise of epoch {epoch}")
-                if otherwise is not None:
-                    otherwise()
-            elif durable.promised == epoch:
-                after()
-
-        durable.write(records._replace(promised=epoch), done)
+        durable.write(records._replace(promised=epoch), partial(self._promised, epoch, after, otherwise))
+
+    def _promised(self, epoch: int, after: Callable[[], None], otherwise: Callable[[], None] | None, ok: bool) -> None:
+        """The write of a promise has ended."""
+        if not ok:
+            self._durable.failed(f"promise of epoch {epoch}")
+            if otherwise is not None:
+                otherwise()
+        elif self._durable.promised == epoch:
+            after()
 
     def begin_anew(self) -> None:
         """The leadership ends as its holder stands for the next epoch; what is pending waits for that."""
--- a/roadspur/control/voting.py
+++ b/roadspur/control/voting.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from roadspur.common.events import Event
 from roadspur.control.context import Context
 from roadspur.control.durable import Durable
@@ -22,6 +24,7 @@
     Install,
     Installed,
     InstallRefused,
+    Position,
     RecordView,
     ViewRecord,
     ViewRecorded,
@@ -31,6 +34,10 @@
 )
 
 
+def _nothing() -> None:
+    """Nothing follows from a promise that another write goes with."""
+
+
 class Voting:
     """One node's."""
 
@@ -64,16 +71,16 @@
     def _promise(self, sender: str, epoch: int, view: ViewRecord) -> None:
         role = self._role
         role.candidacy = None
-
-        def tell() -> None:
-            role.vote_told = True
-            self._vote(sender, epoch, view)
-
-        role.promise(epoch, Records(), tell)
+        role.promise(epoch, Records(), partial(self._promised, sender, epoch, view))
         role.voted_for = sender
         # The candidate gets the time that its attempt takes on slow ways and disks: to stand at once would end it.
         role.stand_at = self._context.now + YIELD_S + self._context.rng.random() * YIELD_S
 
+    def _promised(self, sender: str, epoch: int, view: ViewRecord) -> None:
+        """A promise is on disk: it may be told."""
+        self._role.vote_told = True
+        self._vote(sender, epoch, view)
+
     def _vote(self, sender: str, epoch: int, view: ViewRecord) -> None:
         self._context.send(sender, Vote(epoch, view, self._durable.replica.position))
 
@@ -102,16 +109,15 @@
         self._context.known.update(view.voters)
         self._joining.has_vote(me in view.voters)
         role.hear_leader(view.leader)
-
-        def recorded() -> None:
-            durable.recorded = max(durable.recorded, view.epoch)
-            self._context.send(sender, ViewRecorded(view.epoch))
-
-        role.promise(view.epoch, Records(view=view), recorded, self._not_recorded)
+        role.promise(view.epoch, Records(view=view), partial(self._recorded, sender, view.epoch), self._not_recorded)
         self._context.note(
             Event.VIEW, view.epoch, view.leader, ", ".join(view.replicas), ", ".join(sorted(view.voters))
         )
 
+    def _recorded(self, sender: str, epoch: int) -> None:
+        self._durable.recorded = max(self._durable.recorded, epoch)
+        self._context.send(sender, ViewRecorded(epoch))
+
     def _not_recorded(self) -> None:
         self._recording = None
 
@@ -154,21 +160,20 @@
         records = Records(
             position=position, floor=durable.replica.state.floor, items=message.items, whole=message.base is None
         )
-
-        def done(ok: bool) -> None:
-            if not ok:
-                durable.replica.damaged()
-                durable.failed("a copy")
-            elif durable.promised <= message.epoch and durable.replica.epoch == message.epoch:
-                self._context.send(sender, Installed(message.epoch, position))
-
-        if durable.view is not None and message.epoch == durable.view.epoch:
-            durable.write(records, done)
-            return
-        self._role.candidacy = None
-        if message.epoch > durable.promised:
-            self._role.promise(message.epoch, Records(), lambda: None)
-        durable.write(records, done)
+        if durable.view is None or message.epoch > durable.view.epoch:
+            self._role.candidacy = None
+            if message.epoch > durable.promised:
+                self._role.promise(message.epoch, Records(), _nothing)
+        durable.write(records, partial(self._installed, sender, message.epoch, position))
+
+    def _installed(self, sender: str, epoch: int, position: Position, ok: bool) -> None:
+        """The write of a copy has ended."""
+        durable = self._durable
+        if not ok:
+            durable.replica.damaged()
+            durable.failed("a copy")
+        elif durable.promised <= epoch and durable.replica.epoch == epoch:
+            self._context.send(sender, Installed(epoch, position))
 
     def on_append(self, sender: str, message: Append) -> None:
         """A change from the leader."""
@@ -179,12 +184,12 @@
             return
         position = durable.replica.position
         if position == message.position:
-            durable.write(Records(), lambda ok: self._appended(sender, message, ok))
+            durable.write(Records(), partial(self._appended, sender, message))
         elif position != message.base:
             self._context.send(sender, InstallRefused(message.epoch, position))
         else:
             durable.replica.apply(message.position, message.items)
-            durable.keep_replica(message.items, False, lambda ok: self._appended(sender, message, ok))
+            durable.keep_replica(message.items, False, partial(self._appended, sender, message))
 
     def _takes_changes(self, view: ViewRecord) -> bool:
         """A replica that has the view on disk and promised nothing higher; or a learner."""
