--- a/simnet/processes.py
+++ b/simnet/processes.py
@@ -17,8 +17,10 @@
 from roadspur.proxy import knowledge
 from roadspur.proxy.decisions import Asked, Charge, Decisions
 from roadspur.proxy.knowledge import InForce, Knowledge, Serving, ToPeer, ToRegistry, ToRing
-from roadspur.registry import registry
+from roadspur.registry.registry import Call as PlatformCall
+from roadspur.registry.registry import Output as RegistryOutput
 from roadspur.registry.registry import Registry, ToControl
+from roadspur.registry.registry import Tell as RegistryTell
 from roadspur.transport.messages import AnyMessage, HandOver, Hello, RingBeat
 from simnet.backends import Attempt
 from simnet.disk import Disk
@@ -156,16 +158,16 @@
     def lost(self, who: str) -> None:
         self.registry.gone(who)
 
-    def carry(self, outputs: Sequence[registry.Output]) -> None:
+    def carry(self, outputs: Sequence[RegistryOutput]) -> None:
         """Do what follows from an input."""
         for out in outputs:
-            if isinstance(out, registry.Tell):
+            if isinstance(out, RegistryTell):
                 self.world.reply(self, out.name, out.message)
             elif isinstance(out, ToControl):
                 for address in CORES:
                     if out.address in ("", address):
                         self.world.send(self, f"control@{address}", out.message)
-            elif isinstance(out, registry.Call):
+            elif isinstance(out, PlatformCall):
                 self._call(out.target)
 
     def _call(self, target: str) -> None:
--- a/tests/system/test_charges.py
+++ b/tests/system/test_charges.py
@@ -223,7 +223,7 @@
     proxy.charge(5.0, decided.Charge("r1", "t", 1))
     proxy.charge(5.0, decided.Charge("r2", "t", 1))
     assert proxy.from_registry(5.1, "c", ChargeResult("w", 1, OK, 0.5, 3)) == ([], None)
-    back, = proxy.charge(5.1, decided.Charge("r1", "t", -1))
+    (back,) = proxy.charge(5.1, decided.Charge("r1", "t", -1))
     assert back.message == Charge("x", 1, "t", -1, -1)
     assert proxy.charge(5.1, decided.Charge("r1", "t", -1)) == []  # once
     assert proxy.from_registry(5.2, "c", ChargeResult("x", 1, OK, 0.5, 3)) == ([], None)
--- a/tests/system/test_knowledge.py
+++ b/tests/system/test_knowledge.py
@@ -34,8 +34,10 @@
 
 def states(number, phase, on):
     """The control state and the registry's list at a number."""
-    return (State(number, {"evac:z": (number, {"on": on, "n": 1})}),
-            State(number, {"b:i": (number, entry(phase)), "m:p": (1, member("p")), "m:q": (1, member("q"))}))
+    return (
+        State(number, {"evac:z": (number, {"on": on, "n": 1})}),
+        State(number, {"b:i": (number, entry(phase)), "m:p": (1, member("p")), "m:q": (1, member("q"))}),
+    )
 
 
 def whole(state):
