--- a/simnet/processes.py
+++ b/simnet/processes.py
@@ -162,6 +162,8 @@
         """Do what follows from an input."""
         for out in outputs:
             if isinstance(out, RegistryTell):
+                if not self.registry.holder.holds(self.now()):
+                    self.world.broke(f"LEASE: {self.name} tells {out.name} {type(out.message).__name__} without one")
                 self.world.reply(self, out.name, out.message)
             elif isinstance(out, ToControl):
                 for address in CORES:
--- a/simnet/system.py
+++ b/simnet/system.py
@@ -3,8 +3,9 @@
 
 Rules, by the users' names: TWICE and REFUSED (what may not be repeated), QUOTA (over every five seconds), DRAIN and
 EVAC (what arrives at a backend that is to get nothing), CONFIG (no proxy goes back, all have in time what was
-acknowledged), LOST (each request gets its one answer in time), and that calm brings service back. Bounds in time hold
-once nothing has been in trouble for `CONTACT_S`, as on the users' page.
+acknowledged), LOST (each request gets its one answer in time), and that calm brings service back. Of the design's own:
+LEASE (a registry tells nothing without the duty's lease, of which there is one at a time). Bounds in time hold once
+nothing has been in trouble for `CONTACT_S`, as on the users' page.
 
 A connection is opened by one process to another and is held; it ends with either process, or where a cut lasts; what
 was under way is lost. A process that is frozen takes what came meanwhile when it goes on. Clocks are of their own
@@ -387,7 +388,7 @@
             if isinstance(p, RegistryProcess) and p.up and p.registry.on_duty and p.registry.holder.holds(p.now())
         ]
         if len(holding) > 1:
-            self.broke(f"two hold the duty: {holding}")
+            self.broke(f"LEASE: two hold the duty: {holding}")
 
     def look(self) -> None:
         """Each half second: what is overdue."""
--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -10,6 +10,7 @@
 from roadspur.proxy import decisions
 from roadspur.proxy.quota import Quota
 from roadspur.registry import instances
+from roadspur.registry.registry import Registry
 from simnet.core import Broken
 from simnet.system import CORES, World, draw, run
 
@@ -66,6 +67,10 @@
     return None
 
 
+def nothing_now(self, now):
+    return None
+
+
 def always_ready(raw, real=instances.entry_of):
     name, entry = real(raw)
     return name, {**entry, "p": "ready"}
@@ -78,7 +83,9 @@
     ((Quota, "spend", open_to_all), [(6.0, "hot", 9.0)], [], "QUOTA"),
     ((instances, "entry_of", always_ready), [], [(6.0, "drain")], "DRAIN"),
     ((decisions.Decisions, "evacuated", nothing), [], [(6.0, "begin a1")], "EVAC"),
-], ids=["repeats what may not be", "a reset never ran", "fails open", "drains unseen", "evacuations unseen"])
+    ((Registry, "_check_lease", nothing_now), [(6.0 + 0.5 * n, "core freeze", 2.0) for n in range(6)], [], "LEASE"),
+], ids=["repeats what may not be", "a reset never ran", "fails open", "drains unseen", "evacuations unseen",
+        "a thawed registry answers"])
 def test_the_rules_are_seen(monkeypatch, patch, troubles, plan, rule):
     monkeypatch.setattr(*patch)
     with pytest.raises(Broken, match=rule):
