The proxy's door promises nothing for what may have run; silence ends no answer

Causes, found by the review: (1) a request's last byte, held back by the guard, or a whole request whose connection came up late, still went out after a stand-still of the process, past its deadline; (2) an answer that stopped midway for 0.25 s was given up, also where the request cannot be sent again and at a planned end (LOST); (3) attempts at silent backends were broken off at a planned end, and after a stand-still also where the answer lay in the socket; (4) a pipelined request whose route was dropped before its turn raised KeyError in the watchdog and got no answer; (5) a refusal was believed whoever decided it, also where the route had turned repeatable under the request. (6) Progress of a slow reader shows in the kernel's queue, not in the loop's buffer. Ruled out: the guard itself (the last byte is the proof and is kept back), ids. Change: net/server.py in_kernel, net/upstream.py Exchange.stall (0.25 s as before for the program in service), net/ingress.py Sent.answering, proxy/front.py the rest. Figures: each has a test in tests/system/test_callers.py that fails with its line broken.

--- a/roadspur/net/ingress.py
+++ b/roadspur/net/ingress.py
@@ -29,6 +29,11 @@
     def written(self) -> bool:
         return self.exchange.written
 
+    def answering(self) -> bool:
+        """Whether bytes of its backend lie unread: where this process has stood still, its answer may be among them."""
+        connection = self.exchange.connection
+        return connection is not None and connection.stale()
+
     def start(self, timeout: float) -> None:
         self.upstream.send(self.exchange, timeout)
 
--- a/roadspur/net/server.py
+++ b/roadspur/net/server.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import functools
 import http
 import itertools
 import select
+import struct
+import termios
 from collections import deque
 from collections.abc import Awaitable
 from typing import Any, NamedTuple, cast
@@ -130,13 +133,26 @@
         self.proceed()
 
     def stuck(self, now: float) -> bool:
-        """Whether the client has taken nothing for too long of what is owed to it; however slow, one that reads isn't."""
+        """Whether the client has taken nothing for too long of what it is owed; one that reads slowly is served."""
         if self.transport is None:
             return False
-        unsent = self.transport.get_write_buffer_size()
+        here = self.transport.get_write_buffer_size()
+        unsent = here + self.in_kernel()
         if unsent != self.unsent:
             self.unsent, self.taken = unsent, now
-        return unsent > 0 and now - self.taken > self.server.bounds.slow
+        return here > 0 and now - self.taken > self.server.bounds.slow
+
+    def in_kernel(self) -> int:
+        """Bytes that the other side's kernel has not acknowledged; 0 where this kernel does not tell.
+
+        It takes in megabytes at a time, which a slow client reads for many seconds.
+        """
+        assert self.transport is not None
+        try:
+            told = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, b"\0" * 4)
+        except (OSError, ValueError):
+            return 0
+        return int(struct.unpack("i", told)[0])
 
     # From the parser.
 
--- a/roadspur/net/upstream.py
+++ b/roadspur/net/upstream.py
@@ -56,17 +56,21 @@
 
     def __init__(self, backend: str, message: Callable[[], bytes], may_send: Callable[[], bool],
                  on_end: Callable[[Exchange, io.Outcome, Answer | None], None], guarded: bool = False,
-                 mark: bytes = b"") -> None:
+                 mark: bytes = b"", stall: Callable[[], float] = lambda: STALL_S) -> None:
         """`guarded`: where connections end at bad moments, nothing of it may run that is not known to.
 
         `mark`: what `Terms.mark` of its answer must hold; an answer with another one, or with none, belongs to no
         request here.
+
+        `stall`: seconds without a byte in the middle of its answer, after which the rest is not waited for; 0 for
+        never. It is asked again once they are over.
         """
         self.backend, self.message, self.may_send, self.on_end = backend, message, may_send, on_end
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # whole: from here on it may have run
         self.mark = mark
+        self.stall = stall
         self.guarded = guarded  # its last byte waits until the connection has shown that it stands
         self.ended = False
         self.heard = 0  # what the pool had heard at the start
@@ -177,8 +181,8 @@
             self.spoilt(self.reader.broken)
         elif any(mark not in answer.headers for answer in answers):
             self.spoilt("an answer that names no request")
-        elif self.reader.partial:
-            self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
+        elif self.reader.partial and (stall := self.exchange.stall()):
+            self.stall = self.pool.loop.call_later(stall, self.stalled)
 
     def answered(self, answer: Answer, clean: bool) -> None:
         exchange, self.exchange = self.exchange, None
@@ -193,9 +197,10 @@
 
     def stalled(self) -> None:
         """An answer that stops midway is not waited for; unread bytes mean that it was us who stopped."""
-        if self.stale() and not self.closed:
-            self.stall = self.pool.loop.call_later(STALL_S, self.stalled)
-        else:
+        stall = self.exchange.stall() if self.exchange is not None else 0.0
+        if self.stale() and not self.closed and stall:
+            self.stall = self.pool.loop.call_later(stall, self.stalled)
+        elif stall:
             self.spoilt("the answer stops midway")
 
     def spoilt(self, why: str) -> None:
--- a/roadspur/proxy/front.py
+++ b/roadspur/proxy/front.py
@@ -18,7 +18,7 @@
 from roadspur.net.server import Bounds, ClientConnection, Server
 from roadspur.net.upstream import Exchange, Upstream
 from roadspur.net.wire import Answer
-from roadspur.proxy.decisions import PLAN, Asked, Charge, Decisions
+from roadspur.proxy.decisions import PLAN, Asked, Charge, Decisions, class_of
 from roadspur.transport.api import refusal
 
 SEAL, NOT_RUN, ATTEMPT = b"x-server-seal", b"x-not-run", b"x-attempt-id"
@@ -29,6 +29,7 @@
 ONCE = (b"host", b"x-attempt-id", b"x-deadline-ms", b"authorization")
 PROMISED = (408, 421, 429, 503)  # that it has not run; a backend's own, without its proof, is not passed on
 LONGEST_S = 120.0
+STALL_S = 1.0   # in the middle of an answer, after which a repeatable request goes to another backend
 DOOR_S = 3.2    # after a planned end is told, in which clients may still come
 LAST_S = 0.5    # kept of the time before a kill
 SHORT_S = 0.05
@@ -47,6 +48,12 @@
     came: float
     last: Answer | None = None  # the newest whole answer that was no success
     framed: bool = True  # whether it states a length
+    sent: Sent | None = None  # the attempt that is out
+    ran: bool = False  # an attempt that has ended may have run
+
+    def may_have_run(self) -> bool:
+        """Whether nothing may be promised about it any more."""
+        return self.ran or (self.sent is not None and self.sent.written)
 
     def message(self, left_s: float, backend: str) -> bytes:
         """The request as a backend gets it, with what is left of its time."""
@@ -92,6 +99,9 @@
         super().__init__(loop, decisions.settings, decisions, upstream, unix=loop.time)
         self.decisions = decisions
         self.driver.carry[Charge] = charge
+        self.break_off = self.driver.carry[io.CancelAttempt]
+        self.driver.carry[io.CancelAttempt] = self.cancel
+        self.leaving: Callable[[], bool] = lambda: False  # whether this process's planned end has begun
 
     def routes(self, index: Index) -> None:
         """The routes that requests may come by from now on; those of requests that are out stay known."""
@@ -104,31 +114,59 @@
         """A client's request: it is owed one answer from here on."""
         if call.request.id not in self.held:
             self.decisions.expect(call.request.id, call.asked)
+        # It was read ahead, and its route may have been dropped since.
+        self.driver.classes.setdefault(call.request.class_name, class_of(call.asked.found))
         self.driver.take(call.request, lambda final: self.final(final, call, reply), call, call.came)
 
+    def cancel(self, action: io.CancelAttempt) -> None:
+        """Break off an attempt at a silent backend, so that another may follow.
+
+        At a planned end it is left alone, as it may be the last that can be had. So is one whose answer has come: where
+        this process has stood still, timers may be due before the reads of the same moment.
+        """
+        held = self.held.get(action.request)
+        sent = held.context.sent if held is not None else None
+        if not self.leaving() and (sent is None or not sent.answering()):
+            self.break_off(action)
+
     @staticmethod
     def final(final: Final, call: Call, reply: Reply) -> None:
-        """The one answer: the backend's own, unchanged, or one by the table of kinds."""
-        answer: Answer | None = final.payload if final.verdict is Verdict.SERVED else None
-        if final.verdict is Verdict.FAILED and call.last is not None:
+        """The one answer: the backend's own, unchanged, or one by the table of kinds.
+
+        A refusal promises that the request has not run and never will: whoever decided on it, none leaves here for one
+        that may have.
+        """
+        verdict = final.verdict
+        if verdict in (Verdict.OVER_QUOTA, Verdict.NO_ROOM) and call.may_have_run():
+            verdict = Verdict.FAILED
+        answer: Answer | None = final.payload if verdict is Verdict.SERVED else None
+        if verdict is Verdict.FAILED and call.last is not None:
             answer = call.last
         if answer is not None:
             reply(answer.status, lines_of(answer), answer.body)
             return
-        kind = KINDS[final.verdict]
+        kind = KINDS[verdict]
         reply(ANSWERS[kind].status, header_of(kind, final.retry_in or None), b"")
 
     def prepare(self, held: Held, backend: str, on_end: Callable[[Ended], None]) -> Sent:
-        """One attempt. It is not sent if its client has gone or its backend may not be sent to any more by then."""
+        """One attempt. It is not sent if its client has gone, its time is up, or its backend may not be sent to any
+        more by then."""
         call: Call = held.context
+        repeatable = call.asked.found.route.repeatable
 
         def message() -> bytes:
             return call.message(max(0.001, held.deadline - self.driver.scheduler.time()), backend)
 
         def may_send() -> bool:
-            return not held.answered and backend in self.serving
+            in_time = self.driver.scheduler.time() < held.deadline
+            return not held.answered and in_time and backend in self.serving
+
+        def stall() -> float:
+            return STALL_S if repeatable and not self.leaving() else 0.0
 
-        def ended(_: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+        def ended(exchange: Exchange, outcome: io.Outcome, answer: Answer | None) -> None:
+            call.sent = None
+            call.ran |= exchange.written and outcome is not io.Outcome.FULL
             if answer is not None and answer.status == 421:
                 self.decisions.stranger(backend)
             if answer is not None and outcome is io.Outcome.ERROR and not (
@@ -136,8 +174,9 @@
                 call.last = answer
             on_end(Ended(outcome, answer))
 
-        return Sent(self.upstream, Exchange(backend, message, may_send, ended, not call.asked.found.route.repeatable,
-                                            call.request.id.encode("latin-1")))
+        call.sent = Sent(self.upstream, Exchange(backend, message, may_send, ended, not repeatable,
+                                                 call.request.id.encode("latin-1"), stall))
+        return call.sent
 
 
 class ProxyServer(Server):
@@ -149,6 +188,7 @@
         self.index: Index | None = None
         self.known = False  # whether there is a list of backends
         self.take, self.gone = ingress.take, ingress.gone  # type: ignore[method-assign, assignment]
+        ingress.leaving = lambda: self.stopping
 
     def follow(self, index: Index) -> None:
         """A configuration is in force from here on."""
--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from roadspur import interface as io
 from roadspur.common.boot import Bounds
 from roadspur.common.configuration import Configuration, Index
 from roadspur.common.failures import Failure, Kind
@@ -173,6 +174,9 @@
     def unread(self) -> bool:
         return bool(self.transport.unread)
 
+    def in_kernel(self) -> int:
+        return 0
+
 
 class Run:
     """A request that has come whole to a backend."""
@@ -190,8 +194,9 @@
         self.world, self.name = world, name
         self.wire = Wire(world, connection, self.heard)
         self.buffer = b""
+        self.sending: list[tuple[bytes | None, Run | None]] = []  # pieces, and the request that one is the last for
         self.before = b""  # the answer before, which may come again
-        self.steps = world.draw_steps()
+        self.steps = world.steps or world.draw_steps()
         if world.rng.random() < world.trouble * 0.1:
             world.later(self.cut)
 
@@ -219,11 +224,14 @@
             run.ran = False
         if step == "silent":
             return
+        if step == "stops":
+            self.wire.deliver(world.answer(run, self.name, 200, step)[:-1])
+            return
         if step == "reset":
             world.later(self.cut)
             return
         answer = world.answer(run, self.name, {"full": 503, "stranger": 421, "fails": 500, "claims": 503,
-                                               "gone": 404}.get(step, 200), step)
+                                               "claims 429": 429, "gone": 404}.get(step, 200), step)
         before, self.before = self.before, answer
         cuts = sorted(rng.randrange(1, len(answer)) for _ in range(rng.choice((0, 0, 1, 3))))
         pieces = [answer[a:b] for a, b in zip([0, *cuts], [*cuts, len(answer)], strict=True)]
@@ -241,18 +249,23 @@
             pieces[-1] = pieces[-1][:-1]
         if step == "twice":
             pieces.append(answer)
-        self.send(pieces, run, step == "cut")
+        idle = not self.sending
+        self.sending += [(piece, None) for piece in pieces[:-1]]
+        self.sending.append((pieces[-1], run))
+        if step == "cut":
+            self.sending.append((None, None))
+        if idle:
+            self.send()
 
-    def send(self, pieces: list[bytes], run: Run, cut: bool) -> None:
-        """The pieces one after the other; several may come in one read."""
-        if not pieces:
-            if cut:
-                self.cut()
-            return
-        run.proved = run.proved or (not run.ran and not cut and len(pieces) == 1)
-        self.wire.deliver(pieces[0])
-        gap = self.world.rng.choice((0.0, 0.0, 0.01, 0.1, 0.6))
-        self.world.loop.call_later(gap, self.send, pieces[1:], run, cut)
+    def send(self) -> None:
+        """The next piece; several may come in one read."""
+        piece, run = self.sending[0]
+        if run is not None:  # its answer is whole
+            run.proved = not run.ran
+        self.wire.deliver(piece)
+        self.sending.pop(0)
+        if self.sending:
+            self.world.loop.call_later(self.world.rng.choice((0.0, 0.0, 0.01, 0.1, 0.6)), self.send)
 
 
 class Client:
@@ -274,8 +287,8 @@
 
     def ask(self, name: bytes, path: bytes) -> None:
         body = b"b" * self.world.rng.choice((0, 5))
-        data = b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\nContent-Length: %d\r\n\r\n%s" % (
-            path, name, len(body), body)
+        data = (b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (path, name, len(body), body))
         cut = self.world.rng.randrange(len(data)) if self.world.rng.random() < 0.3 else 0
         self.wire.deliver(data[:cut])
         self.wire.deliver(data[cut:])
@@ -309,6 +322,7 @@
         self.wires: list[Wire] = []
         self.clients: list[Client] = []
         self.serial = 0
+        self.steps: list[str] = []  # what backends do, where it is not drawn
         self.again: list[bytes] = []  # effectful ids that were sent a second time without a proof
         self.decisions = Decisions("me", "z", "r", Bounds(retry_slack=60), random.Random(seed), loop.time())
         self.upstream = ScriptedUpstream(loop, 0.5, 10.0, 50, Terms(1 << 20, ATTEMPT, 1.0, outcome_of))
@@ -349,7 +363,7 @@
     def draw_steps(self) -> list[str]:
         """What a connection's backend does, with its share of trouble."""
         good = ["answers"] * 6
-        bad = ["full", "stranger", "fails", "claims", "gone", "silent", "reset", "cut", "twice", "late surplus",
+        bad = ["full", "stranger", "fails", "claims", "claims 429", "gone", "silent", "reset", "cut", "twice", "late surplus",
                "nameless", "nameless promise", "strange", "noise"]
         return good + [step for step in bad if self.rng.random() < self.trouble]
 
@@ -375,7 +389,7 @@
 
     def answer(self, run: Run, backend: str, status: int, step: str) -> bytes:
         seal = b"%s-%d" % (backend.encode(), len(self.given))
-        body = b"" if status == 503 else b"of " + run.name + b" " + seal
+        body = b"" if status in (429, 503) else b"of " + run.name + b" " + seal
         self.given[seal] = (run.name, status, body)
         proof = b"X-Not-Run: 1\r\n" if step == "full" else b""
         return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
@@ -560,3 +574,82 @@
         await asyncio.sleep(1.0)
         assert doors.client.wire.ended
     play(scenario)
+
+
+def test_no_byte_goes_out_once_a_request_is_overdue() -> None:
+    """Its last byte was held back when the process stood still."""
+    async def scenario(world: World) -> None:
+        client = world.client()
+        world.upstream.guard.broke(world.loop.time())
+        client.ask(b"e1", b"e")
+        while not any(c.exchange is not None for c in world.upstream.connections):
+            await asyncio.sleep(0.001)
+        world.loop.script.now += FREEZE_S
+        await asyncio.sleep(0.1)
+        assert not world.runs and client.answers()[0][0] == 503
+    play(scenario)
+
+
+@pytest.mark.parametrize("path, leaving, runs", [(b"e", False, 1), (b"p", False, 2), (b"p", True, 1)])
+def test_an_answer_that_stops_midway_is_waited_for_where_no_other_may_come(
+        path: bytes, leaving: bool, runs: int) -> None:
+    async def scenario(world: World) -> None:
+        world.steps = ["stops"]
+        client = world.client()
+        client.ask(path + b"1", path)
+        await asyncio.sleep(0.4)
+        world.server.stopping = leaving
+        assert len(world.runs[path + b"1"]) == 1 and not client.got
+        await asyncio.sleep(0.9)
+        assert len(world.runs[path + b"1"]) == runs and (runs > 1 or not client.got)
+        await asyncio.sleep(1.0)
+        (status, _, _), = client.answers()
+        assert status == 502
+    play(scenario, backends=2)
+
+
+@pytest.mark.parametrize("unread, leaving, runs", [(False, False, 2), (True, False, 1), (False, True, 1)])
+def test_a_silent_backend_is_left_for_another_unless_its_answer_is_here(
+        unread: bool, leaving: bool, runs: int) -> None:
+    async def scenario(world: World) -> None:
+        world.steps = ["silent"]
+        client = world.client()
+        client.ask(b"p1", b"p")
+        while not world.runs:
+            await asyncio.sleep(0.001)
+        wire = next(w for w in world.wires if w is not client.wire)
+        wire.unread += [b"HTTP/1.1 200 X\r\n"] * unread  # that nobody has got round to reading
+        world.server.stopping = leaving
+        world.ingress.cancel(io.CancelAttempt("p1", 0))
+        await asyncio.sleep(0.5)
+        assert len(world.runs[b"p1"]) == runs
+    play(scenario)
+
+
+def test_whoever_decides_it_nothing_is_promised_for_what_may_have_run() -> None:
+    async def scenario(world: World) -> None:
+        world.steps = ["silent"]
+        client = world.client()
+        client.ask(b"e1", b"e")
+        while not world.runs:
+            await asyncio.sleep(0.001)
+        world.decisions.acts.append(io.Refuse("e1", 0.2))
+        world.ingress.submit(io.TimerFired(0))
+        (status, _, _), = client.answers()
+        assert status == 502
+    play(scenario)
+
+
+def test_a_request_read_ahead_of_its_route_s_end_is_answered() -> None:
+    async def scenario(world: World) -> None:
+        world.steps = ["silent"]
+        client = world.client()
+        client.ask(b"e1", b"e")
+        client.ask(b"p2", b"p")
+        await asyncio.sleep(0.5)
+        world.follow("effectful", routes=False)
+        world.decisions.take.pop(io.AttemptEnded)  # the second is held until its time is up
+        world.ingress.serving.clear()
+        await asyncio.sleep(4.0)
+        assert len(client.answers()) == 2
+    play(scenario)
