--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -363,8 +363,8 @@
     def draw_steps(self) -> list[str]:
         """What a connection's backend does, with its share of trouble."""
         good = ["answers"] * 6
-        bad = ["full", "stranger", "fails", "claims", "claims 429", "gone", "silent", "reset", "cut", "twice", "late surplus",
-               "nameless", "nameless promise", "strange", "noise"]
+        bad = ["full", "stranger", "fails", "claims", "claims 429", "gone", "silent", "reset", "cut", "twice",
+               "late surplus", "nameless", "nameless promise", "strange", "noise"]
         return good + [step for step in bad if self.rng.random() < self.trouble]
 
     async def connect(self, pool: Pool) -> Connection:
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -262,6 +262,24 @@
     play(scenario)
 
 
+def test_what_a_client_takes_out_of_the_kernel_counts_as_taken():
+    async def scenario(rig):
+        rig.backends[0].script.append(lambda a: answer(a, body=b"x" * (1 << 20)))
+        client = await rig.client()
+        asked = asyncio.ensure_future(client.ask("/p/"))
+        while not rig.server.connections:
+            await asyncio.sleep(0)
+        connection = next(iter(rig.server.connections))
+        most = 0
+        while not asked.done():
+            most = max(most, connection.in_kernel())
+            await asyncio.sleep(0)
+        assert most > 0 and len((await asked).body) == 1 << 20
+        while connection.in_kernel():
+            await asyncio.sleep(0)
+    play(scenario, 1)
+
+
 def test_an_ending_proxy_answers_what_it_holds_and_closes_its_door_in_time():
     async def scenario(rig):
         loop = asyncio.get_running_loop()
