--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -230,8 +230,12 @@
         if step == "reset":
             world.later(self.cut)
             return
-        answer = world.answer(run, self.name, {"full": 503, "stranger": 421, "fails": 500, "claims": 503,
-                                               "claims 429": 429, "gone": 404}.get(step, 200), step)
+        answer = world.answer(
+            run,
+            self.name,
+            {"full": 503, "stranger": 421, "fails": 500, "claims": 503, "claims 429": 429, "gone": 404}.get(step, 200),
+            step,
+        )
         before, self.before = self.before, answer
         cuts = sorted(rng.randrange(1, len(answer)) for _ in range(rng.choice((0, 0, 1, 3))))
         pieces = [answer[a:b] for a, b in zip([0, *cuts], [*cuts, len(answer)], strict=True)]
@@ -287,8 +291,10 @@
 
     def ask(self, name: bytes, path: bytes) -> None:
         body = b"b" * self.world.rng.choice((0, 5))
-        data = (b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\n"
-                b"Content-Length: %d\r\n\r\n%s" % (path, name, len(body), body))
+        data = (
+            b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (path, name, len(body), body)
+        )
         cut = self.world.rng.randrange(len(data)) if self.world.rng.random() < 0.3 else 0
         self.wire.deliver(data[:cut])
         self.wire.deliver(data[cut:])
@@ -304,8 +310,8 @@
             if not whole or length is None or len(rest) < int(length[1]):
                 found.append((0, head, rest))
                 break
-            found.append((int(head[9:12]), head, rest[:int(length[1])]))
-            rest = rest[int(length[1]):]
+            found.append((int(head[9:12]), head, rest[: int(length[1])]))
+            rest = rest[int(length[1]) :]
         return found
 
 
@@ -337,10 +343,14 @@
     def follow(self, variant: str, *, routes: bool = True) -> None:
         """A configuration is in force: route `e` is of this variant."""
         self.variant = variant
-        table = {"p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
-                 "e": {**ROUTE, "path_prefix": "/e/", "variant": variant}}
-        config = record(Configuration, {"version": "00000001", "routes": table if routes else {},
-                                        "services": {"s": {}}, "tenants": {}})
+        table = {
+            "p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
+            "e": {**ROUTE, "path_prefix": "/e/", "variant": variant},
+        }
+        config = record(
+            Configuration,
+            {"version": "00000001", "routes": table if routes else {}, "services": {"s": {}}, "tenants": {}},
+        )
         self.decisions.configured(self.loop.time(), config)
         self.server.follow(Index(config))
 
@@ -363,8 +373,23 @@
     def draw_steps(self) -> list[str]:
         """What a connection's backend does, with its share of trouble."""
         good = ["answers"] * 6
-        bad = ["full", "stranger", "fails", "claims", "claims 429", "gone", "silent", "reset", "cut", "twice",
-               "late surplus", "nameless", "nameless promise", "strange", "noise"]
+        bad = [
+            "full",
+            "stranger",
+            "fails",
+            "claims",
+            "claims 429",
+            "gone",
+            "silent",
+            "reset",
+            "cut",
+            "twice",
+            "late surplus",
+            "nameless",
+            "nameless promise",
+            "strange",
+            "noise",
+        ]
         return good + [step for step in bad if self.rng.random() < self.trouble]
 
     async def connect(self, pool: Pool) -> Connection:
@@ -393,7 +418,13 @@
         self.given[seal] = (run.name, status, body)
         proof = b"X-Not-Run: 1\r\n" if step == "full" else b""
         return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
-            status, run.name, seal, proof, len(body), body)
+            status,
+            run.name,
+            seal,
+            proof,
+            len(body),
+            body,
+        )
 
     def strange_answer(self) -> bytes:
         return self.answer(Run(b"e-nobody"), "other", 200, "answers")
@@ -490,10 +521,12 @@
     """Run a scenario on a scripted loop, and check what must always hold."""
     loop = ScriptedLoop()
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
+
         async def main() -> World:
             world = World(loop, seed, backends)
             await scenario(world)
             return world
+
         world = runner.run(main())
     world.check()
     return world
@@ -509,8 +542,9 @@
 
     def __init__(self, world: World) -> None:
         self.done: list[Callable[[Any], None]] = []
-        world.server = CallServer(world.loop, [Handler(Readiness, lambda call, done: self.done.append(done))],
-                                  world.server.bounds)
+        world.server = CallServer(
+            world.loop, [Handler(Readiness, lambda call, done: self.done.append(done))], world.server.bounds
+        )
         self.client = world.client()
 
     def ask(self, more: bytes = b"") -> None:
@@ -528,6 +562,7 @@
         doors.done[0](NOT_READY)
         assert len(doors.client.answers()) == 1
         doors.done[1](NOT_READY)
+
     play(scenario)
 
 
@@ -547,6 +582,7 @@
         assert not wire.ended
         wire.taken(1)
         assert wire.ended
+
     play(scenario)
 
 
@@ -560,6 +596,7 @@
             await asyncio.sleep(0.5)
             clients[0].wire.taken(1)
         assert [client.wire.ended for client in clients] == [False, True]
+
     play(scenario)
 
 
@@ -573,11 +610,13 @@
         assert doors.client.wire.eof and not doors.client.wire.closing
         await asyncio.sleep(1.0)
         assert doors.client.wire.ended
+
     play(scenario)
 
 
 def test_no_byte_goes_out_once_a_request_is_overdue() -> None:
     """Its last byte was held back when the process stood still."""
+
     async def scenario(world: World) -> None:
         client = world.client()
         world.upstream.guard.broke(world.loop.time())
@@ -587,12 +626,14 @@
         world.loop.script.now += FREEZE_S
         await asyncio.sleep(0.1)
         assert not world.runs and client.answers()[0][0] == 503
+
     play(scenario)
 
 
 @pytest.mark.parametrize("path, leaving, runs", [(b"e", False, 1), (b"p", False, 2), (b"p", True, 1)])
 def test_an_answer_that_stops_midway_is_waited_for_where_no_other_may_come(
-        path: bytes, leaving: bool, runs: int) -> None:
+    path: bytes, leaving: bool, runs: int
+) -> None:
     async def scenario(world: World) -> None:
         world.steps = ["stops"]
         client = world.client()
@@ -603,14 +644,14 @@
         await asyncio.sleep(0.9)
         assert len(world.runs[path + b"1"]) == runs and (runs > 1 or not client.got)
         await asyncio.sleep(1.0)
-        (status, _, _), = client.answers()
+        ((status, _, _),) = client.answers()
         assert status == 502
+
     play(scenario, backends=2)
 
 
 @pytest.mark.parametrize("unread, leaving, runs", [(False, False, 2), (True, False, 1), (False, True, 1)])
-def test_a_silent_backend_is_left_for_another_unless_its_answer_is_here(
-        unread: bool, leaving: bool, runs: int) -> None:
+def test_a_silent_backend_is_left_for_another_unless_its_answer_is_here(unread: bool, leaving: bool, runs: int) -> None:
     async def scenario(world: World) -> None:
         world.steps = ["silent"]
         client = world.client()
@@ -623,6 +664,7 @@
         world.ingress.cancel(io.CancelAttempt("p1", 0))
         await asyncio.sleep(0.5)
         assert len(world.runs[b"p1"]) == runs
+
     play(scenario)
 
 
@@ -635,8 +677,9 @@
             await asyncio.sleep(0.001)
         world.decisions.acts.append(io.Refuse("e1", 0.2))
         world.ingress.submit(io.TimerFired(0))
-        (status, _, _), = client.answers()
+        ((status, _, _),) = client.answers()
         assert status == 502
+
     play(scenario)
 
 
@@ -652,4 +695,5 @@
         world.ingress.serving.clear()
         await asyncio.sleep(4.0)
         assert len(client.answers()) == 2
+
     play(scenario)
