--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,51 @@
+"""The list of tests that are known to fail, and its use in CI."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+SCRIPT = Path(__file__).parent.parent / ".ci" / "known_red.py"
+
+TESTS = """
+def test_one(): assert False
+def test_one_more(): pass
+"""
+
+
+def run(folder: Path, listed: str, *command: str) -> subprocess.CompletedProcess[str]:
+    """Runs a command beside a file of tests and the list."""
+    (folder / "test_sample.py").write_text(TESTS)
+    (folder / "KNOWN-RED.txt").write_text(listed)
+    environment = {"PYTHONPATH": str(SCRIPT.parent), "PYTHONDONTWRITEBYTECODE": "1"}
+    return subprocess.run([sys.executable, *command], cwd=folder, env=environment, capture_output=True, text=True)
+
+
+def script(folder: Path, listed: str) -> subprocess.CompletedProcess[str]:
+    return run(folder, listed, str(SCRIPT), "KNOWN-RED.txt")
+
+
+def test_a_listed_failure_is_printed(tmp_path: Path) -> None:
+    done = script(tmp_path, "test_sample.py::test_one, slow, and late, issue 7\n")
+    assert done.returncode == 0
+    assert "KNOWN RED: test_sample.py::test_one: failed (slow, and late; issue 7)" in done.stdout
+
+
+def test_a_listed_test_that_passes_is_said_loudly(tmp_path: Path) -> None:
+    done = script(tmp_path, "test_sample.py::test_one_more, slow, issue 7\n")
+    assert "test_sample.py::test_one_more PASSES NOW" in done.stdout
+
+
+def test_a_wrong_list_fails(tmp_path: Path) -> None:
+    line = "test_sample.py::test_one, slow, issue 7\n"
+    assert script(tmp_path, line * 4).returncode == 1
+    assert script(tmp_path, "test_sample.py, slow, issue 7\n").returncode == 1
+    assert script(tmp_path, "test_sample.py::test_gone, slow, issue 7\n").returncode == 1
+
+
+def test_the_full_run_leaves_out_just_the_listed(tmp_path: Path) -> None:
+    listed = "test_sample.py::test_one, slow, issue 7\n"
+    done = run(tmp_path, listed, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "known_red")
+    assert done.returncode == 0
+    assert "1 passed, 1 deselected" in done.stdout
