--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 DEPLOYMENT ?= matching
 export PIP_DISABLE_PIP_VERSION_CHECK = 1
 
-.PHONY: run test fleet soak simnet check clean
+.PHONY: run test fleet soak simnet scale check clean
 
 run: $(VENV)/.run  ## the whole system on loopback, with stand-in backends, platform and operator
 	$(VENV)/bin/python -m standins system
@@ -30,6 +30,9 @@
 	$(VENV)/bin/python -m simnet --minutes $(MINUTES)
 	$(VENV)/bin/python -m simnet --minutes $(MINUTES) --world system
 
+scale: $(VENV)/.run  ## hollow proxies beside real core processes at several sizes, and what their slopes give
+	$(VENV)/bin/python -m benchmarks.scale
+
 check: $(VENV)/.dev  ## lint and types
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -25,7 +25,7 @@
 TARGET_CHARGES = 750_000
 SIZES = [30, 100, 300, 1000]
 CHARGE_PROXIES = 100
-CHARGE_RATES = [2.0, 10.0, 30.0]  # a second and proxy
+CHARGE_RATES = [2, 10, 30]  # a second and proxy
 
 
 def read_arguments() -> argparse.Namespace:
@@ -34,10 +34,17 @@
     parser.add_argument("--sizes", type=int, nargs="*", default=SIZES)
     parser.add_argument("--processes", type=int, default=4, help="of hollow proxies")
     parser.add_argument("--parts", nargs="*", default=["sizes", "charges", "state"])
-    parser.add_argument("--out", type=Path, default=Path("scale.json"))
+    parser.add_argument("--out", type=Path, default=Path(tempfile.gettempdir()) / "scale.json")
     return parser.parse_args()
 
 
+def split(results: list[tuple[int, Figures]], prefixes: tuple[str, ...]) -> tuple[list[tuple[int, Figures]], ...]:
+    """Results of the figures whose names begin so, and of the others."""
+    chosen = [(size, {n: v for n, v in figures.items() if n.startswith(prefixes)}) for size, figures in results]
+    others = [(size, {n: v for n, v in figures.items() if not n.startswith(prefixes)}) for size, figures in results]
+    return chosen, others
+
+
 def main() -> int:
     """Run the parts."""
     options = read_arguments()
@@ -63,7 +70,9 @@
     if "charges" in options.parts:
         with tempfile.TemporaryDirectory(prefix="scale-") as folder:
             charges = uvloop.run(measure_charges(Path(folder), CHARGE_PROXIES, options.processes, CHARGE_RATES))
-        keep(f"by charges a second, {CHARGE_PROXIES} proxies", charges, TARGET_CHARGES)
+        core, proxy = split(charges, ("control", "registry"))
+        keep("core, by charges a second", [(rate * CHARGE_PROXIES, f) for rate, f in core], TARGET_CHARGES)
+        keep("proxy, by its charges a second", proxy, round(TARGET_CHARGES / TARGET_PROXIES))
     if "state" in options.parts:
         for part, (results, target) in measure_states().items():
             keep(part, results, target)
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -54,7 +54,7 @@
     names = list(dict.fromkeys(name for _, figures in results for name in figures))
     width = max([len(name) for name in names], default=0)
     sizes = [size for size, _ in results]
-    head = [f"{'figure':{width}}", *(f"{size:>10}" for size in sizes), f"{'a proxy':>12}", f"{f'at {target}':>10}"]
+    head = [f"{'figure':{width}}", *(f"{size:>10}" for size in sizes), f"{'slope':>12}", f"{f'at {target}':>10}"]
     lines = [" ".join(head)]
     for name in names:
         points = [
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -13,6 +13,7 @@
 import os
 import random
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -113,12 +114,12 @@
             return
         self.number += 1
         request = f"{self.boot.node_name}/{self.number}"
-        self.asked[request] = self.loop.time()
+        self.asked[request] = time.monotonic()
         self._carry(self.knowledge.charge(Charge(request, self.random.choice(self.tenants), 1)))
         self.loop.call_later(self.random.expovariate(self.rate), self._spend)
 
     def _carry(self, outputs: list[Output]) -> None:
-        now = self.loop.time()
+        now = time.monotonic()
         for out in outputs:
             if isinstance(out, Verdict):
                 sent = self.asked.pop(out.counted.request, None)
@@ -127,7 +128,7 @@
         super()._carry(outputs)
         for out in outputs:
             if isinstance(out, InForce):
-                self.in_force[out.lookup.config.version] = self.loop.time()
+                self.in_force[out.lookup.config.version] = time.monotonic()
                 self.tenants = list(out.lookup.config.tenants)
         if self.knowledge.counter and (not self.counters or self.counters[-1][1] != self.knowledge.counter):
             self.counters.append((now, self.knowledge.counter))
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -148,6 +148,10 @@
     for name in ("control leader", "registry on duty", "hollow proxy"):
         extra = busy[f"{name}: % of a core"] - quiet[f"{name}: % of a core"]
         figures[f"change: {name} ms of a core"] = 10 * extra * span / CHANGES
+    each = deployment.proxies / len(deployment.hollow)  # of one process, which take turns on one core
+    figures["change: a process of hollow proxies at work s"] = (
+        figures["change: hollow proxy ms of a core"] * each / 1000
+    )
     return {**figures, **peaks(after, deployment.proxies)}
 
 
@@ -198,8 +202,8 @@
     return figures
 
 
-async def measure_charges(folder: Path, proxies: int, processes: int, rates: list[float]) -> list[tuple[int, Figures]]:
-    """Loads by the charges a second of all proxies together."""
+async def measure_charges(folder: Path, proxies: int, processes: int, rates: list[int]) -> list[tuple[int, Figures]]:
+    """Loads by the charges a second of each proxy."""
     config = configuration(ROUTES, SERVICES, TENANTS)
     results: list[tuple[int, Figures]] = []
     async with Deployment(folder, proxies, processes, backends(BACKENDS, list(config["services"]))) as deployment:
@@ -209,5 +213,5 @@
             deployment.tell(f"rate {rate}")
             await asyncio.sleep(SETTLE_S)
             figures = await calm(deployment)
-            results.append((round(rate * proxies), figures))
+            results.append((rate, figures))
     return results
