--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -104,6 +104,12 @@
         self.loop.call_later(TICK_S * self.random.random(), self._turn)
         self.loop.call_later(self.random.random(), self._spend)
 
+    def close(self) -> None:
+        """End all connections: a task that opens one outlives its loop otherwise."""
+        self.handing.close()
+        for dial in (*self.control.values(), *self.registries.values()):
+            dial.close()
+
     def _turn(self) -> None:
         self.tick()
         self.loop.call_later(TICK_S, self._turn)
@@ -158,6 +164,8 @@
         print(json.dumps({"open": len(self.proxies)}), flush=True)
         while line := (await reader.readline()).decode().split():
             self._command(*line)
+        for proxy in self.proxies:
+            proxy.close()
 
     def _command(self, verb: str, value: str = "") -> None:
         if verb == "go":
