--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -18,12 +18,14 @@
 import uvloop
 
 from benchmarks.scale.fit import table
-from benchmarks.scale.run import Figures, measure, measure_charges
-from benchmarks.scale.state import measure_states
+from benchmarks.scale.run import Content, Figures, measure, measure_charges
+from benchmarks.scale.state import BACKENDS, ROUTES, SERVICES, TENANTS, measure_states
 
 TARGET_PROXIES = 2800
 TARGET_CHARGES = 750_000
 SIZES = [30, 100, 300, 1000]
+TARGET_CONTENT = Content(ROUTES, SERVICES, TENANTS, BACKENDS)
+FEW_PROXIES = 4  # with the content of the target, each in a process of its own
 CHARGE_PROXIES = 100
 CHARGE_RATES = [2, 10, 30]  # a second and proxy
 
@@ -33,7 +35,7 @@
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="*", default=SIZES)
     parser.add_argument("--processes", type=int, default=4, help="of hollow proxies")
-    parser.add_argument("--parts", nargs="*", default=["sizes", "charges", "state"])
+    parser.add_argument("--parts", nargs="*", default=["sizes", "charges", "state", "content"])
     parser.add_argument("--out", type=Path, default=Path(tempfile.gettempdir()) / "scale.json")
     return parser.parse_args()
 
@@ -76,6 +78,10 @@
     if "state" in options.parts:
         for part, (results, target) in measure_states().items():
             keep(part, results, target)
+    if "content" in options.parts:
+        with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+            figures = uvloop.run(measure(Path(folder), FEW_PROXIES, FEW_PROXIES, TARGET_CONTENT))
+        keep("the content of the target, by proxies", [(FEW_PROXIES, figures)], TARGET_PROXIES)
     return 0
 
 
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import NamedTuple
 
 from benchmarks.scale.fit import quantile
 from benchmarks.scale.inputs import Table, backends, changed, configuration
@@ -20,11 +21,26 @@
 RETURN_S = 8.0  # after a killed machine is started again
 LOOK_S = 0.4
 MOST_S = 60.0
-ROUTES, SERVICES, TENANTS, BACKENDS = 60, 12, 300, 200
 
 Figures = dict[str, float]
 
 
+class Content(NamedTuple):
+    """How much there is to know: the configuration and the platform's list."""
+
+    routes: int = 60
+    services: int = 12
+    tenants: int = 300
+    backends: int = 200
+
+    def configuration(self) -> Table:
+        """The first configuration."""
+        return configuration(self.routes, self.services, self.tenants)
+
+
+SMALL = Content()
+
+
 class Snapshot:
     """All counters at one moment."""
 
@@ -140,7 +156,10 @@
     since: list[float] = []
     for held in all_of(after.reports, "in_force"):
         since += [held[version] - at for version, at in acknowledged.items() if version in held]
-    figures: Figures = {"change in force: median s": quantile(since, 0.5), "change in force: last s": max(since)}
+    figures: Figures = {
+        "change in force: median s": quantile(since, 0.5),
+        "change in force: last s": max(since, default=float("nan")),
+    }
     if len(since) < CHANGES * deployment.proxies:  # a proxy may be brought a later version in place of an earlier one
         figures["change in force: passed over"] = CHANGES * deployment.proxies - len(since)
     busy, span = loads(before, after, deployment.proxies), after.at - before.at
@@ -184,14 +203,15 @@
     }
 
 
-async def measure(folder: Path, proxies: int, processes: int) -> Figures:
+async def measure(folder: Path, proxies: int, processes: int, content: Content = SMALL) -> Figures:
     """All figures of one size."""
-    config = configuration(ROUTES, SERVICES, TENANTS)
-    rows = backends(BACKENDS, list(config["services"]))
+    config = content.configuration()
+    rows = backends(content.backends, list(config["services"]))
     versions = iter(range(2 + CHANGES, 99))
     async with Deployment(folder, proxies, processes, rows) as deployment:
-        await deployment.put(config)
-        figures = await herd(deployment)
+        began = time.monotonic()
+        acknowledged, _ = await deployment.put(config)
+        figures = {"first acknowledgement s": acknowledged - began, **await herd(deployment)}
         deployment.tell(f"rate {CHARGES_PER_S}")
         await asyncio.sleep(SETTLE_S)
         quiet = await calm(deployment)
@@ -204,9 +224,9 @@
 
 async def measure_charges(folder: Path, proxies: int, processes: int, rates: list[int]) -> list[tuple[int, Figures]]:
     """Loads by the charges a second of each proxy."""
-    config = configuration(ROUTES, SERVICES, TENANTS)
+    config = SMALL.configuration()
     results: list[tuple[int, Figures]] = []
-    async with Deployment(folder, proxies, processes, backends(BACKENDS, list(config["services"]))) as deployment:
+    async with Deployment(folder, proxies, processes, backends(SMALL.backends, list(config["services"]))) as deployment:
         await deployment.put(config)
         await herd(deployment)
         for rate in rates:
