--- a/simnet/search.py
+++ b/simnet/search.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import copy
+import functools
 import random
 import types
 from collections import deque
@@ -232,11 +233,13 @@
     def _stored_number(self, disk: Stored) -> int:
         return held_order(State(0, disk.items)).number
 
-    def mark(self) -> str:
+    def mark(self) -> int:
         """What tells this state from others: all that later steps depend on. Times count from now."""
-        walk = Walk(self.now)
-        parts = [sorted(self.used.items()), sorted(self.cut), self.acknowledged]
-        return repr((parts, walk.of(self.nodes), walk.of(self.disks), walk.of(self.writes), walk.of(self.wires)))
+        nodes = [(ip, Walk(self.now).of(node)) for ip, node in self.nodes.items()]
+        rest = Walk(self.now)
+        under_way = {pair: waiting for pair, waiting in self.wires.items() if waiting}
+        parts = rest.of([self.used, self.cut, self.acknowledged, self.disks, self.writes, under_way])
+        return hash((tuple(nodes), parts))
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,42 +280,49 @@
 
     def __init__(self, now: float) -> None:
         self.now = now
-        self.seen: list[int] = []
+        self._seen: dict[int, int] = {}  # objects that were walked, in the order in which they were met
 
     def of(self, value: Any) -> Any:
         """One value, with all that it holds."""
-        if isinstance(value, float):
+        kind = type(value)
+        if kind is float:
             return round(max(-LONG_AGO_S, value - self.now), 3) if TIMES[0] < value < TIMES[1] else value
-        if value is None or isinstance(value, int | str | bytes | Enum | type):
+        if kind in PLAIN or isinstance(value, Enum | type):
             return value
-        if id(value) in self.seen:
-            return self.seen.index(id(value)) - len(self.seen)
-        self.seen.append(id(value))
-        try:
-            return self._deep(value)
-        finally:
-            self.seen.pop()
-
-    def _deep(self, value: Any) -> Any:
+        if kind is tuple or kind is list or kind is deque:
+            return tuple(map(self.of, value))
         if isinstance(value, Mapping):
-            return sorted((repr(self.of(k)), self.of(v)) for k, v in value.items())
+            return frozenset((key, self.of(each)) for key, each in value.items())
         if isinstance(value, set | frozenset):
-            return sorted(repr(self.of(v)) for v in value)
-        if isinstance(value, list | tuple | deque):
-            return [self.of(v) for v in value]
+            return frozenset(value)
         if isinstance(value, random.Random):
-            return "random"
-        if isinstance(value, types.FunctionType):
-            raise TypeError(f"{value.__qualname__} can not be copied with the state that it refers to")
+            return None
         if isinstance(value, types.MethodType):
-            return value.__qualname__
-        fields = msgspec.structs.fields(value) if isinstance(value, msgspec.Struct) else ()
-        names = [f.name for f in fields] or [*getattr(value, "__dict__", {}), *_slots(type(value))]
-        return type(value).__name__, [(name, self.of(getattr(value, name, None))) for name in sorted(names)]
+            return value.__qualname__, self.of(value.__self__)
+        if isinstance(value, types.FunctionType) and value.__closure__:
+            raise TypeError(f"{value.__qualname__} can not be copied with the state that it refers to")
+        return self._object(value)
+
+    def _object(self, value: Any) -> Any:
+        met = self._seen.setdefault(id(value), len(self._seen))
+        if met < len(self._seen) - 1:
+            return met
+        return type(value), *(self.of(getattr(value, name, None)) for name in _fields(type(value), value))
+
+
+PLAIN = frozenset({type(None), bool, int, str, bytes})
+
+
+@functools.cache
+def _slots(kind: type) -> tuple[str, ...]:
+    """Names of the fields that a type's objects have, where they have no dictionary."""
+    if issubclass(kind, msgspec.Struct):
+        return kind.__struct_fields__
+    return tuple(name for base in kind.__mro__ for name in getattr(base, "__slots__", ()))
 
 
-def _slots(kind: type) -> list[str]:
-    return [name for base in kind.__mro__ for name in getattr(base, "__slots__", ())]
+def _fields(kind: type, value: Any) -> tuple[str, ...]:
+    return (*_slots(kind), *sorted(getattr(value, "__dict__", ())))
 
 
 # Where a search begins.
@@ -414,7 +424,7 @@
     first = BEGINNINGS[beginning]()
     first.used = dict.fromkeys(first.used, 0)
     first.used["change"] = first.acknowledged
-    met = {hash(first.mark())}
+    met = {first.mark()}
     level = [Reached(first, ())]
     for at in range(depth):
         following: list[Reached] = []
@@ -427,7 +437,7 @@
                     world.step(choice)
                 except Broken as broken:
                     return Found(len(met), at, steps, str(broken))
-                mark = hash(world.mark())
+                mark = world.mark()
                 if mark not in met:
                     met.add(mark)
                     following.append(Reached(world, steps))
