--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -20,6 +20,7 @@
 )
 from roadspur.common.configuration import Index, kept_configuration
 from roadspur.common.failures import ANSWERS, PROMISES, Kind
+from roadspur.common.tables import BadTable
 from roadspur.transport.news import Follower, State
 
 SOUND = {
@@ -266,3 +267,19 @@
             kept = State(kept.number + 1, floor=kept.number + 1)
             number = max(0, number - 4)
         number += data.draw(strategies.integers(1, 3))
+
+
+def test_an_item_that_cannot_be_read_leaves_the_index_as_it_was_and_the_next_configuration_whole():
+    kept, config = State(), ConfigurationFollower()
+
+    def follow(number, sent):
+        changed = changes(kept, number, sent)
+        kept.set(kept.number + 1, changed)
+        return config.update(kept, changed)
+    assert follow(7, body())
+    with pytest.raises(BadTable):
+        unreadable = {"t1": {"api_keys": 5}}
+        follow(8, body(lambda t: t.update(version="00000008", limits={"max_body_bytes": 5}, tenants=unreadable)))
+    assert config.index.config == kept_configuration(body()) and config.index.tenant_of("Token k3") == "t2"
+    last = body(lambda t: t.update(version="00000009", tenants={}))
+    assert follow(9, last) and config.index.keys == {} and config.index.config == kept_configuration(last)
