--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import struct
+import zlib
 
 import msgspec
 import pytest
 
 from roadspur.transport import links
-from roadspur.transport.codec import frame
+from roadspur.transport.codec import COMPRESSED, Deframer, MalformedMessage, frame
 from roadspur.transport.core_members import CoreMembers
 from roadspur.transport.errors import UnexpectedMessage
 from roadspur.transport.links import Dial, Listener
-from roadspur.transport.messages import Beat, CoreInfo, Hello, Message, NewsAck
+from roadspur.transport.messages import Beat, CoreInfo, Hello, Message, News, NewsAck
 
 
 def test_a_dial_that_waits_is_tried_at_once_when_the_other_side_shows(monkeypatch):
@@ -92,3 +93,19 @@
     assert core.learn(CoreInfo(("a", "b", "d"), 7, "d"))
     assert not core.learn(CoreInfo(("a", "b", "c"), 6, "c")) and not core.learn(CoreInfo((), 9, ""))
     assert (core.epoch, core.voters, core.leader) == (7, ("a", "b", "d"), "d")
+
+
+def test_a_large_message_goes_compressed_and_comes_whole_in_any_pieces():
+    news = News(7, None, {f"route:{n}": (n, "x" * 50) for n in range(400)})
+    data = frame(news) + frame(Beat()) + frame(news)
+    assert len(data) < 400 * 50
+    for step in (1, 3, 1000, len(data)):
+        deframer = Deframer()
+        came = [each for at in range(0, len(data), step) for each in deframer.feed(data[at:at + step])]
+        assert came == [news, Beat(), news]
+
+
+@pytest.mark.parametrize("body", [b"no such stream", zlib.compress(b"x" * 2000)[:-5], zlib.compress(b"x" * 2000)])
+def test_what_expands_to_no_message_is_refused(body):
+    with pytest.raises(MalformedMessage):
+        list(Deframer().feed(struct.pack(">I", len(body) | COMPRESSED) + body))
