--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -244,6 +244,7 @@
         if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):
             return
         candidacy.stage, candidacy.asked = "record", self._context.now
+        candidacy.record_asked = self._context.now
         view = candidacy.next
         self._durable.write(Records(view=view, promised=candidacy.epoch), partial(self._recorded, candidacy))
         self._ask_to_record(candidacy, view)
