--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -7,6 +7,7 @@
 import pytest
 
 from roadspur.common.configuration import Route
+from roadspur.control.interface import Change
 from roadspur.proxy import decisions
 from roadspur.proxy.quota import Quota
 from roadspur.registry import instances
@@ -59,6 +60,20 @@
     assert world.served > 0.8 * world.ended > 100
 
 
+def test_changes_that_follow_each_other_at_once_reach_every_proxy_whole():
+    world = calm()
+    leader = next(p for p in world.processes.values() if p.kind == "control" and p.service.node.leadership is not None)
+    for number in range(8):  # all but the first wait, and begin as soon as the one before is kept
+        item = {f"evac:far{number}": {"on": True, "n": 1}}
+        leader.call(lambda call, item=item: Change(call, lambda _: False, lambda _: item, ""), lambda answer: None)
+    world.clock.run(world.clock.now + 1.0)
+    kept = leader.service.node.state
+    assert len(kept.values("evac:far")) == 8
+    for process in world.processes.values():
+        if process.kind == "proxy":
+            assert process.knowledge.control.state.items == kept.items
+
+
 def open_to_all(self, now, tenant):
     return True
 
