--- a/roadspur/control/leases.py
+++ b/roadspur/control/leases.py
@@ -101,22 +101,22 @@
         self.term = 0
         self.highest = 0
         self.granted: dict[str, float] = {}
-        self.electorate: frozenset[str] = frozenset()
+        self.grantors: frozenset[str] = frozenset()
         self.begun: float | None = None  # of the present term
         self.had = False  # it has had a majority's grant under it
         self.next = now
         self.hinted = False  # a grantor is free, and has only seen a higher term
         self.patience = 0.0  # waited for before an attempt, by one that had better not hold the duty
 
-    def voters(self, electorate: Iterable[str]) -> None:
+    def voters(self, grantors: Iterable[str]) -> None:
         """The grantors that count."""
-        self.electorate = frozenset(electorate)
+        self.grantors = frozenset(grantors)
 
     def until(self) -> float:
         """When the lease is over; in the past where there is none."""
-        majority = len(self.electorate) // 2 + 1
-        asked = sorted((at for ip, at in self.granted.items() if ip in self.electorate), reverse=True)
-        if not self.electorate or len(asked) < majority:
+        majority = len(self.grantors) // 2 + 1
+        asked = sorted((at for ip, at in self.granted.items() if ip in self.grantors), reverse=True)
+        if not self.grantors or len(asked) < majority:
             return float("-inf")
         return asked[majority - 1] + GRANT_S - MARGIN_S
 
@@ -126,7 +126,7 @@
 
     def tick(self, now: float, send: Callable[[str, Message], object]) -> None:
         """Ask all grantors when it is time."""
-        if now < self.next or not self.electorate:
+        if now < self.next or not self.grantors:
             return
         holds = self.holds(now)
         self.had = self.had or holds
@@ -138,14 +138,14 @@
         if self.begun is None:
             self.term, self.granted, self.begun, self.had = self.highest + 1, {}, now, False
         self.next = now + RENEW_S
-        for ip in sorted(self.electorate):
+        for ip in sorted(self.grantors):
             send(ip, LeaseRequest(self.duty, self.me, self.term, now))
 
     def give_back(self, send: Callable[[str, Message], object]) -> None:
         """Ask no more under this term."""
         if self.begun is None:
             return
-        for ip in sorted(self.electorate):
+        for ip in sorted(self.grantors):
             send(ip, LeaseReleased(self.duty, self.me, self.term))
         self.begun, self.granted, self.had = None, {}, False
         self.highest = max(self.highest, self.term)
