--- /dev/null
+++ b/benchmarks/scale/state.py
@@ -0,0 +1,223 @@
+"""What the state of the target size costs one process: a configuration, a list of backends, a publisher's round."""
+
+from __future__ import annotations
+
+import json
+import random
+import subprocess
+import sys
+import time
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scale.inputs import PAGE, backends, changed, configuration, settings
+from roadspur.common import config_items
+from roadspur.common.boot import read_boot
+from roadspur.proxy.decisions import Decisions
+from roadspur.proxy.placement import Place
+from roadspur.registry.charges import REMEMBERED, ChargeLedger
+from roadspur.registry.counts import Counts
+from roadspur.registry.instances import Survey
+from roadspur.services.wire import read_address
+from roadspur.transport.codec import decode, encode
+from roadspur.transport.messages import Charge, News
+from roadspur.transport.news import Follower, Publisher, State
+
+ROUTES, SERVICES, TENANTS, BACKENDS = 16_000, 360, 160_000, 10_000
+PARTS = (16, 4, 1)  # of the target
+FOLLOWERS = (30, 100, 300, 1000)
+SENDERS = (30, 100, 300)
+TARGET_FOLLOWERS = 2800
+MB = 1024 * 1024
+
+Figures = dict[str, float]
+
+
+def resident_mb() -> float:
+    """Memory of this process now."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * 4096 / MB
+
+
+def timed(work: Callable[[], object]) -> float:
+    """Processor seconds of this process."""
+    began = time.process_time()
+    work()
+    return time.process_time() - began
+
+
+def decisions() -> Decisions:
+    """A proxy's."""
+    boot = read_boot(settings("proxy-0", "proxy", "127.0.0.1", "z-0", Path("/")))
+    return Decisions(boot.node_name, boot.zone, boot.region, boot.bounds, random.Random(1), 0.0)
+
+
+class ConfiguredProxy:
+    """What a proxy does with news of the control state, without connections."""
+
+    def __init__(self) -> None:
+        self.follower = Follower("proxy-0")
+        self.configuration = config_items.ConfigurationFollower()
+        self.decisions = decisions()
+
+    def take(self, data: bytes) -> None:
+        """News as they come from a connection."""
+        news = decode(data)
+        assert isinstance(news, News)
+        changed, _ = self.follower.heard(news)
+        assert changed is not None
+        self.configuration.update(self.follower.state, changed)
+        assert self.configuration.index is not None
+        self.decisions.configured(0.0, self.configuration.index.config)
+
+
+def configuration_state(part: int) -> Figures:
+    """A configuration of a part of the target: sizes, and what it and a change cost the control machine and a proxy."""
+    config = configuration(ROUTES // part, SERVICES, TENANTS // part)
+    body = json.dumps(config, separators=(",", ":")).encode()
+    size = {name: len(json.dumps(config[name], separators=(",", ":"))) / MB for name in ("routes", "tenants")}
+    again = json.dumps(changed(config, 2), separators=(",", ":")).encode()
+    del config
+    state = State()
+    before = resident_mb()
+    first_s = timed(lambda: state.set(1, config_items.changes(state, 1, body)))
+    control_mb = resident_mb() - before
+    whole = encode(state.since(0))
+    second_s = timed(lambda: state.set(2, config_items.changes(state, 2, again)))
+    change = encode(state.since(1))
+    proxy = ConfiguredProxy()
+    before = resident_mb()
+    whole_s = timed(lambda: proxy.take(whole))
+    proxy_mb = resident_mb() - before
+    change_s = timed(lambda: proxy.take(change))
+    from roadspur.common.checks import read_configuration  # after the proxy's figures, as a proxy does not load it
+
+    return {
+        "document MB": len(body) / MB,
+        "of it routes MB": size["routes"],
+        "of it tenants MB": size["tenants"],
+        "whole state, message MB": len(whole) / MB,
+        "whole state, compressed MB": len(zlib.compress(whole, 6)) / MB,
+        "change, message bytes": len(change),
+        "control: check s": timed(lambda: read_configuration(body)),
+        "control: first document to items s": first_s,
+        "control: next document to items s": second_s,
+        "control: items MB of memory": control_mb,
+        "control: encode whole state s": timed(lambda: encode(state.since(0))),
+        "control: encode change us": 1e6 * timed(lambda: [encode(state.since(1)) for _ in range(3)]) / 3,
+        "proxy: whole state s": whole_s,
+        "proxy: memory MB": proxy_mb,
+        "proxy: change s": change_s,
+    }
+
+
+def list_state(part: int) -> Figures:
+    """A list of backends of a part of the target: what a reading costs the registry, and the list a proxy."""
+    count = BACKENDS // part
+    rows = backends(count, [f"s-{n}" for n in range(SERVICES)])
+    pages = [
+        json.dumps(
+            {"instances": rows[start : start + PAGE], "next_token": str(start + PAGE) if start + PAGE < count else None}
+        ).encode()
+        for start in range(0, count, PAGE)
+    ]
+    survey = Survey(0.0, 47.0)
+    now = read_s = 0.0
+    changes: dict[str, dict[str, Any] | None] = {}
+    for page in pages:
+        now = max(now, survey.next)
+        survey.due(now)
+        began = time.process_time()
+        changes = survey.page(now, page) or changes
+        read_s += time.process_time() - began
+    deciding = decisions()
+    before = resident_mb()
+    places = {
+        name: Place(name, entry["s"], read_address(entry["a"]), entry["z"], "r-0", entry["c"], False, 0.0)
+        for name, entry in changes.items()
+        if entry is not None
+    }
+    first_s = timed(lambda: deciding.listed(0.0, places))
+    proxy_mb = resident_mb() - before
+    places.pop(next(iter(places)))
+    return {
+        "registry: pages": len(pages),
+        "registry: seconds of a reading": now,
+        "registry: processor s": read_s,
+        "registry: backends found": len(changes),
+        "proxy: take in s": first_s,
+        "proxy: memory MB": proxy_mb,
+        "proxy: one backend less s": timed(lambda: deciding.listed(1.0, dict(places))),
+    }
+
+
+def publisher_state(followers: int) -> Figures:
+    """One change of the registry's state told to followers; the state holds members and backends as at the target."""
+    members = {
+        f"m:proxy-{n}": {"front": "127.0.0.1:80", "ip": "127.0.0.1", "zone": "z-0", "region": "r-0", "up": True}
+        for n in range(followers)
+    }
+    listed = {
+        f"b:i-{n}": {"s": "s", "a": "127.0.0.1:80"} for n in range(round(followers * BACKENDS / TARGET_FOLLOWERS))
+    }
+    state = State()
+    state.set(1, {**members, **listed})
+    publisher = Publisher(state)
+    for n in range(followers):
+        publisher.follow(f"proxy-{n}", 1)
+    state.set(2, {"m:proxy-0": {**members["m:proxy-0"], "up": False}})
+    return {"one change to all: processor s": timed(publisher.tell)}
+
+
+def counter_state(senders: int) -> Figures:
+    """The counter's ledger once each sender has sent as many charges as are remembered."""
+    counts = Counts(0.0)
+    tenants = [f"t-{n}" for n in range(1000)]
+    counts.follow(dict.fromkeys(tenants, (1e6, 1e6)), {})
+    ledger = ChargeLedger(counts)
+    names = [f"proxy-{n}" for n in range(senders)]
+    for name in names:
+        counts.here(0.0, name, "life", None)
+    before = resident_mb()
+
+    def charge_all() -> None:
+        for number in range(1, REMEMBERED + 1):
+            for name in names:
+                ledger.take(2.0, name, Charge("life", number, tenants[number % len(tenants)], 1, -1))
+
+    spent_s = timed(charge_all)
+    return {
+        "memory of the ledger MB": resident_mb() - before,
+        "processor of one charge, without its messages us": 1e6 * spent_s / (REMEMBERED * senders),
+    }
+
+
+STATES: dict[str, tuple[Callable[[int], Figures], dict[int, int], int]] = {
+    "configuration, by tenants": (configuration_state, {TENANTS // part: part for part in PARTS}, TENANTS),
+    "list, by backends": (list_state, {BACKENDS // part: part for part in PARTS}, BACKENDS),
+    "publisher, by followers": (publisher_state, {n: n for n in (*FOLLOWERS, TARGET_FOLLOWERS)}, TARGET_FOLLOWERS),
+    "counter, by proxies": (counter_state, {n: n for n in SENDERS}, TARGET_FOLLOWERS),
+}
+
+
+def measure_states() -> dict[str, tuple[list[tuple[int, Figures]], int]]:
+    """Each state in a process of its own, as memory is measured."""
+    found: dict[str, tuple[list[tuple[int, Figures]], int]] = {}
+    for name, (_, sizes, target) in STATES.items():
+        results = []
+        for size, argument in sizes.items():
+            done = subprocess.run(
+                [sys.executable, "-m", "benchmarks.scale.state", name, str(argument)],
+                check=True,
+                capture_output=True,
+                text=True,
+            )
+            results.append((size, json.loads(done.stdout)))
+        found[name] = results, target
+    return found
+
+
+if __name__ == "__main__":
+    print(json.dumps(STATES[sys.argv[1]][0](int(sys.argv[2]))))
--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -7,9 +7,11 @@
 import pytest
 
 from roadspur.common.configuration import Route
+from roadspur.control.interface import Change
 from roadspur.proxy import decisions
 from roadspur.proxy.quota import Quota
 from roadspur.registry import instances
+from roadspur.registry.registry import Registry
 from simnet.core import Broken
 from simnet.system import CORES, World, draw, run
 
@@ -58,6 +60,20 @@
     assert world.served > 0.8 * world.ended > 100
 
 
+def test_changes_that_follow_each_other_at_once_reach_every_proxy_whole():
+    world = calm()
+    leader = next(p for p in world.processes.values() if p.kind == "control" and p.service.node.leadership is not None)
+    for number in range(8):  # all but the first wait, and begin as soon as the one before is kept
+        item = {f"evac:far{number}": {"on": True, "n": 1}}
+        leader.call(lambda call, item=item: Change(call, lambda _: False, lambda _: item, ""), lambda answer: None)
+    world.clock.run(world.clock.now + 1.0)
+    kept = leader.service.node.state
+    assert len(kept.values("evac:far")) == 8
+    for process in world.processes.values():
+        if process.kind == "proxy":
+            assert process.knowledge.control.state.items == kept.items
+
+
 def open_to_all(self, now, tenant):
     return True
 
@@ -66,6 +82,10 @@
     return None
 
 
+def nothing_now(self, now):
+    return None
+
+
 def always_ready(raw, real=instances.entry_of):
     name, entry = real(raw)
     return name, {**entry, "p": "ready"}
@@ -78,7 +98,9 @@
     ((Quota, "spend", open_to_all), [(6.0, "hot", 9.0)], [], "QUOTA"),
     ((instances, "entry_of", always_ready), [], [(6.0, "drain")], "DRAIN"),
     ((decisions.Decisions, "evacuated", nothing), [], [(6.0, "begin a1")], "EVAC"),
-], ids=["repeats what may not be", "a reset never ran", "fails open", "drains unseen", "evacuations unseen"])
+    ((Registry, "_check_lease", nothing_now), [(6.0 + 0.5 * n, "core freeze", 2.0) for n in range(6)], [], "LEASE"),
+], ids=["repeats what may not be", "a reset never ran", "fails open", "drains unseen", "evacuations unseen",
+        "a thawed registry answers"])
 def test_the_rules_are_seen(monkeypatch, patch, troubles, plan, rule):
     monkeypatch.setattr(*patch)
     with pytest.raises(Broken, match=rule):
