A replica that lost its copy gets it back without a change; what waits behind a failed write fails too

Cause: the leader learned that a replica's disk was lost (and back within 0.7 s, before the replica counts as silent) or that a write there had failed only from the next change: until then its own copy was the only one. It now compares the positions in heartbeats' answers. And a write that was queued behind one that failed was still written: it could put a position on disk without the change that led there.

--- a/roadspur/control/durable.py
+++ b/roadspur/control/durable.py
@@ -1,7 +1,8 @@
 """What a control node keeps on disk: its promise, the newest view, its replica, and the leases that it granted.
 
 Writes go out one at a time; those that come meanwhile are joined into the next one, which is on disk whole or not at
-all. So what a later write rests on is on disk before it, and a write that fails takes what was joined to it along.
+all. So what a later write rests on is on disk before it; a write that fails takes what was joined to it along, and what
+waits behind it.
 """
 
 from __future__ import annotations
@@ -77,6 +78,9 @@
         if token != self._token or not self._in_flight:
             return
         ended, self._in_flight = self._in_flight, []
+        if not ok:  # what waits may rest on it
+            ended += [each.after for each in self._waiting]
+            self._waiting = []
         for after in ended:
             after(ok)
         if self._waiting and not self._in_flight:
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -105,6 +105,7 @@
             if self._role.leadership is leadership and self._role.stopping:
                 self.hand_over()
             if self._role.leadership is leadership:
+                self._mend_replicas(leadership)
                 self._feed_learners(leadership)
                 self.serve()
 
@@ -230,6 +231,16 @@
         if role.eligible() and role.leadership is None and role.candidacy is None and not role.stopping:
             self.elections.stand("the leader has stepped down")
 
+    def _mend_replicas(self, leadership: Leadership) -> None:
+        """Give replicas the copy that they lost, with their disk or by a write that failed; no change may be due."""
+        now, replica = self._context.now, self._durable.replica
+        if leadership.pending is not None:
+            return
+        for name, (position, since) in leadership.behind.items():
+            if now - max(since, self._installing.get(name, NEVER)) > RETRY_S:
+                self._installing[name] = now
+                self._context.send(name, replica.install_for(position))
+
     # Learners.
 
     def _feed_learners(self, leadership: Leadership) -> None:
@@ -254,9 +265,19 @@
             return
         leadership.acked[sender] = max(leadership.acked.get(sender, NEVER), message.sent)
         self._heard(leadership, sender)
+        self._compare(leadership, sender, message.position)
         self._commit()
         self.serve()
 
+    def _compare(self, leadership: Leadership, sender: str, position: Position) -> None:
+        """Whether a replica has the leader's copy; while a change is pending it is told by that."""
+        same = position == self._durable.replica.position
+        if same or leadership.pending is not None or sender not in leadership.view.replicas:
+            leadership.behind.pop(sender, None)
+            return
+        _, since = leadership.behind.get(sender, (position, self._context.now))
+        leadership.behind[sender] = position, since
+
     def _heard(self, leadership: Leadership, sender: str) -> None:
         now = self._context.now
         if now - leadership.heard.get(sender, NEVER) > LEASE_S or sender not in leadership.steady:
--- a/roadspur/control/role.py
+++ b/roadspur/control/role.py
@@ -55,6 +55,7 @@
     voters_since: float  # since when these are the voters
     pending: Pending | None = None
     disk_since: float | None = None  # since when the leader's own disk has been writing a change
+    behind: dict[str, tuple[Position, float]] = field(default_factory=dict)  # replicas: where their copy is, since when
 
     def until(self) -> float:
         """To when the lease stands."""
--- a/simnet/operators.py
+++ b/simnet/operators.py
@@ -86,6 +86,7 @@
         self.on_sent: Callable[[str], None] = lambda address: None
         self.on_acknowledged: Callable[[str], None] = lambda address: None
         self._numbers = itertools.count(1)
+        self._evacuations: list[Request] = []
 
     # Orders and reads.
 
@@ -127,7 +128,7 @@
             return {name: {"on": on, "n": (held["n"] if held else 0) + 1}}
 
         def accepted(_: Any) -> None:
-            others = any(t.request.zone == zone and t.request is not request for t in self._open_tries())
+            others = [r for r in self._open_evacuations(zone) if r is not request]
             self.ledger.evacuated[zone] = None if others else on
 
         self.ledger.evacuated[zone] = None
@@ -139,8 +140,16 @@
             until=self.core.clock.now + ORDER_S,
             zone=zone,
         )
+        self._evacuations.append(request)
         self._send(request)
 
+    def _open_evacuations(self, zone: str) -> list[Request]:
+        """Orders for a zone that are still sent, or that a process may still work off."""
+        now = self.core.clock.now
+        self._evacuations = [r for r in self._evacuations if not r.done and now <= r.until]
+        waiting = [t.request for t in self.tries.values() if self.core.machines[t.address].life == t.life]
+        return [r for r in (*self._evacuations, *waiting) if r.zone == zone]
+
     def read(self, addresses: list[str] | None = None) -> None:
         """Read; what was acknowledged before must be there, whoever answers and however late."""
         least, evacuated = self.ledger.acknowledged, dict(self.ledger.evacuated)
@@ -162,10 +171,6 @@
 
     # Tries.
 
-    def _open_tries(self) -> list[Try]:
-        """Tries that a process may still work off."""
-        return [t for t in self.tries.values() if self.core.machines[t.address].life == t.life]
-
     def _choose(self, request: Request) -> str:
         if request.hard:
             return request.addresses[0]
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from roadspur.control.context import Context
+from roadspur.control.durable import Durable
 from roadspur.control.interface import Send, Stored
 from roadspur.control.node import ControlNode
 from roadspur.transport.messages import Position, ViewRecord, Vote, VoteRefused, VoteRequest
@@ -196,6 +198,44 @@
     end(core)
 
 
+@pytest.mark.parametrize("machines", [3, 5])
+@pytest.mark.parametrize("back_s", [0.05, 0.3])
+def test_a_replica_whose_disk_was_lost_has_its_copy_again_though_no_change_comes(machines, back_s):
+    core = calm(machines)
+    first, replica, _ = by_role(core)
+    core.end(replica, power=True, wipe=True, back_s=back_s)
+    run_for(core, 3.0)
+    holders = [core.machines[a] for a in core.leader().node.view.holders]
+    assert len(holders) == core.tolerance + 1 and all(m.disk.item("config")["v"] == 1 for m in holders)
+    core.end(first, power=True, wipe=True, back_s=1.0)
+    core.operators.read()
+    end(core)
+
+
+def test_a_replica_whose_disk_refused_a_change_has_its_copy_again_though_no_change_comes():
+    core = calm()
+    first, replica, witness = by_role(core)
+    core.end(witness, back_s=20.0)
+    replica.disk.full_until = core.clock.now + 0.5
+    put(core, [first.address])
+    run_for(core, 4.0)
+    assert replica.disk.item("config")["v"] == 2
+    core.trouble(core.clock.now)
+    end(core)
+
+
+def test_what_waits_behind_a_write_that_failed_is_not_written():
+    durable = Durable(Context("1", "a", (), 0.0, random.Random(1), 1), Stored())
+    ended = []
+    durable.replica.apply(Position(1, 1, 1), {"config": (1, 1)})
+    durable.keep_replica({"config": (1, 1)}, False, lambda ok: ended.append(("first", ok)))
+    durable.replica.enter(2)
+    durable.keep_replica(None, False, lambda ok: ended.append(("second", ok)))
+    durable.written(1, False)
+    assert ended == [("first", False), ("second", False)]
+    assert [out.token for out in durable._context.flush()] == [1]
+
+
 # Cut off, frozen, or slow.
 
 
