The simulated core runs control services: clients follow its news, and two would do one duty

Rules: of two clients one at most holds the duty, also while voters are exchanged; no client goes back, or knows what was never in force; in calm all know within a second what was acknowledged, and one holds the duty.

--- a/simnet/cluster.py
+++ b/simnet/cluster.py
@@ -8,15 +8,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
-from roadspur.control.interface import Answer, Change, Note, Output, Publish, PublishChange, Read, Send, Write
+from roadspur.control.interface import Answer, Note, Outward, Send, Tell, Write
+from roadspur.control.leases import Grantor
 from roadspur.control.node import ControlNode
-from roadspur.transport.messages import AnyMessage, Follow, VoteRequest
-from roadspur.transport.news import Follower, Publisher, State
+from roadspur.control.service import ControlService
+from roadspur.transport.messages import AnyMessage, News, VoteRequest
+from simnet.clients import Clients
 from simnet.clock import Clock
 from simnet.machine import Feed, Machine
-from simnet.operators import Operators
+from simnet.operators import Make, Operators
 from simnet.rules import CONFIG, Broken, Ledger, held_order
 from simnet.wires import Wires
 
@@ -29,7 +31,6 @@
 LEADERLESS_S = 1.0  # in calm, for exchanges of voters and replicas
 LOOK_S = 0.2  # between looks at what must hold in calm
 NEAR_S, FAR_S = 0.0002, 0.0015  # one way, in a zone and between zones
-LOST_NEWS = 0.2  # the share of news that is lost with its connection
 ZONES = ("a", "b", "a", "c", "b")
 
 
@@ -56,7 +57,7 @@
         for n in range(machines):
             self._new_machine(f"10.0.0.{n + 1}", ZONES[n])
         self.seeds = sorted(self.machines)[:3]
-        self.followers = {f"f{n}": Follower(f"f{n}") for n in range(followers)}
+        self.clients = Clients(self, followers)
         for machine in self.machines.values():
             self.start(machine, bootstrap=True)
         self.clock.later(LOOK_S, self._look)
@@ -112,14 +113,13 @@
             return
         self._new_life(machine)
         machine.dark = machine.terminating = False
-        machine.publisher = Publisher(State())
         stored, rng = machine.disk.stored(), random.Random(self.rng.random())
         now = self.time(machine)
-        machine.node = ControlNode(
+        node = ControlNode(
             machine.address, machine.zone, self.seeds, bootstrap, stored, now, rng, tolerance=self.tolerance
         )
-        for name, follower in self.followers.items():
-            machine.publisher.sent[name] = machine.publisher.acked[name] = follower.state.number
+        machine.service = ControlService(node, Grantor(now, stored.leases))
+        self.clients.connect_all(machine)
         self._tick(machine, machine.life)
         for other in self.machines.values():
             if other is not machine:
@@ -137,7 +137,7 @@
 
         def linked() -> None:
             if self.wires.open(machine.address, other.address) and self.wires.open(other.address, machine.address):
-                self.give(machine, lambda node, now: node.linked(now, other.address))
+                self.give(machine, lambda service, now: service.linked(now, other.address))
 
         if other.node is not None:
             self.clock.later(2 * self._delay(machine.address, other.address), linked)
@@ -148,7 +148,7 @@
         if machine.node is None:
             return
         self.note(f"{machine.address} ends{' without power' * power}{', its disk is lost' * wipe}")
-        machine.node = None
+        machine.service = None
         machine.dark = power
         machine.terminating = False
         machine.disk.lose_process()
@@ -179,7 +179,7 @@
             else:
                 self.clock.later(LAST_WORDS_S, look)
 
-        self.give(machine, lambda node, now: node.stop(now))
+        self.give(machine, lambda service, now: service.stop(now))
         self.clock.later(LAST_WORDS_S, look)
         self.clock.later(GRACE_S, end)
 
@@ -208,28 +208,33 @@
         """SIGHUP: a process reads its settings again."""
         seeds = list(self.seeds)
 
-        def reseed(node: ControlNode, now: float) -> list[Output]:
-            node.reseed(seeds)
+        def reseed(service: ControlService, now: float) -> list[Outward]:
+            service.node.reseed(seeds)
             return []
 
         self.give(machine, reseed)
 
     # Inputs.
 
-    def call(self, machine: Machine, call: Change | Read) -> None:
-        """An operator's call reaches a machine's sockets."""
-        self.give(machine, lambda node, now: node.call(now, call))
+    def call(self, machine: Machine, make: Make, taken: Callable[[int], None]) -> None:
+        """An operator's call reaches a machine's sockets; `taken` is told its number once the process takes it."""
+
+        def feed(service: ControlService, now: float) -> list[Outward]:
+            taken(service.calls + 1)
+            return service.call(now, make)[1]
+
+        self.give(machine, feed)
 
     def give(self, machine: Machine, feed: Feed) -> None:
         """Hand an input to a machine's process, after those that came before."""
-        if machine.node is None:
+        if machine.service is None:
             return
         machine.inbox.append(feed)
         if len(machine.inbox) == 1:
             self._work(machine, machine.life)
 
     def _work(self, machine: Machine, life: int) -> None:
-        if machine.life != life or machine.node is None or not machine.inbox:
+        if machine.life != life or machine.service is None or not machine.inbox:
             return
         ready = machine.ready_at()
         if ready > self.clock.now:
@@ -237,7 +242,7 @@
             return
         machine.work(self.clock.now)
         feed = machine.inbox[0]
-        outputs = feed(machine.node, self.time(machine))
+        outputs = feed(machine.service, self.time(machine))
         machine.inbox.popleft()
         self._carry(machine, outputs)
         if machine.inbox:
@@ -249,37 +254,45 @@
         if machine.frozen_until > self.clock.now:  # before what lies in its sockets, or amid it
             self.clock.at(machine.frozen_until, lambda: self._tick_at_once(machine, life))
             return
-        self.give(machine, lambda node, now: node.tick(now))
+        self.give(machine, lambda service, now: service.tick(now))
         self.clock.later(TICK_S * (0.9 + 0.2 * self.rng.random()), lambda: self._tick(machine, life))
 
     def _tick_at_once(self, machine: Machine, life: int) -> None:
-        if machine.life != life or machine.node is None:
+        if machine.life != life or machine.service is None:
             return
         if machine.frozen_until > self.clock.now:
             self._tick(machine, life)
             return
-        self._carry(machine, machine.node.tick(self.time(machine)))
+        self._carry(machine, machine.service.tick(self.time(machine)))
         self.clock.later(TICK_S, lambda: self._tick(machine, life))
 
     def _delay(self, a: str, b: str) -> float:
+        if a not in self.machines or b not in self.machines:
+            return FAR_S * self.slow
         same = self.machines[a].zone == self.machines[b].zone
         return (NEAR_S if same else FAR_S) * self.slow
 
     def _deliver(self, to: str, sender: str, message: AnyMessage) -> None:
+        if to not in self.machines:
+            self.clients.deliver(to, sender, message)
+            return
         machine, sent_at = self.machines[to], self.wires.sent_at
 
-        def feed(node: ControlNode, now: float) -> list[Output]:
+        def feed(service: ControlService, now: float) -> list[Outward]:
             machine.heard[sender] = max(machine.heard.get(sender, 0.0), sent_at)
             if isinstance(message, VoteRequest):
-                return self._vote(machine, node, now, sender, message)
-            return node.message(now, sender, message)
+                return self._vote(machine, service, now, sender, message)
+            return service.heard(now, sender, message)
 
         self.give(machine, feed)
 
-    def _vote(self, machine: Machine, node: ControlNode, now: float, sender: str, message: VoteRequest) -> list[Output]:
+    def _vote(
+        self, machine: Machine, service: ControlService, now: float, sender: str, message: VoteRequest
+    ) -> list[Outward]:
         """A machine without a vote moves no epoch."""
+        node = service.node
         promised, view = node.promised, node.view
-        outputs = node.message(now, sender, message)
+        outputs = service.heard(now, sender, message)
         stranger = view is not None and sender not in view.voters and node.view == view
         if stranger and node.promised > promised:
             raise Broken(f"{machine.address} promised epoch {node.promised} to {sender}, which has no vote")
@@ -287,7 +300,8 @@
 
     # Outputs.
 
-    def _carry(self, machine: Machine, outputs: Iterable[Output]) -> None:
+    def _carry(self, machine: Machine, outputs: Iterable[Outward]) -> None:
+        self._check_published(machine)
         for out in outputs:
             if isinstance(out, Send):
                 if out.to in self.machines:
@@ -296,12 +310,8 @@
                 self._write(machine, out)
             elif isinstance(out, Answer):
                 self.operators.answered(machine, out)
-            elif isinstance(out, Publish):
-                machine.publisher.state = out.state
-                self._publish(machine)
-            elif isinstance(out, PublishChange):
-                machine.publisher.state.merge(out.number, out.items)
-                self._publish(machine)
+            elif isinstance(out, Tell):
+                self._tell(machine, out)
             elif isinstance(out, Note):
                 self.note(f"{machine.address} " + out.event.value.text % out.fields)
 
@@ -312,45 +322,37 @@
         def end() -> None:
             if machine.life == life:
                 ok = machine.disk.end()
-                self.give(machine, lambda node, now: node.written(now, write.token, ok))
+                self.give(machine, lambda service, now: service.written(now, write.token, ok))
 
         self.clock.at(ends, end)
 
-    def _publish(self, machine: Machine) -> None:
-        state = machine.publisher.state
+    def _tell(self, machine: Machine, tell: Tell) -> None:
+        """A message to a client; news leave only a leader whose lease stands, in contact with a majority."""
+        if isinstance(tell.message, News) and not (machine.holds(self.clock.now) and self.in_contact(machine)):
+            raise Broken(f"{machine.address} tells news without a lease or without contact with a majority")
+        self.wires.send(machine.address, tell.name, tell.message)
+
+    def _check_published(self, machine: Machine) -> None:
+        """What is in force by a machine's word was on the disks of all that hold copies."""
+        service = machine.service
+        if service is None:
+            return
+        state = service.publisher.state
+        if state is machine.published and state.number == machine.published_number:
+            return
+        machine.published, machine.published_number = state, state.number
         self.ledger.publish(state)
-        if machine.node is None or machine.node.leadership is None or not machine.holds(self.clock.now):
-            return  # it has stood for the next epoch in that very step, and tells nobody
-        for holder in machine.node.leadership.view.holders:
+        leadership = service.node.leadership
+        for holder in leadership.view.holders if leadership is not None else ():
             if self.machines[holder].disk.furthest < state.number:
                 raise Broken(f"change {state.number} is published, and never was on the disk of {holder}")
-        if not self.in_contact(machine):
-            raise Broken(f"{machine.address} publishes without contact with a majority")
-        for name, news in machine.publisher.tell():
-            follower = self.followers[name]
-            before = follower.state.number
-            if self.rng.random() < LOST_NEWS:  # with its connection, which is opened anew
-                machine.publisher.sent[name] = before
-                continue
-            heard = follower.heard(news)
-            if isinstance(heard.answer, Follow):
-                for _, whole in machine.publisher.follow(name, heard.answer.number):
-                    follower.heard(whole)
-            machine.publisher.sent[name] = follower.state.number
-            self._check_follower(name, follower, before, state)
-
-    def _check_follower(self, name: str, follower: Follower, before: int, state: State) -> None:
-        if follower.state.number < before:
-            raise Broken(f"CONFIG: follower {name} has gone back")
-        held = held_order(follower.state)
-        if follower.state.number == state.number and held != held_order(state):
-            raise Broken(f"CONFIG: follower {name} has {held} at number {state.number}")
 
     # Rules.
 
     def check(self) -> None:
         """After every step."""
         self.ledger.check()
+        self.clients.check()
         holders = []
         for machine in self.machines.values():
             node = machine.node
@@ -372,6 +374,7 @@
 
     def _look(self) -> None:
         """What must hold in calm."""
+        self.clients.look()
         if self.holder() is not None:
             self.led_at = self.clock.now
         if self.clock.now - self.calm_since > COPIES_S and self.ledger.acknowledged >= 0:
@@ -390,6 +393,7 @@
         if len(holding) < min(self.tolerance + 1, len(here)):
             names = [m.address for m in holding]
             raise Broken(f"after {COPIES_S} s of calm {self.ledger.acknowledged} is only on the disks of {names}")
+        self.clients.check_calm()
         if len({m.zone for m in here}) > 1 and len({m.zone for m in holding}) < 2:
             raise Broken(f"after {COPIES_S} s of calm all copies are in zone {holding[0].zone}")
 
--- a/simnet/core.py
+++ b/simnet/core.py
@@ -65,6 +65,8 @@
     "hup": ((),),
     "reset_conns": ((), ("leader",)),
     "ack_lost": ((),),
+    "client_kill": ((),),
+    "client_reset": ((),),
 }
 OFTEN = ("node_kill", "after_ack_kill", "after_ack_wipe", "core_cut", "link_cut", "node_freeze", "replace_core")
 KINDS = (*HOWS, *OFTEN, *OFTEN)
--- a/simnet/faults.py
+++ b/simnet/faults.py
@@ -73,6 +73,8 @@
             "hup": self._hup,
             "reset_conns": self._reset_conns,
             "ack_lost": self._ack_lost,
+            "client_kill": self._client_kill,
+            "client_reset": self._client_reset,
             "power_off_all": self._power_off_all,
             "kill_all": self._kill_all,
             "wipe_after_ack": self._wipe_after_ack,
@@ -455,6 +457,21 @@
         self.cluster.operators.acks_lost_until = self.cluster.clock.now + fault.for_s
         return True
 
+    # Clients.
+
+    def _client_kill(self, fault: Fault) -> bool:
+        self._begin(fault, [], 1.0)
+        names = sorted(self.cluster.clients.clients)
+        self.cluster.clients.restart(self.cluster.clients.clients[names[fault.lot % len(names)]])
+        return True
+
+    def _client_reset(self, fault: Fault) -> bool:
+        self._begin(fault, [], 0.1)
+        names = sorted(self.cluster.clients.clients)
+        for machine in self.cluster.running():
+            self.cluster.clients.connect(self.cluster.clients.clients[names[fault.lot % len(names)]], machine)
+        return True
+
     # Closing faults.
 
     def _power_off_all(self, fault: Fault) -> bool:
--- a/simnet/machine.py
+++ b/simnet/machine.py
@@ -7,17 +7,30 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from roadspur.control.interface import Output
-from roadspur.transport.news import Publisher, State
+from roadspur.control.interface import Outward
+from roadspur.transport.news import State
 from simnet.disk import Disk
 
 if TYPE_CHECKING:
     from roadspur.control.node import ControlNode
+    from roadspur.control.service import ControlService
 
 CLOCK_DRIFT = 0.01  # by which a steady clock runs fast or slow at most
 SLOW_INPUT_S = 0.012  # that a slowed machine takes for one input
 
-Feed = Callable[["ControlNode", float], list[Output]]
+Feed = Callable[["ControlService", float], list[Outward]]
+
+
+class SteadyClock:
+    """A clock that began at some time of its own, and runs a little fast or slow."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._offset = rng.random() * 1e5
+        self._rate = 1.0 + CLOCK_DRIFT * (2 * rng.random() - 1)
+
+    def time(self, now: float) -> float:
+        """What it shows."""
+        return self._offset + now * self._rate
 
 
 class Machine:
@@ -26,7 +39,7 @@
     def __init__(self, address: str, zone: str, rng: random.Random) -> None:
         self.address, self.zone = address, zone
         self.disk = Disk(rng)
-        self.node: ControlNode | None = None
+        self.service: ControlService | None = None
         self.life = 0  # which life of its process this is
         self.gone = False  # for good
         self.dark = False  # without power: silent, where a dead process refuses connections
@@ -36,13 +49,18 @@
         self.busy_until = 0.0
         self.inbox: deque[Feed] = deque()  # what came and is not worked off
         self.heard: dict[str, float] = {}  # when what it heard last from each other machine was sent
-        self.publisher = Publisher(State())
-        self._offset = rng.random() * 1e5
-        self._rate = 1.0 + CLOCK_DRIFT * (2 * rng.random() - 1)
+        self.clock = SteadyClock(rng)
+        self.published: State | None = None  # what it told to be in force last, and that state's number
+        self.published_number = -1
+
+    @property
+    def node(self) -> ControlNode | None:
+        """The control node, while its process runs."""
+        return self.service.node if self.service is not None else None
 
     def time(self, now: float) -> float:
-        """Its own steady clock: it began when the machine did, and runs a little fast or slow."""
-        return self._offset + now * self._rate
+        """Its own steady clock."""
+        return self.clock.time(now)
 
     def ready_at(self) -> float:
         """From when on its process takes the next input."""
--- a/simnet/operators.py
+++ b/simnet/operators.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol
 
 from roadspur.common.failures import ANSWERS, Failure, Kind
-from roadspur.control.interface import Answer, Change, Read
+from roadspur.control.interface import Answer, Change, Read, Unread
 from roadspur.transport.news import State
 from simnet.clock import Clock
 from simnet.machine import Machine
@@ -30,7 +30,7 @@
 FINAL_STATUSES = frozenset({400, 404, 409, 412, 413, 422})  # after which an operator sends no more
 LOST_ACKS = 0.7  # the share, while acknowledgements are lost
 
-Make = Callable[[int], Change | Read]
+Make = Callable[[int], Change | Read | Unread]
 
 
 class Core(Protocol):
@@ -40,7 +40,7 @@
     rng: random.Random
     machines: dict[str, Machine]
 
-    def call(self, machine: Machine, call: Change | Read) -> None: ...
+    def call(self, machine: Machine, make: Make, taken: Callable[[int], None]) -> None: ...
 
     def in_contact(self, machine: Machine) -> bool: ...
 
@@ -78,7 +78,8 @@
 
     def __init__(self, core: Core, ledger: Ledger) -> None:
         self.core, self.ledger = core, ledger
-        self.tries: dict[int, Try] = {}
+        self.tries: dict[int, Try] = {}  # that may still be answered
+        self._calls: dict[tuple[str, int, int], int] = {}  # tries by machine, its life and the number of the call there
         self.acks: list[float] = []  # when changes were acknowledged
         self.confirmations: list[tuple[float, str]] = []  # when and by whom orders were answered with success
         self.last_read = State()
@@ -190,7 +191,7 @@
         self.core.clock.later(PATIENCE_S, lambda: self._give_up(this))
         self.on_sent(address)
         if machine.node is not None:
-            self.core.call(machine, request.make(number))
+            self.core.call(machine, request.make, lambda call: self._calls.update({(address, this.life, call): number}))
         elif not machine.dark and not machine.gone:
             self.core.clock.later(REFUSED_S, lambda: self._give_up(this))
 
@@ -206,7 +207,8 @@
 
     def answered(self, machine: Machine, answer: Answer) -> None:
         """A machine gives the answer to a call."""
-        this = self.tries.pop(answer.call, None)
+        number = self._calls.pop((machine.address, machine.life, answer.call), None)
+        this = self.tries.pop(number, None) if number is not None else None
         if this is None:
             raise Broken(f"call {answer.call} was answered twice, or never asked")
         if isinstance(answer.answer, Failure):
