--- a/simnet/operators.py
+++ b/simnet/operators.py
@@ -187,10 +187,11 @@
         request.tried.add(address)
         machine = self.core.machines[address]
         number = next(self._numbers)
-        this = self.tries[number] = Try(request, address, machine.life, redirects)
+        this = Try(request, address, machine.life, redirects)
         self.core.clock.later(PATIENCE_S, lambda: self._give_up(this))
         self.on_sent(address)
         if machine.node is not None:
+            self.tries[number] = this
             self.core.call(machine, request.make, lambda call: self._calls.update({(address, this.life, call): number}))
         elif not machine.dark and not machine.gone:
             self.core.clock.later(REFUSED_S, lambda: self._give_up(this))
