Scale run: waits until lists rest; sizes of the list's messages

Trial at 1,000 proxies after the join: the calm window began 4 s after all had come, while watchers still handed lists over (24 kB/s a proxy), and so was none.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -191,6 +191,7 @@
             "traffic": Measured.traffic.counts,
             "complete": [proxy.complete for proxy in self.proxies],
             "counters": [proxy.counters[-1] if proxy.counters else None for proxy in self.proxies],
+            "list_numbers": [proxy.knowledge.list.state.number for proxy in self.proxies],
             "in_force": [proxy.in_force for proxy in self.proxies],
             "verdicts": [seconds for proxy in self.proxies for seconds in proxy.verdict_times[-400:]],
             "unanswered": sum(len(proxy.asked) for proxy in self.proxies),
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -14,7 +14,7 @@
 from benchmarks.scale.processes import PROGRAMS, Deployment, Usage, all_of, summed
 
 CHARGES_PER_S = 1.0  # of a proxy, in the run over sizes
-SETTLE_S = 4.0
+SETTLE_S = 3.0
 CALM_S = 10.0
 CHANGES = 5
 CHANGE_S = 2.0
@@ -132,6 +132,19 @@
     return times_since(at, all_of(reports, "complete"), "all come at once")
 
 
+async def settle(deployment: Deployment) -> Figures:
+    """Wait until all proxies have one list and it rests."""
+    began = time.monotonic()
+    last: list[int] = []
+    while time.monotonic() < began + MOST_S:
+        await asyncio.sleep(SETTLE_S)
+        numbers = all_of(await deployment.reports(), "list_numbers")
+        if len(set(numbers)) == 1 and numbers == last:
+            return {"lists at rest after all came: s": time.monotonic() - began - SETTLE_S}
+        last = numbers
+    return {"lists not at rest": 1.0}
+
+
 async def calm(deployment: Deployment) -> Figures:
     """Loads while nothing happens but charges."""
     before = await snapshot(deployment)
@@ -212,7 +225,7 @@
         acknowledged, _ = await deployment.put(config)
         figures = {"first acknowledgement s": acknowledged - began, **await herd(deployment)}
         deployment.tell(f"rate {CHARGES_PER_S}")
-        await asyncio.sleep(SETTLE_S)
+        figures |= await settle(deployment)
         quiet = await calm(deployment)
         figures |= quiet
         figures |= await changes(deployment, config, quiet)
--- a/benchmarks/scale/state.py
+++ b/benchmarks/scale/state.py
@@ -132,6 +132,9 @@
         began = time.process_time()
         changes = survey.page(now, page) or changes
         read_s += time.process_time() - began
+    state = State()
+    state.set(1, {f"b:{name}": entry for name, entry in changes.items()})
+    state.set(2, {f"b:{rows[0]['id']}": {**(changes[rows[0]["id"]] or {}), "p": "draining"}})
     deciding = decisions()
     before = resident_mb()
     places = {
@@ -147,6 +150,8 @@
         "registry: seconds of a reading": now,
         "registry: processor s": read_s,
         "registry: backends found": len(changes),
+        "whole list, message MB": len(encode(state.since(0))) / MB,
+        "one backend, message bytes": len(encode(state.since(1))),
         "proxy: take in s": first_s,
         "proxy: memory MB": proxy_mb,
         "proxy: one backend less s": timed(lambda: deciding.listed(1.0, dict(places))),
