--- a/benchmarks/beginning.py
+++ b/benchmarks/beginning.py
@@ -15,9 +15,14 @@
 from tests.ledger.test_beginning import AT_ONCE, begun, refused
 from tests.ledger.world import BASIC, PLUS
 
-STARTS = {"3 within 50 ms": AT_ONCE, "6 within 50 ms": tuple(n / 100 for n in range(6)),
-          "3 within 3 s": (0.0, 1.0, 3.0), "6 within 3 s": (0.0, 0.5, 1.0, 2.0, 2.5, 3.0),
-          "one a minute later": (0.0, 0.02, 60.0), "one of 3 never comes": (0.0, 0.02, math.inf)}
+STARTS = {
+    "3 within 50 ms": AT_ONCE,
+    "6 within 50 ms": tuple(n / 100 for n in range(6)),
+    "3 within 3 s": (0.0, 1.0, 3.0),
+    "6 within 3 s": (0.0, 0.5, 1.0, 2.0, 2.5, 3.0),
+    "one a minute later": (0.0, 0.02, 60.0),
+    "one of 3 never comes": (0.0, 0.02, math.inf),
+}
 
 
 def main() -> None:
@@ -34,8 +39,11 @@
             worlds = [begun(offsets, n * epoch_length(terms) / moments, plan.name, rate) for n in range(moments)]
             shares = [refused(w) for w in worlds]
             quota, ceiling = (max(w.beyond(plan.name)[k] for w in worlds) for k in (0, 1))
-            print(f"| {name} | {plan.name} | {max(shares):.1%} | {sum(shares) / moments:.1%} | {quota:.1f} |"
-                  f" {f'{ceiling:.1f}' if ceiled else '-'} |", flush=True)
+            print(
+                f"| {name} | {plan.name} | {max(shares):.1%} | {sum(shares) / moments:.1%} | {quota:.1f} |"
+                f" {f'{ceiling:.1f}' if ceiled else '-'} |",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -29,8 +29,14 @@
     module.SCAN = scan
     rng = random.Random(servers)
     fleet = Fleet(io.Settings(classes=(CLASS,), plans=(PLAN,)), rng, [], 0.0)
-    fleet.listed(0.0, io.ListUpdate(io.ListKind.WHOLE, 1, tuple(
-        io.BackendEntry(f"b{n}", io.Phase.RUNNING, zone=f"z{n % 3}") for n in range(servers))))
+    fleet.listed(
+        0.0,
+        io.ListUpdate(
+            io.ListKind.WHOLE,
+            1,
+            tuple(io.BackendEntry(f"b{n}", io.Phase.RUNNING, zone=f"z{n % 3}") for n in range(servers)),
+        ),
+    )
     fleet.slots = 1e9
     free = dict.fromkeys(fleet.backends, 0.0)
     ends: list[tuple[float, int, str, str, float]] = []
@@ -63,10 +69,13 @@
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for servers in SIZES:
         drawn = played(servers, 24)
-        whole = played(servers, 10 ** 9, 4000 if servers > 1000 else 20_000)
+        whole = played(servers, 10**9, 4000 if servers > 1000 else 20_000)
         base = base or drawn[0]
-        print(f"| {servers} | {drawn[0]:.1f} | {drawn[0] / base:.2f} | {whole[0]:.1f} | {drawn[1]:.2f} |"
-              f" {whole[1]:.2f} | {drawn[2]:.2f} | {whole[2]:.2f} |", flush=True)
+        print(
+            f"| {servers} | {drawn[0]:.1f} | {drawn[0] / base:.2f} | {whole[0]:.1f} | {drawn[1]:.2f} |"
+            f" {whole[1]:.2f} | {drawn[2]:.2f} | {whole[2]:.2f} |",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -31,20 +31,33 @@
 
 def settings(plans: float = 1e6) -> dict[str, Any]:
     """Quotas that nobody reaches: only the cost of admission is measured."""
-    return {"balancers": 1, "me": 0,
-            "classes": [{"name": "read", "semantics": "retryable", "objective": 2.0, "hardLimit": 6.0}],
-            "plans": [{"name": "basic", "rate": plans, "storeSize": 4 * plans}],
-            "extra": {"counter": True, "counterTimeout": 1.0, "maxUnits": 4},
-            "limits": {"maxAttempts": 3, "cancel": True, "connIdle": 15.0, "connectTimeout": 2.0,
-                       "maxRetryAfter": 1.0, "ownBackends": True}}
+    return {
+        "balancers": 1,
+        "me": 0,
+        "classes": [{"name": "read", "semantics": "retryable", "objective": 2.0, "hardLimit": 6.0}],
+        "plans": [{"name": "basic", "rate": plans, "storeSize": 4 * plans}],
+        "extra": {"counter": True, "counterTimeout": 1.0, "maxUnits": 4},
+        "limits": {
+            "maxAttempts": 3,
+            "cancel": True,
+            "connIdle": 15.0,
+            "connectTimeout": 2.0,
+            "maxRetryAfter": 1.0,
+            "ownBackends": True,
+        },
+    }
 
 
 class Process:
     """A program of the benchmark's own, and what it has used."""
 
     def __init__(self, *args: str, env: dict[str, str] | None = None) -> None:
-        self.process = subprocess.Popen([sys.executable, "-m", *args], env={**os.environ, **(env or {})},
-                                        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", *args],
+            env={**os.environ, **(env or {})},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
 
     def ready(self) -> str:
         assert self.process.stdout is not None
@@ -98,8 +111,10 @@
 
 
 def request(n: int, member: int) -> bytes:
-    return (f"GET /api/{member:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: r{n}\r\nX-Call-Class: read\r\n"
-            f"X-Tier: basic\r\nX-Budget: 6000m\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n").encode()
+    return (
+        f"GET /api/{member:016x} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: r{n}\r\nX-Call-Class: read\r\n"
+        f"X-Tier: basic\r\nX-Budget: 6000m\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
+    ).encode()
 
 
 async def load(port: int, count: int, members: int, first: int = 0) -> dict[int, int]:
@@ -112,8 +127,7 @@
         done: asyncio.Future[None] = loop.create_future()
         waits.append(done)
         raws = [request(first + c * each + k, (first + c * each + k) % members) for k in range(each)]
-        transport, _ = await loop.create_connection(
-            lambda raws=raws, done=done: Load(raws, done, statuses), HOST, port)  # type: ignore[misc]
+        transport, _ = await loop.create_connection(lambda raws=raws, done=done: Load(raws, done, statuses), HOST, port)  # type: ignore[misc]
         made.append(transport)
     await asyncio.gather(*waits)
     for transport in made:
@@ -144,10 +158,20 @@
         self.backend = Process("benchmarks.serve", "app", json.dumps({"port": ports[0]}))
         self.backend.ready()
         self.forms: dict[str, tuple[Process, int]] = {}
-        config = {"name": "n0", "listen": f"{HOST}:{ports[1]}", "discovery": f"{HOST}:{ports[5]}", "seed": "1",
-                  "counter": counter, "limits": {"sockets": 1024}, "settings": settings(),
-                  "known": {"index": 1, "snapshot": True, "endpoints": [
-                      {"name": "b0", "address": f"{HOST}:{ports[0]}", "status": "SERVING"}]}}
+        config = {
+            "name": "n0",
+            "listen": f"{HOST}:{ports[1]}",
+            "discovery": f"{HOST}:{ports[5]}",
+            "seed": "1",
+            "counter": counter,
+            "limits": {"sockets": 1024},
+            "settings": settings(),
+            "known": {
+                "index": 1,
+                "snapshot": True,
+                "endpoints": [{"name": "b0", "address": f"{HOST}:{ports[0]}", "status": "SERVING"}],
+            },
+        }
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         self.forms["daemon"] = (Process("roadspur", env={"PROXY_CONFIG": str(path)}), ports[1])
@@ -156,12 +180,18 @@
             kept.write_text(json.dumps({**config, "listen": f"{HOST}:{port}"}))
             (folder / f"{sync}.toml").write_text(f'folder = "{folder}/{sync}"\nsync = "{sync}"\n')
             self.forms[f"daemon, folder with sync {sync}"] = (
-                Process("roadspur", "--state", f"{folder}/{sync}.toml", env={"PROXY_CONFIG": str(kept)}), port)
-        for n, (form, name, more) in enumerate([
+                Process("roadspur", "--state", f"{folder}/{sync}.toml", env={"PROXY_CONFIG": str(kept)}),
+                port,
+            )
+        for n, (form, name, more) in enumerate(
+            [
                 ("passthrough", "bare pass-through", {"backend": f"{HOST}:{ports[0]}"}),
                 ("app", "application alone", {}),
                 ("middleware", "application with middleware, counter service", {"counter": counter}),
-                ("middleware", "application with middleware, counter in memory", {})], 2):
+                ("middleware", "application with middleware, counter in memory", {}),
+            ],
+            2,
+        ):
             port = ports[n] if n < 5 else free_ports(1, 0)[0]
             p = Process("benchmarks.serve", form, json.dumps({"port": port, "settings": settings(), **more}))
             p.ready()
--- a/benchmarks/counter_loss.py
+++ b/benchmarks/counter_loss.py
@@ -19,8 +19,10 @@
     parser.add_argument("--length", type=float, default=60.0, help="seconds that the failure lasts")
     parser.add_argument("--seeds", type=int, default=5)
     args = parser.parse_args()
-    print(f"{'failure':24} {'plan':6} {'beyond quota':>13} {'stated':>7} {'beyond ceiling':>15} {'stated':>7}"
-          f" {'served of fair':>15}")
+    print(
+        f"{'failure':24} {'plan':6} {'beyond quota':>13} {'stated':>7} {'beyond ceiling':>15} {'stated':>7}"
+        f" {'served of fair':>15}"
+    )
     for fault in failures.FAULTS:
         for plan, rate in (("plus", 40.0), ("basic", 6.0)):
             quota = ceiling = 0.0
@@ -33,15 +35,21 @@
                     served, fair = served + w.served, fair + w.fair
             stated = failures.stated(fault, bound)
             top = "-" if bound.ceiling is None else f"{bound.ceiling:.0f}"
-            print(f"{fault.__name__:24} {plan:6} {quota:13.1f} {stated:7.0f} {ceiling:15.1f} {top:>7}"
-                  f" {served / fair:15.2f}", flush=True)
+            print(
+                f"{fault.__name__:24} {plan:6} {quota:13.1f} {stated:7.0f} {ceiling:15.1f} {top:>7}"
+                f" {served / fair:15.2f}",
+                flush=True,
+            )
     for plan, rate in (("plus", 40.0), ("basic", 6.0)):
         for fault in (failures.silence, failures.split_in_three):
             w, bound = failures.at_once(fault, plan, args.length, rate)
             quota, ceiling = w.beyond(plan)
             top = "-" if bound.ceiling is None else f"{bound.ceiling:.0f}"
-            print(f"{fault.__name__ + ', at once':24} {plan:6} {quota:13.1f} {failures.stated(fault, bound):7.0f}"
-                  f" {ceiling:15.1f} {top:>7}", flush=True)
+            print(
+                f"{fault.__name__ + ', at once':24} {plan:6} {quota:13.1f} {failures.stated(fault, bound):7.0f}"
+                f" {ceiling:15.1f} {top:>7}",
+                flush=True,
+            )
     return 0
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -27,8 +27,12 @@
         wide = member % 3 == 0
         plan, width = ("basic", max(min(3, instances), instances // 2)) if wide else ("plus", min(NARROW, instances))
         first = member * 7 % instances
-        w.at(t, lambda m=member, p=plan, f=first, d=width: w.ask(  # type: ignore[misc]
-            (f + w.rng.randrange(d)) % instances, m, p, w.rng.choice((1.0, 2.0)), f, d))
+        w.at(
+            t,
+            lambda m=member, p=plan, f=first, d=width: w.ask(  # type: ignore[misc]
+                (f + w.rng.randrange(d)) % instances, m, p, w.rng.choice((1.0, 2.0)), f, d
+            ),
+        )
     began = time.process_time()
     w.run(1.0)
     first_second, asked = w.told, w.asked
@@ -36,9 +40,14 @@
     w.run(seconds - 1.0)
     cpu = time.process_time() - began
     each = (seconds - 1.0) * instances
-    return {"first": first_second / instances, "messages": (w.told - first_second) / each,
-            "bytes": w.told_bytes / seconds / instances, "spilt": w.spilt, "vain": len(w.room_for) / w.asked,
-            "cpu": cpu / (asked + w.asked)}
+    return {
+        "first": first_second / instances,
+        "messages": (w.told - first_second) / each,
+        "bytes": w.told_bytes / seconds / instances,
+        "spilt": w.spilt,
+        "vain": len(w.room_for) / w.asked,
+        "cpu": cpu / (asked + w.asked),
+    }
 
 
 def main() -> None:
@@ -52,8 +61,10 @@
     for size in (int(n) for n in args.sizes.split(",")):
         r = play(size, args.seconds, args.rate)
         base = base or r["cpu"]
-        print(f"{size:9} {r['first']:14.1f} {r['messages']:13.1f} {r['bytes']:8.0f} {r['spilt']:21.0f}"
-              f" {100 * r['vain']:15.1f}% {r['cpu'] / base:13.2f}")
+        print(
+            f"{size:9} {r['first']:14.1f} {r['messages']:13.1f} {r['bytes']:8.0f} {r['spilt']:21.0f}"
+            f" {100 * r['vain']:15.1f}% {r['cpu'] / base:13.2f}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -36,8 +36,22 @@
         while at < SECONDS - 2.0:
             faults.append([round(at, 3), "ingress.kill", n, 0.0, 0.0])
             at += EACH * rng.uniform(0.8, 1.6)
-    return Case("fleet", seed, {"ingresses": 3, "servers": 6, "seconds": SECONDS, "rate": 120.0, "basic": 20, "plus": 4,
-                                "move": 0.7, "faults": sorted(faults), "deployment": "matching", "folders": True})
+    return Case(
+        "fleet",
+        seed,
+        {
+            "ingresses": 3,
+            "servers": 6,
+            "seconds": SECONDS,
+            "rate": 120.0,
+            "basic": 20,
+            "plus": 4,
+            "move": 0.7,
+            "faults": sorted(faults),
+            "deployment": "matching",
+            "folders": True,
+        },
+    )
 
 
 async def play(seed: int, found: Counter[str]) -> int:
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -17,8 +17,8 @@
 from roadspur import interface as io
 from tests.ledger.world import BASIC, PLUS, CounterModel, Store, World
 
-NARROW = 8            # ingresses of a ceilinged member's set
-CALLS_PER_S = 4.0     # of the counter, for each ingress
+NARROW = 8  # ingresses of a ceilinged member's set
+CALLS_PER_S = 4.0  # of the counter, for each ingress
 COST = {"basic": 0.5, "plus": 1.2}  # of its worth, that a unit beyond the quota costs
 PRICE = {"basic": 1.1, "plus": 1.6}
 
@@ -71,8 +71,12 @@
     def take(self) -> tuple[float, float, float, float]:
         """Since the last look: worth served inside quotas of that offered, cost of what went beyond, of the same;
         units beyond of those sent on; tries refused with half of the quota unused."""
-        out = (self.got / max(1e-9, self.offered), self.cost / max(1e-9, self.offered),
-               self.over / max(1e-9, self.sent_units), len(self.room_for) / max(1, self.asked))
+        out = (
+            self.got / max(1e-9, self.offered),
+            self.cost / max(1e-9, self.offered),
+            self.over / max(1e-9, self.sent_units),
+            len(self.room_for) / max(1, self.asked),
+        )
         self.offered = self.got = self.over = self.cost = self.sent_units = 0.0
         self.by_plan = {p: [0.0, 0.0, 0.0] for p in self.by_plan}
         self.asked, self.room_for = 0, set()
@@ -108,8 +112,9 @@
     w.run(1.0)
 
 
-def play(instances: int, seed: int, phases: list[tuple[str, int, Callable[[Judged], None]]],
-         say: Callable[[str], None]) -> tuple[list[tuple[str, list[float]]], float]:
+def play(
+    instances: int, seed: int, phases: list[tuple[str, int, Callable[[Judged], None]]], say: Callable[[str], None]
+) -> tuple[list[tuple[str, list[float]]], float]:
     """Phases by their names, seconds and what begins with them; a line for each second.
 
     The means of each phase's seconds (`Judged.take`), and the most units that a member went beyond its ceiling.
@@ -128,8 +133,10 @@
             plans = {p: f"{v[1] / max(1e-9, v[0]):.2f}+{v[2] / max(1e-9, v[0]):.2f}" for p, v in w.by_plan.items()}
             rows.append(w.take())
             served, cost, over, vain = rows[-1]
-            say(f"{name:8} {n:3}  served {served:5.3f}  cost {cost:5.3f}  beyond {over:5.3f}  in vain {vain:5.3f}"
-                f"  calls {w.counters[0].adds - calls:4}  {plans}")
+            say(
+                f"{name:8} {n:3}  served {served:5.3f}  cost {cost:5.3f}  beyond {over:5.3f}  in vain {vain:5.3f}"
+                f"  calls {w.counters[0].adds - calls:4}  {plans}"
+            )
         out.append((name, [sum(column) / seconds for column in zip(*rows, strict=True)]))
     return out, w.beyond("plus")[1]
 
@@ -154,8 +161,10 @@
     rows, ceiling = play(args.ingresses, args.seed, phases, print if args.each else lambda line: None)
     print(f"units beyond a ceiling, the worst member: {ceiling:.1f} (slack {max(4.0, 0.1 * PLUS.ceiling_burst):.1f})")
     for name, (served, cost, over, vain) in rows:
-        print(f"{name:8} served inside quotas {100 * served:5.1f}%  cost of what went beyond {100 * cost:5.1f}%"
-              f"  units beyond {100 * over:5.1f}%  refused in vain {100 * vain:5.1f}%")
+        print(
+            f"{name:8} served inside quotas {100 * served:5.1f}%  cost of what went beyond {100 * cost:5.1f}%"
+            f"  units beyond {100 * over:5.1f}%  refused in vain {100 * vain:5.1f}%"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/serve.py
+++ b/benchmarks/serve.py
@@ -48,9 +48,18 @@
 
     def on_message_complete(self) -> None:
         path, _, query = self.url.partition(b"?")
-        scope = {"type": "http", "asgi": {"version": "3.0"}, "http_version": "1.1", "scheme": "http",
-                 "method": self.parser.get_method().decode(), "path": path.decode("latin-1"), "raw_path": path,
-                 "query_string": query, "root_path": "", "headers": self.headers}
+        scope = {
+            "type": "http",
+            "asgi": {"version": "3.0"},
+            "http_version": "1.1",
+            "scheme": "http",
+            "method": self.parser.get_method().decode(),
+            "path": path.decode("latin-1"),
+            "raw_path": path,
+            "query_string": query,
+            "root_path": "",
+            "headers": self.headers,
+        }
         asyncio.get_running_loop().create_task(self.app(scope, self.receive, self.send))  # type: ignore[arg-type]
 
     async def receive(self) -> dict[str, Any]:
--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -33,29 +33,63 @@
 
 
 FAULTS = (
-    Wrong("what may have run is sent again, whatever its class", "policy/attempts.py",
-          "return ran_at is None or f.cls.effect", "return True or f.cls.effect"),
-    Wrong("what may have run is refused as harmless", "policy/attempts.py",
-          "if f.ran_at is not None and f.cls.effect is not", "if False and f.cls.effect is not"),
-    Wrong("a server that drains goes on being used", "policy/fleet.py",
-          "entry.phase is io.Phase.RUNNING", "entry.phase is not io.Phase.DELETED"),
-    Wrong("a total far over the allowance admits", "policy/admission.py",
-          "good = c.room(now) - f.req.units >= 0", "good = c.room(now) - f.req.units >= -200"),
+    Wrong(
+        "what may have run is sent again, whatever its class",
+        "policy/attempts.py",
+        "return ran_at is None or f.cls.effect",
+        "return True or f.cls.effect",
+    ),
+    Wrong(
+        "what may have run is refused as harmless",
+        "policy/attempts.py",
+        "if f.ran_at is not None and f.cls.effect is not",
+        "if False and f.cls.effect is not",
+    ),
+    Wrong(
+        "a server that drains goes on being used",
+        "policy/fleet.py",
+        "entry.phase is io.Phase.RUNNING",
+        "entry.phase is not io.Phase.DELETED",
+    ),
+    Wrong(
+        "a total far over the allowance admits",
+        "policy/admission.py",
+        "good = c.room(now) - f.req.units >= 0",
+        "good = c.room(now) - f.req.units >= -200",
+    ),
     Wrong("a share that is given is kept as well", "ledger/escrow.py", "self.share -= share\n", "self.share -= 0\n"),
-    Wrong("an earlier life is listened to", "ledger/beginning.py",
-          "            self.earlier.add(peer)\n            return None\n",
-          "            self.earlier.add(peer)\n            return False\n"),
+    Wrong(
+        "an earlier life is listened to",
+        "ledger/beginning.py",
+        "            self.earlier.add(peer)\n            return None\n",
+        "            self.earlier.add(peer)\n            return False\n",
+    ),
     Wrong("an idle allowance sweeps itself", "ledger/escrow.py", "found.turn(now)  # touched", "pass  # touched"),
-    Wrong("a reset attempt counts as never written", "net/upstream.py",
-          "            exchange.written = True\n            self.transport", "            self.transport"),
-    Wrong("a request that cannot be read is answered 500", "net/server.py",
-          "return Early(400, str(error), ends=True)", "return Early(500, str(error), ends=True)"),
+    Wrong(
+        "a reset attempt counts as never written",
+        "net/upstream.py",
+        "            exchange.written = True\n            self.transport",
+        "            self.transport",
+    ),
+    Wrong(
+        "a request that cannot be read is answered 500",
+        "net/server.py",
+        "return Early(400, str(error), ends=True)",
+        "return Early(500, str(error), ends=True)",
+    ),
     Wrong("a total need only begin like a number", "services/counter.py", "TOTAL.fullmatch", "TOTAL.match"),
-    Wrong("requests are answered after their time", "core/driver.py",
-          "left -= min(MARGIN_S, MARGIN_SHARE * request.expires_in)", "left += 0.2"),
-    Wrong("an attempt's answer may be given twice", "core/driver.py",
-          "        if held.answered:\n            return\n        held.answered = True\n        held.on_final",
-          "        held.answered = True\n        held.on_final"),
+    Wrong(
+        "requests are answered after their time",
+        "core/driver.py",
+        "left -= min(MARGIN_S, MARGIN_SHARE * request.expires_in)",
+        "left += 0.2",
+    ),
+    Wrong(
+        "an attempt's answer may be given twice",
+        "core/driver.py",
+        "        if held.answered:\n            return\n        held.answered = True\n        held.on_final",
+        "        held.answered = True\n        held.on_final",
+    ),
 )
 
 
@@ -87,9 +121,24 @@
             folder = Path(home)
             copy(fault, folder)
             began = time.monotonic()
-            soak = subprocess.Popen([sys.executable, "-m", "soak", "--minutes", str(args.minutes), "--seed",
-                                     str(args.seed), "--folder", "found"], cwd=folder, stdout=subprocess.PIPE,
-                                    stderr=subprocess.DEVNULL, text=True, start_new_session=True)
+            soak = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "soak",
+                    "--minutes",
+                    str(args.minutes),
+                    "--seed",
+                    str(args.seed),
+                    "--folder",
+                    "found",
+                ],
+                cwd=folder,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+                text=True,
+                start_new_session=True,
+            )
             assert soak.stdout is not None
             for line in soak.stdout:  # the finding is enough: it need not be cut down here
                 if line.startswith("found: "):
--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -64,8 +64,10 @@
                 again.close()
                 size = sum(p.stat().st_size for p in Path(folder).iterdir()) / 1e6
             middle, worst = (1000 * pauses[int(share * (len(pauses) - 1))] for share in (0.5, 0.999))
-            print(f"| {members} | {sync} | {middle:.2f} | {worst:.2f} | {committed:.2f} | {ready:.2f} | {size:.1f} |",
-                  flush=True)
+            print(
+                f"| {members} | {sync} | {middle:.2f} | {worst:.2f} | {committed:.2f} | {ready:.2f} | {size:.1f} |",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/system_cost.py
+++ b/benchmarks/system_cost.py
@@ -28,8 +28,10 @@
 
 def request(n: int) -> bytes:
     """One to the system's proxy."""
-    return (f"GET /read/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r{n}\r\nX-Deadline-Ms: 6000\r\n"
-            f"Authorization: Token key-large\r\n\r\n").encode()
+    return (
+        f"GET /read/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r{n}\r\nX-Deadline-Ms: 6000\r\n"
+        f"Authorization: Token key-large\r\n\r\n"
+    ).encode()
 
 
 async def ask(count: int, first: int) -> None:
@@ -40,8 +42,11 @@
         done: asyncio.Future[None] = loop.create_future()
         waits.append(done)
         raws = [request(first + c * each + k) for k in range(each)]
-        await loop.create_connection(lambda raws=raws, done=done: cost.Load(raws, done, statuses),  # type: ignore[misc]
-                                     FRONTS[0], FRONT)
+        await loop.create_connection(
+            lambda raws=raws, done=done: cost.Load(raws, done, statuses),  # type: ignore[misc]
+            FRONTS[0],
+            FRONT,
+        )
     await asyncio.gather(*waits)
     if statuses.get(200, 0) < 0.99 * count:
         raise ValueError(f"the proxy: expected 200 nearly always, got {statuses}")
@@ -55,11 +60,13 @@
         before = used()
         await work()  # type: ignore[misc]
         figures.setdefault(name, []).append((used() - before) / count * 1000)
+
     async with System(folder, lambda text: None) as system:
         await system.put(configuration(1, rate=1e6))
 
         async def serves() -> bool:
             return (await system.caller.ask(FRONTS[0])).status == 200
+
         await system.until("the system serves", serves)
         pids = {key: p.process.pid for key, p in system.processes.items() if p.process is not None}
         proxy = pids["proxy", FRONTS[0]]
@@ -68,8 +75,13 @@
         for turn in range(rounds):
             for name in ("bare pass-through", "daemon"):
                 process, port = bench.forms[name]
-                await take(name, process.cpu, lambda port=port, turn=turn: cost.load(  # type: ignore[misc]
-                    port, count, 500, turn * count))
+                await take(
+                    name,
+                    process.cpu,
+                    lambda port=port, turn=turn: cost.load(  # type: ignore[misc]
+                        port, count, 500, turn * count
+                    ),
+                )
             before = sum(map(cpu_of, registries))
             await take("proxy", lambda: cpu_of(proxy), lambda turn=turn: ask(count, turn * count))  # type: ignore[misc]
             figures.setdefault("registries", []).append((sum(map(cpu_of, registries)) - before) / count * 1000)
--- a/roadspur/client/calls.py
+++ b/roadspur/client/calls.py
@@ -19,17 +19,17 @@
 from typing import NamedTuple
 
 PROMISES = (408, 421, 429, 503)  # that it has not run and never will
-NOTHING_SAID = (502, 504)        # that it has run or has not
-WAIT_PART = 1 / 3                # of the time left, that `Retry-After` is heeded for
-PAUSE_S = 0.05                   # before a further try that nobody told to come later; doubles with each
-RATIO, SLACK = 0.2, 10.0         # further tries a call, and beyond that
+NOTHING_SAID = (502, 504)  # that it has run or has not
+WAIT_PART = 1 / 3  # of the time left, that `Retry-After` is heeded for
+PAUSE_S = 0.05  # before a further try that nobody told to come later; doubles with each
+RATIO, SLACK = 0.2, 10.0  # further tries a call, and beyond that
 
 
 class How(enum.Enum):
     """How a try failed without an answer."""
 
-    UNSENT = "unsent"    # no connection stood: nothing was sent
-    BROKEN = "broken"    # the connection ended, or its time: it may have run
+    UNSENT = "unsent"  # no connection stood: nothing was sent
+    BROKEN = "broken"  # the connection ended, or its time: it may have run
 
 
 class Answered(NamedTuple):
@@ -119,8 +119,11 @@
             wait = min(told, WAIT_PART * self.left(now)) if told > 0 else self._pause()
             if self._again(now, wait):
                 return Again(wait)
-            return Unknown("a try before the last may have run", self.tries) if self.may_have_run else Refused(
-                status, told, self.tries)
+            return (
+                Unknown("a try before the last may have run", self.tries)
+                if self.may_have_run
+                else Refused(status, told, self.tries)
+            )
         if status in NOTHING_SAID:
             return self._unsure(now, f"status {status}") or Answered(status, headers, body, self.tries)
         return Answered(status, headers, body, self.tries)
--- a/roadspur/client/client.py
+++ b/roadspur/client/client.py
@@ -19,9 +19,9 @@
 from roadspur.client.calls import Again, Answered, Budget, Call, Ended, How, Unknown, UnknownEnd
 from roadspur.client.directory import Directory
 
-OPEN_S = 1.0     # for a connection to stand
+OPEN_S = 1.0  # for a connection to stand
 RESOLVE_S = 1.0  # for a directory to answer
-EDGE_S = 0.05    # beyond the call's time, in which the answer of the last moment may come
+EDGE_S = 0.05  # beyond the call's time, in which the answer of the last moment may come
 
 
 class Try(NamedTuple):
@@ -58,8 +58,18 @@
 class _Base:
     """What both forms share."""
 
-    def __init__(self, servers: Sequence[str], host: str, *, region: str = "", zone: str = "", key: str = "",
-                 tries: int = 4, on_try: Hook | None = None, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        servers: Sequence[str],
+        host: str,
+        *,
+        region: str = "",
+        zone: str = "",
+        key: str = "",
+        tries: int = 4,
+        on_try: Hook | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         """`servers`: directories, `host:port`, near ones first; `host`: the service's; `key`: the tenant's, if any."""
         self.host, self.key, self.tries, self.on_try = host, key, tries, on_try
         self.rng = rng or random.Random()
@@ -72,15 +82,27 @@
         if not directory.due(time.monotonic()):
             return
         for server in directory.order():
-            got = yield _Send(httpx.Request("GET", f"http://{server}/resolve", params=directory.query), RESOLVE_S,
-                              RESOLVE_S)
-            if isinstance(got, httpx.Response) and got.status_code == 200 and directory.answered(
-                    time.monotonic(), got.content):
+            got = yield _Send(
+                httpx.Request("GET", f"http://{server}/resolve", params=directory.query), RESOLVE_S, RESOLVE_S
+            )
+            if (
+                isinstance(got, httpx.Response)
+                and got.status_code == 200
+                and directory.answered(time.monotonic(), got.content)
+            ):
                 return
         directory.unanswered(time.monotonic())
 
-    def _steps(self, method: str, path: str, body: bytes, headers: Mapping[str, str], deadline_s: float,
-               repeatable: bool, ids: list[str]) -> Step:
+    def _steps(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        deadline_s: float,
+        repeatable: bool,
+        ids: list[str],
+    ) -> Step:
         """One call: what is waited for, and its end."""
         call = Call(time.monotonic(), deadline_s, repeatable, self.budget, self.tries)
         while True:
@@ -92,8 +114,12 @@
                 step: Again | Ended = call.failed(now, How.UNSENT, "no address is known")
             else:
                 ids.append(secrets.token_hex(8))
-                sent = {**headers, "Host": self.host, "X-Attempt-Id": ids[-1],
-                        "X-Deadline-Ms": str(max(1, int(call.left(now) * 1000)))}
+                sent = {
+                    **headers,
+                    "Host": self.host,
+                    "X-Attempt-Id": ids[-1],
+                    "X-Deadline-Ms": str(max(1, int(call.left(now) * 1000))),
+                }
                 if self.key:
                     sent["Authorization"] = f"Token {self.key}"
                 if call.tries > 1:
@@ -122,20 +148,30 @@
 class Client(_Base):
     """The client for asyncio; `async with Client(...) as client`."""
 
-    def __init__(self, servers: Sequence[str], host: str, *, transport: httpx.AsyncBaseTransport | None = None,
-                 **more: Any) -> None:
+    def __init__(
+        self, servers: Sequence[str], host: str, *, transport: httpx.AsyncBaseTransport | None = None, **more: Any
+    ) -> None:
         super().__init__(servers, host, **more)
         self.http = httpx.AsyncClient(transport=transport, trust_env=False)
 
     async def __aenter__(self) -> Self:
         return self
 
-    async def __aexit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                        trace: TracebackType | None) -> None:
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         await self.http.aclose()
 
-    async def call(self, method: str, path: str, *, body: bytes = b"", headers: Mapping[str, str] | None = None,
-                   deadline_s: float = 3.0, repeatable: bool = False) -> Ended:
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        deadline_s: float = 3.0,
+        repeatable: bool = False,
+    ) -> Ended:
         """One call, to its end within `deadline_s`. UnknownEnd where it may have run and may not be repeated."""
         steps = self._steps(method, path, body, headers or {}, deadline_s, repeatable, [])
         got: Any = None
@@ -163,20 +199,30 @@
 class PlainClient(_Base):
     """The client for programs without an event loop; `with PlainClient(...) as client`."""
 
-    def __init__(self, servers: Sequence[str], host: str, *, transport: httpx.BaseTransport | None = None,
-                 **more: Any) -> None:
+    def __init__(
+        self, servers: Sequence[str], host: str, *, transport: httpx.BaseTransport | None = None, **more: Any
+    ) -> None:
         super().__init__(servers, host, **more)
         self.http = httpx.Client(transport=transport, trust_env=False)
 
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> None:
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self.http.close()
 
-    def call(self, method: str, path: str, *, body: bytes = b"", headers: Mapping[str, str] | None = None,
-             deadline_s: float = 3.0, repeatable: bool = False) -> Ended:
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        deadline_s: float = 3.0,
+        repeatable: bool = False,
+    ) -> Ended:
         """As `Client.call`; each read of the answer has the time that was left at its start."""
         steps = self._steps(method, path, body, headers or {}, deadline_s, repeatable, [])
         got: Any = None
--- a/roadspur/client/directory.py
+++ b/roadspur/client/directory.py
@@ -14,16 +14,17 @@
 from collections.abc import Sequence
 
 SHUN_S = 2.0
-AGAIN_S = 0.2   # between questions while none is answered
-ASKED = 3       # directories that one question goes to at most
-MOST = 64       # addresses of an answer that count
+AGAIN_S = 0.2  # between questions while none is answered
+ASKED = 3  # directories that one question goes to at most
+MOST = 64  # addresses of an answer that count
 
 
 class Directory:
     """One client's."""
 
-    def __init__(self, servers: Sequence[str], name: str, region: str, zone: str, now: float,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, servers: Sequence[str], name: str, region: str, zone: str, now: float, rng: random.Random
+    ) -> None:
         """`servers`: `host:port` that answer /resolve, near ones first. ValueError where there is none."""
         if not servers:
             raise ValueError("servers: expected one address of a directory at least, found none")
--- a/roadspur/common/boot.py
+++ b/roadspur/common/boot.py
@@ -148,15 +148,23 @@
 
 
 MORE_THAN_0 = ("limits.cpu_share", "limits.cores", "limits.mem_mb", "limits.link_mbps", "cloud_api.rate_per_s")
-AT_LEAST = {"limits.fd_limit": 64, "limits.disk_mb": 0, "cloud_api.lag_ms": 0, "tolerance.machines": 0,
-            "tolerance.zones": 0, "tolerance.regions": 0}
+AT_LEAST = {
+    "limits.fd_limit": 64,
+    "limits.disk_mb": 0,
+    "cloud_api.lag_ms": 0,
+    "tolerance.machines": 0,
+    "tolerance.zones": 0,
+    "tolerance.regions": 0,
+}
 
 
 def faults_of(boot: Boot) -> Iterable[str]:
     """What is wrong with settings that have all fields and types: one line each."""
+
     def value(name: str) -> Any:
         part, _, field = name.partition(".")
         return getattr(getattr(boot, part), field)
+
     for name in ("node_name", "ip", "zone", "seed_nodes"):
         if not getattr(boot, name):
             yield f"{name}: expected one at least, found none"
@@ -167,7 +175,8 @@
         if not value(name) >= least:
             yield f"{name}: expected {least} or more, found {value(name):g}"
     for name, address in [("seed_nodes", s) for s in boot.seed_nodes] + [
-            (f"binds.{n}", v) for n, v in boot.binds._asdict().items() if v]:
+        (f"binds.{n}", v) for n, v in boot.binds._asdict().items() if v
+    ]:
         try:
             read_address(address)
         except ValueError as error:
@@ -185,6 +194,7 @@
         raise ExceptionGroup("settings", [error]) from None
     except BadTable:
         from roadspur.common.checks import explain_boot  # takes a while to load, and is not needed otherwise
+
         raise ExceptionGroup("settings", explain_boot(nested(text))) from None
     wrong = [BadSetting(text) for text in faults_of(boot)]
     if wrong:
--- a/roadspur/common/process.py
+++ b/roadspur/common/process.py
@@ -44,8 +44,13 @@
         return True
 
 
-async def serve(name: str, settings: Settings, tick: Callable[[], object], changed: Callable[[], object],
-                leave: Callable[[], Awaitable[object]]) -> None:
+async def serve(
+    name: str,
+    settings: Settings,
+    tick: Callable[[], object],
+    changed: Callable[[], object],
+    leave: Callable[[], Awaitable[object]],
+) -> None:
     """Run until SIGTERM or SIGINT, then `leave` in order; `tick` each `TICK_S`, `changed` after new settings."""
     loop = asyncio.get_running_loop()
     over: asyncio.Future[str] = loop.create_future()
--- a/roadspur/proxy/budgets.py
+++ b/roadspur/proxy/budgets.py
@@ -14,9 +14,9 @@
 import zlib
 from collections import deque
 
-UNKNOWN = 16     # ingresses that are taken to be there as long as nobody has told
-SAFETY = 0.8     # of the slack, and of what a cold backend may get, that is used
-USED = 0.75      # of the ratio
+UNKNOWN = 16  # ingresses that are taken to be there as long as nobody has told
+SAFETY = 0.8  # of the slack, and of what a cold backend may get, that is used
+USED = 0.75  # of the ratio
 
 
 class Tries:
--- a/roadspur/proxy/front.py
+++ b/roadspur/proxy/front.py
@@ -22,19 +22,35 @@
 from roadspur.transport.api import refusal
 
 SEAL, NOT_RUN, ATTEMPT = b"x-server-seal", b"x-not-run", b"x-attempt-id"
-OWN = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-       b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"}  # of a connection, or of framing
+OWN = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+    b"content-length",
+}  # of a connection, or of framing
 BARE = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")  # methods whose requests need not state a length
 NOT_SENT = OWN | {b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms"}
 ONCE = (b"host", b"x-attempt-id", b"x-deadline-ms", b"authorization")
 PROMISED = (408, 421, 429, 503)  # that it has not run; a backend's own, without its proof, is not passed on
 LONGEST_S = 120.0
-STALL_S = 1.0   # in the middle of an answer, after which a repeatable request goes to another backend
-DOOR_S = 3.2    # after a planned end is told, in which clients may still come
-LAST_S = 0.5    # kept of the time before a kill
+STALL_S = 1.0  # in the middle of an answer, after which a repeatable request goes to another backend
+DOOR_S = 3.2  # after a planned end is told, in which clients may still come
+LAST_S = 0.5  # kept of the time before a kill
 SHORT_S = 0.05
-KINDS = {Verdict.OVER_QUOTA: Kind.OVER_QUOTA, Verdict.NO_ROOM: Kind.NO_ROOM, Verdict.FAILED: Kind.FAILED,
-         Verdict.FAULT: Kind.FAULT, Verdict.INVALID: Kind.MALFORMED}
+KINDS = {
+    Verdict.OVER_QUOTA: Kind.OVER_QUOTA,
+    Verdict.NO_ROOM: Kind.NO_ROOM,
+    Verdict.FAILED: Kind.FAILED,
+    Verdict.FAULT: Kind.FAULT,
+    Verdict.INVALID: Kind.MALFORMED,
+}
 
 
 @dataclass(slots=True)
@@ -60,7 +76,13 @@
         tenant = b"X-Tenant: %s\r\n" % self.asked.tenant.encode() if self.asked.tenant is not None else b""
         length = b"Content-Length: %d\r\n" % len(self.body) if self.framed else b""
         return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n%s%s\r\n%s" % (
-            self.start, max(1, int(left_s * 1000)), backend.encode(), tenant, length, self.body)
+            self.start,
+            max(1, int(left_s * 1000)),
+            backend.encode(),
+            tenant,
+            length,
+            self.body,
+        )
 
 
 def outcome_of(answer: Answer) -> io.Outcome:
@@ -75,8 +97,9 @@
 def lines_of(answer: Answer) -> bytes:
     """An answer's headers, but those of its connection."""
     named = {part.strip().lower() for part in answer.headers.get(b"connection", b"").split(b",")}
-    return b"".join(b"%s: %s\r\n" % (name, value) for name, value in answer.headers.items()
-                    if name not in OWN and name not in named)
+    return b"".join(
+        b"%s: %s\r\n" % (name, value) for name, value in answer.headers.items() if name not in OWN and name not in named
+    )
 
 
 class ProxyFarewell(Farewell):
@@ -94,8 +117,13 @@
 class ProxyIngress(Ingress):
     """Calls in, exchanges with backends out."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, decisions: Decisions, upstream: Upstream,
-                 charge: Callable[[Charge], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        decisions: Decisions,
+        upstream: Upstream,
+        charge: Callable[[Charge], None],
+    ) -> None:
         super().__init__(loop, decisions.settings, decisions, upstream, unix=loop.time)
         self.decisions = decisions
         self.driver.carry[Charge] = charge
@@ -169,13 +197,18 @@
             call.ran |= exchange.written and outcome is not io.Outcome.FULL
             if answer is not None and answer.status == 421:
                 self.decisions.stranger(backend)
-            if answer is not None and outcome is io.Outcome.ERROR and not (
-                    answer.status < 500 or answer.status in PROMISED):
+            if (
+                answer is not None
+                and outcome is io.Outcome.ERROR
+                and not (answer.status < 500 or answer.status in PROMISED)
+            ):
                 call.last = answer
             on_end(Ended(outcome, answer))
 
-        call.sent = Sent(self.upstream, Exchange(backend, message, may_send, ended, not repeatable,
-                                                 call.request.id.encode("latin-1"), stall))
+        call.sent = Sent(
+            self.upstream,
+            Exchange(backend, message, may_send, ended, not repeatable, call.request.id.encode("latin-1"), stall),
+        )
         return call.sent
 
 
@@ -194,8 +227,12 @@
         """A configuration is in force from here on."""
         limits = index.config.limits
         self.index = index
-        self.bounds = Bounds(limits.max_header_bytes, limits.max_body_bytes, max(0.1, limits.header_timeout_ms / 1000),
-                             max(0.1, limits.idle_timeout_ms / 1000))
+        self.bounds = Bounds(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            max(0.1, limits.header_timeout_ms / 1000),
+            max(0.1, limits.idle_timeout_ms / 1000),
+        )
         self.ingress.routes(index)
 
     def read(self, came: ClientConnection) -> Any:
--- a/roadspur/proxy/placement.py
+++ b/roadspur/proxy/placement.py
@@ -45,8 +45,12 @@
     return homes
 
 
-def tiers(ground: Ground, places: dict[str, Place], ready: list[Backend], homes: frozenset[str] | None,
-          ) -> list[list[Backend]]:
+def tiers(
+    ground: Ground,
+    places: dict[str, Place],
+    ready: list[Backend],
+    homes: frozenset[str] | None,
+) -> list[list[Backend]]:
     """The backends that may be sent to, nearest tier first. Costs a look at each."""
     near: list[Backend] = []
     far: list[Backend] = []
--- a/roadspur/system.py
+++ b/roadspur/system.py
@@ -22,8 +22,10 @@
     if len(sys.argv) == 2 and sys.argv[1] in PROGRAMS:
         gc.disable()  # imports make no cycles worth looking for; it is on again once all is loaded
         from roadspur.common.start import start
+
         sys.exit(start(sys.argv[1]))
     from roadspur.common.commands import invoke
+
     sys.exit(invoke())
 
 
--- a/roadspur/transport/api.py
+++ b/roadspur/transport/api.py
@@ -113,8 +113,14 @@
     zone: str = ""
 
 
-CALLS: tuple[Any, ...] = (Readiness, Resolve, ReplaceConfiguration, ReadConfiguration, BeginEvacuation,
-                          FinishEvacuation)
+CALLS: tuple[Any, ...] = (
+    Readiness,
+    Resolve,
+    ReplaceConfiguration,
+    ReadConfiguration,
+    BeginEvacuation,
+    FinishEvacuation,
+)
 C = TypeVar("C")
 
 
@@ -136,8 +142,13 @@
 class CallServer(Server):
     """One door; only the calls that it has handlers for are known there."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, handlers: list[Handler[Any]], bounds: Bounds,
-                 most: int = MOST_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        handlers: list[Handler[Any]],
+        bounds: Bounds,
+        most: int = MOST_CONNECTIONS,
+    ) -> None:
         super().__init__(loop, most, bounds)
         self.handlers = {h.call: h for h in handlers}
 
@@ -161,17 +172,19 @@
                 if not kind.PATH.endswith("/"):
                     return Asked(kind(), handler, target)
             elif kind.PATH.endswith("/") and path.startswith(kind.PATH):
-                return Asked(kind(unquote(path[len(kind.PATH):])), handler, target)
+                return Asked(kind(unquote(path[len(kind.PATH) :])), handler, target)
         return refusal(Failure(Kind.UNKNOWN_CALL, f"no such call: {method} {path[:80]}"))
 
     def take(self, item: Asked, reply: Reply) -> None:
         """Hand a call to its handler."""
+
         def done(answer: Any) -> None:
             if isinstance(answer, Failure):
                 early = refusal(answer, item.target)
                 reply(early.status, early.lines, early.why.encode())
             else:
                 reply(200, JSON, answer.body())
+
         try:
             item.handler.answer(item.call, done)
         except Failure as failure:
--- a/standins/system.py
+++ b/standins/system.py
@@ -46,8 +46,16 @@
 
     def entry(self) -> dict[str, Any]:
         """Its line in the platform's list."""
-        return {"target": self.service, "address": self.address, "zone": zone_of(self.host), "version": "v1",
-                "capacity": 6, "phase": self.phase, "cold_left_ms": 0, "id": self.name}
+        return {
+            "target": self.service,
+            "address": self.address,
+            "zone": zone_of(self.host),
+            "version": "v1",
+            "capacity": 6,
+            "phase": self.phase,
+            "cold_left_ms": 0,
+            "id": self.name,
+        }
 
     async def handle(self, message: Message, connection: Connection) -> bytes | None:
         h = message.headers
@@ -71,24 +79,51 @@
     async def handle(self, message: Message, connection: Connection) -> bytes | None:
         self.calls += 1
         start = int(message.target.partition("page_token=")[2] or 0)
-        rows = [b.entry() for b in self.backends[start:start + 4]]
+        rows = [b.entry() for b in self.backends[start : start + 4]]
         following = str(start + 4) if start + 4 < len(self.backends) else None
         return answer(200, json.dumps({"instances": rows, "next_token": following}).encode())
 
 
 def configuration(version: int, service: str = "ledger", rate: float = 40.0) -> dict[str, Any]:
     """A configuration as an operator sends it."""
-    route = {"hostname": HOST, "variant": "pure", "deadline_ms": 3000, "target_ms": 800, "rank": 1, "tries": 2,
-             "public": False, "regions_allowed": []}
-    return {"version": f"{version:08x}",
-            "routes": {"read": {**route, "path_prefix": "/read/", "target": service},
-                       "pay": {**route, "path_prefix": "/pay/", "variant": "effectful", "target": "ledger"}},
-            "services": {name: {"health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": False,
-                                "warmup_s": 0.0, "cold_per_s": 0.0} for name in ("ledger", "pages")},
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000,
-                       "idle_timeout_ms": 15000},
-            "tenants": {"large": {"api_keys": ["key-large"], "rate_per_s": 1000, "burst": 1000},
-                        "small": {"api_keys": ["key-small"], "rate_per_s": rate, "burst": rate}}}
+    route = {
+        "hostname": HOST,
+        "variant": "pure",
+        "deadline_ms": 3000,
+        "target_ms": 800,
+        "rank": 1,
+        "tries": 2,
+        "public": False,
+        "regions_allowed": [],
+    }
+    return {
+        "version": f"{version:08x}",
+        "routes": {
+            "read": {**route, "path_prefix": "/read/", "target": service},
+            "pay": {**route, "path_prefix": "/pay/", "variant": "effectful", "target": "ledger"},
+        },
+        "services": {
+            name: {
+                "health_path": "/health",
+                "max_conns": 100,
+                "protocol": "h1",
+                "tls": False,
+                "warmup_s": 0.0,
+                "cold_per_s": 0.0,
+            }
+            for name in ("ledger", "pages")
+        },
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": {
+            "large": {"api_keys": ["key-large"], "rate_per_s": 1000, "burst": 1000},
+            "small": {"api_keys": ["key-small"], "rate_per_s": rate, "burst": rate},
+        },
+    }
 
 
 @dataclass
@@ -107,23 +142,43 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         zone = zone_of(self.ip)
         front = self.program == "proxy"
-        binds = {"front": FRONT, "ready": READY, "directory": DIRECTORY} if front else (
-            {"control": CONTROL} if self.program == "control" else {})
-        lines = [f"node_name={'front' if front else 'core'}-{self.ip}", f"role={self.program}", f"ip={self.ip}",
-                 f"machine_class={'front' if front else 'core'}", f"zone={zone}", f"region={REGIONS[zone]}",
-                 *(f"zones.{z}={r}" for z, r in REGIONS.items()),
-                 *(f"binds.{name}={self.ip}:{port}" for name, port in binds.items()),
-                 "port_range=17560,17575", "seed_nodes=" + ",".join(f"{ip}:{CONTROL}" for ip in CORES),
-                 f"bootstrap={'false' if self.began else 'true'}", "limits.fd_limit=1024", "limits.disk_mb=64",
-                 f"data_dir={self.folder}", f"cloud_api.address={self.platform}", "cloud_api.rate_per_s=47",
-                 "bounds=grace_s=3,retry_slack=58"]
+        binds = (
+            {"front": FRONT, "ready": READY, "directory": DIRECTORY}
+            if front
+            else ({"control": CONTROL} if self.program == "control" else {})
+        )
+        lines = [
+            f"node_name={'front' if front else 'core'}-{self.ip}",
+            f"role={self.program}",
+            f"ip={self.ip}",
+            f"machine_class={'front' if front else 'core'}",
+            f"zone={zone}",
+            f"region={REGIONS[zone]}",
+            *(f"zones.{z}={r}" for z, r in REGIONS.items()),
+            *(f"binds.{name}={self.ip}:{port}" for name, port in binds.items()),
+            "port_range=17560,17575",
+            "seed_nodes=" + ",".join(f"{ip}:{CONTROL}" for ip in CORES),
+            f"bootstrap={'false' if self.began else 'true'}",
+            "limits.fd_limit=1024",
+            "limits.disk_mb=64",
+            f"data_dir={self.folder}",
+            f"cloud_api.address={self.platform}",
+            "cloud_api.rate_per_s=47",
+            "bounds=grace_s=3,retry_slack=58",
+        ]
         settings = self.folder / "boot.conf"
         settings.write_text("\n".join(lines) + "\n")
         self.began = True
         with open(self.folder / f"{self.program}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "roadspur.system", self.program, stdout=log, stderr=log,
-                env={**os.environ, "THISTLEUSHER_NODE_FILE": str(settings)})
+                sys.executable,
+                "-m",
+                "roadspur.system",
+                self.program,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "THISTLEUSHER_NODE_FILE": str(settings)},
+            )
 
     async def end(self, number: signal.Signals = signal.SIGTERM) -> int:
         """Send a signal and wait for the end; the exit code."""
@@ -140,8 +195,9 @@
     def __init__(self) -> None:
         self.count = 0
 
-    async def call(self, address: str, method: str, target: str, headers: dict[str, str] | None = None,
-                   body: bytes = b"") -> Message:
+    async def call(
+        self, address: str, method: str, target: str, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> Message:
         """The whole answer. OSError, TimeoutError or EOFError where there is none."""
         async with asyncio.timeout(4.0):
             host, _, port = address.rpartition(":")
@@ -157,8 +213,12 @@
     async def ask(self, ip: str, target: str = "/read/1", key: str = "key-large", method: str = "GET") -> Message:
         """One client's try."""
         self.count += 1
-        return await self.call(f"{ip}:{FRONT}", method, target, {
-            "X-Attempt-Id": f"a{self.count:08x}", "X-Deadline-Ms": "2500", "Authorization": f"Token {key}"})
+        return await self.call(
+            f"{ip}:{FRONT}",
+            method,
+            target,
+            {"X-Attempt-Id": f"a{self.count:08x}", "X-Deadline-Ms": "2500", "Authorization": f"Token {key}"},
+        )
 
 
 class System:
@@ -167,8 +227,11 @@
     def __init__(self, folder: Path, say: Callable[[str], None] = print) -> None:
         self.folder, self.say = folder, say
         self.runs: list[tuple[str, str, str]] = []
-        self.backends = [Backend(f"i-{service}-{n}", service, ip.rpartition(".")[0] + f".{50 + k}", self.runs)
-                         for k, service in enumerate(("ledger", "pages")) for n, ip in enumerate(FRONTS)]
+        self.backends = [
+            Backend(f"i-{service}-{n}", service, ip.rpartition(".")[0] + f".{50 + k}", self.runs)
+            for k, service in enumerate(("ledger", "pages"))
+            for n, ip in enumerate(FRONTS)
+        ]
         self.platform = Platform(self.backends)
         self.caller = Caller()
         self.processes: dict[tuple[str, str], Process] = {}
@@ -219,8 +282,13 @@
         """Send a configuration."""
         return await self.order("POST", "/Config.Replace", json.dumps(config).encode())
 
-    async def served(self, n: int, target: str = "/read/1", key: str = "key-large", method: str = "GET",
-                     ) -> dict[int, int]:
+    async def served(
+        self,
+        n: int,
+        target: str = "/read/1",
+        key: str = "key-large",
+        method: str = "GET",
+    ) -> dict[int, int]:
         """Ask n times over all proxies; how often each status came."""
         got = await asyncio.gather(*(self.caller.ask(FRONTS[k % len(FRONTS)], target, key, method) for k in range(n)))
         tally: dict[int, int] = {}
@@ -235,20 +303,30 @@
 
     async def ready() -> bool:
         return all([(await system.caller.call(f"{ip}:{READY}", "GET", "/readiness")).status == 200 for ip in FRONTS])
+
     assert (await system.put(configuration(1))).status == 200
     say("configuration 00000001 is acknowledged: it is on two disks")
     await system.until("all proxies ready", ready)
     found: dict[str, Any] = {}
 
     async def listed() -> bool:
-        found.update(json.loads((await system.caller.call(
-            f"{FRONTS[0]}:{DIRECTORY}", "GET", f"/resolve?name={HOST}&region=r-2&zone=z-3")).body))
+        found.update(
+            json.loads(
+                (
+                    await system.caller.call(
+                        f"{FRONTS[0]}:{DIRECTORY}", "GET", f"/resolve?name={HOST}&region=r-2&zone=z-3"
+                    )
+                ).body
+            )
+        )
         return bool(found["addresses"] == [f"{FRONTS[2]}:{FRONT}"])
+
     await system.until("the directory names the proxy of the client's region", listed)
     say(f"/resolve for a client in r-2: {found}")
 
     async def counted() -> bool:
         return (await system.served(6)).get(200) == 6
+
     await system.until("requests are counted and served", counted)
     tally = await system.served(120)
     say(f"120 requests over three proxies: {tally}")
@@ -267,6 +345,7 @@
         before = sum(1 for r in runs if r[1] == drained.name)
         await system.served(30, "/pay/1", method="POST")
         return sum(1 for r in runs if r[1] == drained.name) == before
+
     await system.until("the draining backend gets nothing", empty)
     say(f"{drained.name} drains: nothing more reaches it")
 
@@ -276,6 +355,7 @@
         mark = len(runs)
         await system.served(30)
         return all("pages" in name for _, name, _ in runs[mark:])
+
     await system.until("the changed route is in force", moved)
     say("configuration 00000002 sends /read/ to another service, at all proxies")
 
@@ -298,6 +378,7 @@
         mark = len(runs)
         tally = await system.served(30)
         return tally == {200: 30} and all("ledger" in name for _, name, _ in runs[mark:])
+
     await system.until("served by the new configuration", again)
     for program in ("control", "registry"):
         await system.processes[program, CORES[0]].start()
@@ -311,8 +392,10 @@
 
 async def hold(system: System, seconds: float) -> None:
     """In service with one configuration, for a while."""
+
     async def ready() -> bool:
         return all([(await system.caller.call(f"{ip}:{READY}", "GET", "/readiness")).status == 200 for ip in FRONTS])
+
     await system.put(configuration(1))
     await system.until("all proxies ready", ready)
     system.say(f"in service for {seconds:g} s: directory {FRONTS[0]}:{DIRECTORY}, host {HOST}, key key-large")
--- a/tests/client/test_calls.py
+++ b/tests/client/test_calls.py
@@ -27,8 +27,9 @@
     assert call(True).answered(100.0, 503, {"retry-after": "60"}, b"") == Again(1.0)
 
 
-@pytest.mark.parametrize("repeatable, before, cut", [
-    (False, Again, Unknown), (True, Again, Again)], ids=["effectful", "pure"])
+@pytest.mark.parametrize(
+    "repeatable, before, cut", [(False, Again, Unknown), (True, Again, Again)], ids=["effectful", "pure"]
+)
 def test_a_request_that_is_cut_before_its_first_byte_and_after(repeatable, before, cut):
     assert isinstance(call(repeatable).failed(100.0, How.UNSENT, "refused"), before)
     assert isinstance(call(repeatable).failed(100.0, How.BROKEN, "reset"), cut)  # in its last byte, or after it
@@ -86,8 +87,18 @@
     assert d.pick(30.0) == "a:1" and not d.due(2.1) and d.due(2.3)
 
 
-@pytest.mark.parametrize("lie", [b"", b"[]", b'{"addresses": []}', told(), told("a:1", ttl=0), told("a:1", ttl="x"),
-                                 b'{"addresses": 3, "ttl_s": 1}'])
+@pytest.mark.parametrize(
+    "lie",
+    [
+        b"",
+        b"[]",
+        b'{"addresses": []}',
+        told(),
+        told("a:1", ttl=0),
+        told("a:1", ttl="x"),
+        b'{"addresses": 3, "ttl_s": 1}',
+    ],
+)
 def test_a_directory_that_lies_counts_as_silent(lie):
     d = directory()
     d.answered(0.0, told("a:1"))
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -37,6 +37,7 @@
     async def play():
         async with Client(["d:1"], HOST, key="k", transport=httpx.MockTransport(service)) as client:
             return await client.call(method, "/x", **more)
+
     return asyncio.run(play())
 
 
@@ -55,8 +56,18 @@
 
 
 @both
-@pytest.mark.parametrize("end", [httpx.ReadError("reset"), httpx.WriteError("cut"), httpx.ReadTimeout("silent"),
-                                 httpx.RemoteProtocolError("half"), 502, 504], ids=repr)
+@pytest.mark.parametrize(
+    "end",
+    [
+        httpx.ReadError("reset"),
+        httpx.WriteError("cut"),
+        httpx.ReadTimeout("silent"),
+        httpx.RemoteProtocolError("half"),
+        502,
+        504,
+    ],
+    ids=repr,
+)
 def test_an_effectful_call_with_an_unknown_end_says_so_and_is_sent_once(form, end):
     service = Service(end, 200)
     with pytest.raises(UnknownEnd) as caught:
@@ -90,6 +101,7 @@
 def test_no_directory_ends_as_never_sent(form):
     def dark(request):
         raise httpx.ConnectError("dark")
+
     assert ask(form, dark, "POST", deadline_s=0.5) == Refused(0, 0.0, 4)
 
 
--- a/tests/client/test_loopback.py
+++ b/tests/client/test_loopback.py
@@ -30,8 +30,10 @@
         async with System(tmp_path, lambda line: None) as system:
             await hold(system, 0.0)
             async with Client(SERVERS, HOST, region="r-1", zone="z-1", key="key-large") as client:
+
                 async def counted() -> bool:
                     return (await system.served(30)).get(200) == 30
+
                 await system.until("requests are counted and served at all proxies", counted)
                 paid, read = [], []
                 for wave in range(10):
@@ -42,11 +44,26 @@
                         system.backends[0].phase = "draining"
                     paid += await asyncio.gather(*calls)
                     read += await asyncio.gather(*reads)
-                example = await asyncio.to_thread(subprocess.run, [
-                    sys.executable, "examples/client_script.py", "--directory", SERVERS[1], "--host", HOST,
-                    "--key", "key-large", "--pay", "/pay/example"], capture_output=True, text=True,
-                    env={**os.environ, "PYTHONPATH": "."})
+                example = await asyncio.to_thread(
+                    subprocess.run,
+                    [
+                        sys.executable,
+                        "examples/client_script.py",
+                        "--directory",
+                        SERVERS[1],
+                        "--host",
+                        HOST,
+                        "--key",
+                        "key-large",
+                        "--pay",
+                        "/pay/example",
+                    ],
+                    capture_output=True,
+                    text=True,
+                    env={**os.environ, "PYTHONPATH": "."},
+                )
         return system.runs, paid, read, example
+
     runs, paid, read, example = asyncio.run(play())
     ran = Counter(line.split()[1] for _, _, line in runs if line.startswith("POST"))
     for number, known in paid:
--- a/tests/system/test_commands.py
+++ b/tests/system/test_commands.py
@@ -19,8 +19,9 @@
 
 def test_checks_say_what_is_wrong_one_line_each(capsys, tmp_path, snapshot):
     config, settings = tmp_path / "config.json", tmp_path / "boot.conf"
-    config.write_text('{"version":"00000001","routes":{"r":{"hostname":"h","path_prefix":"/a/","deadline_ms":0,'
-                      '"target":"s"}}}')
+    config.write_text(
+        '{"version":"00000001","routes":{"r":{"hostname":"h","path_prefix":"/a/","deadline_ms":0,' '"target":"s"}}}'
+    )
     settings.write_text("node_name=n\nip=10.0.0.1\nport_range=1,2\nseed_nodes=x\n")
     told = {}
     for kind, path in (("configuration", config), ("settings", settings), ("settings", tmp_path / "none")):
--- a/tests/system/test_front.py
+++ b/tests/system/test_front.py
@@ -19,18 +19,31 @@
 
 
 def config(**tenants):
-    return record(Configuration, {
-        "version": "00000001",
-        "routes": {"p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
-                   "e": {**ROUTE, "path_prefix": "/e/", "variant": "effectful"},
-                   "o": {**ROUTE, "path_prefix": "/o/", "variant": "pure", "public": True}},
-        "services": {"s": {}}, "tenants": {"t": {"api_keys": ["k1", "k2"]}, **tenants}})
+    return record(
+        Configuration,
+        {
+            "version": "00000001",
+            "routes": {
+                "p": {**ROUTE, "path_prefix": "/p/", "variant": "pure"},
+                "e": {**ROUTE, "path_prefix": "/e/", "variant": "effectful"},
+                "o": {**ROUTE, "path_prefix": "/o/", "variant": "pure", "public": True},
+            },
+            "services": {"s": {}},
+            "tenants": {"t": {"api_keys": ["k1", "k2"]}, **tenants},
+        },
+    )
 
 
 def answer(attempt, status=200, seal=True, body=b"whole", more=b""):
     head = b"X-Server-Seal: s.1\r\n" if seal else b""
     return b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
-        status, attempt.encode(), head, more, len(body), body)
+        status,
+        attempt.encode(),
+        head,
+        more,
+        len(body),
+        body,
+    )
 
 
 class Backend:
@@ -135,9 +148,12 @@
         Client.serial += 1
         attempt = attempt or f"a{Client.serial}"
         method = method or ("POST" if path.startswith("/e/") else "GET")
-        self.writer.write(f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\n"
-                          f"X-Deadline-Ms: 1500\r\nAuthorization: Token {key}\r\n{lines}"
-                          f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        self.writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\n"
+            f"X-Deadline-Ms: 1500\r\nAuthorization: Token {key}\r\n{lines}"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
         async with asyncio.timeout(5.0):
             return await read_message(self.reader)
 
@@ -146,34 +162,47 @@
     async def main():
         async with Rig(count) as rig:
             await scenario(rig)
+
     asyncio.run(main())
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_so():
     async def scenario(rig):
-        got = await rig.ask("/e/x?q=1", body=b"abc", lines="X-Tenant: forged\r\nX-Other: kept\r\nConnection: x-gone\r\n"
-                                                             "X-Gone: 1\r\n")
+        got = await rig.ask(
+            "/e/x?q=1", body=b"abc", lines="X-Tenant: forged\r\nX-Other: kept\r\nConnection: x-gone\r\n" "X-Gone: 1\r\n"
+        )
         assert got.status == 200 and got.body == b"whole" and got.headers["x-server-seal"] == "s.1"
-        sent, = rig.runs()
+        (sent,) = rig.runs()
         assert sent.line == "POST /e/x?q=1 HTTP/1.1" and sent.body == b"abc"
         assert sent.headers["x-tenant"] == "t" and sent.headers["x-other"] == "kept" and "x-gone" not in sent.headers
         assert "authorization" not in sent.headers and sent.headers["x-expect-instance"] in ("b0", "b1")
         assert 0 < int(sent.headers["x-deadline-ms"]) <= 1500
+
     play(scenario)
 
 
-@pytest.mark.parametrize("path, step, status, runs", [
-    ("/p/", "reset in head", 200, 1), ("/e/", "reset in head", 502, 0),  # its last byte may have left
-    ("/p/", "reset", 200, 2), ("/e/", "reset", 502, 1),                  # after its last byte
-    ("/p/", "cut", 200, 2), ("/e/", "cut", 502, 1),                      # in the middle of the answer
-    ("/p/", lambda a: b"\x00\x01 no answer\r\n\r\n", 200, 2), ("/e/", lambda a: b"\x00\x01 no answer\r\n\r\n", 502, 1),
-    ("/p/", lambda a: answer(a, seal=False), 200, 2), ("/e/", lambda a: answer(a, seal=False), 502, 1),
-    ("/p/", lambda a: answer(a, 500), 200, 2), ("/e/", lambda a: answer(a, 500), 500, 1),  # the backend's own word
-    ("/p/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
-    ("/e/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
-    ("/e/", lambda a: answer(a, 421), 200, 2),
-    ("/e/", lambda a: answer(a, 503), 502, 1), ("/e/", lambda a: answer(a, 429), 502, 1),  # no proof, no promise
-])
+@pytest.mark.parametrize(
+    "path, step, status, runs",
+    [
+        ("/p/", "reset in head", 200, 1),
+        ("/e/", "reset in head", 502, 0),  # its last byte may have left
+        ("/p/", "reset", 200, 2),
+        ("/e/", "reset", 502, 1),  # after its last byte
+        ("/p/", "cut", 200, 2),
+        ("/e/", "cut", 502, 1),  # in the middle of the answer
+        ("/p/", lambda a: b"\x00\x01 no answer\r\n\r\n", 200, 2),
+        ("/e/", lambda a: b"\x00\x01 no answer\r\n\r\n", 502, 1),
+        ("/p/", lambda a: answer(a, seal=False), 200, 2),
+        ("/e/", lambda a: answer(a, seal=False), 502, 1),
+        ("/p/", lambda a: answer(a, 500), 200, 2),
+        ("/e/", lambda a: answer(a, 500), 500, 1),  # the backend's own word
+        ("/p/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
+        ("/e/", lambda a: answer(a, 503, more=b"X-Not-Run: 1\r\n"), 200, 2),
+        ("/e/", lambda a: answer(a, 421), 200, 2),
+        ("/e/", lambda a: answer(a, 503), 502, 1),
+        ("/e/", lambda a: answer(a, 429), 502, 1),  # no proof, no promise
+    ],
+)
 def test_what_a_backend_does_to_a_request_ends_by_variant(path, step, status, runs):
     async def scenario(rig):
         for backend in rig.backends:  # whichever is chosen first does it, the other one answers
@@ -185,6 +214,7 @@
             backend.script.clear()
         got = await first
         assert got.status == status and len(rig.runs()) == runs
+
     play(scenario)
 
 
@@ -192,19 +222,23 @@
     async def scenario(rig):
         rig.backends[0].server.close()
         assert [(await rig.ask(p)).status for p in ("/p/", "/e/", "/p/", "/e/")] == [200] * 4
+
     play(scenario)
 
 
 def test_a_second_answer_that_comes_late_belongs_to_no_request():
     async def scenario(rig):
-        backend, = rig.backends
-        backend.script += [lambda a: answer(a),
-                           lambda a: answer("a-of-before", body=b"not mine") + answer(a, body=b"mine")]
+        (backend,) = rig.backends
+        backend.script += [
+            lambda a: answer(a),
+            lambda a: answer("a-of-before", body=b"not mine") + answer(a, body=b"mine"),
+        ]
         client = await rig.client()
         assert (await client.ask("/p/")).body == b"whole"
         assert (await client.ask("/p/")).body == b"mine"
         assert (await client.ask("/p/")).body == b"whole"
         assert backend.connections == 2  # the one that brought it is not used again
+
     play(scenario, 1)
 
 
@@ -217,6 +251,7 @@
         before = len(stranger.got)
         got = await asyncio.gather(*(rig.ask("/e/") for _ in range(12)))
         assert [m.status for m in got] == [200] * 12 and len(stranger.got) == before
+
     play(scenario)
 
 
@@ -228,12 +263,13 @@
         assert (await client.ask("/p/", key="k2")).status == 401
         assert (await client.ask("/p/", key="k1")).status == 200
         assert (await client.ask("/o/", key="k2")).status == 200  # a public route asks for none
+
     play(scenario)
 
 
 def test_a_route_changed_while_its_request_is_out_ends_in_its_answer():
     async def scenario(rig):
-        backend, = rig.backends
+        (backend,) = rig.backends
         backend.script.append("wait")
         client = await rig.client()
         asked = asyncio.ensure_future(client.ask("/p/", attempt="slow"))
@@ -244,6 +280,7 @@
         connection = next(iter(rig.upstream.connections))
         connection.data_received(answer("slow"))
         assert (await asked).status == 200
+
     play(scenario, 1)
 
 
@@ -259,6 +296,7 @@
         rig.ingress.serving.clear()
         rig.decisions.evacuated(0.0, {"z"})
         assert (await rig.ask("/p/")).status == 503
+
     play(scenario)
 
 
@@ -277,6 +315,7 @@
         assert most > 0 and len((await asked).body) == 1 << 20
         while connection.in_kernel():
             await asyncio.sleep(0)
+
     play(scenario, 1)
 
 
@@ -292,6 +331,7 @@
         assert loop.time() - told < 3.5
         with pytest.raises(OSError):
             await rig.client()
+
     play(scenario)
 
 
--- a/tests/system/test_whole.py
+++ b/tests/system/test_whole.py
@@ -11,5 +11,6 @@
     async def play():
         async with System(tmp_path, lines.append) as system:
             await story(system)
+
     asyncio.run(play())
     assert len(lines) >= 12
