A silent backend keeps its request where no other would take it; a call given up drops its connection

Cause: review of callers: silence alone ended a repeatable attempt early with 502; a call to the platform that is cancelled left its answer for the next one.

The test fails without it.

--- a/roadspur/proxy/decisions.py
+++ b/roadspur/proxy/decisions.py
@@ -260,19 +260,26 @@
     def _place(self, now: float, flight: Flight) -> None:
         """Send it to the best backend of the nearest tier that has one; or have it wait a little, or refuse it."""
         fleet = self._fleet(now, flight.service)
-        fleet.meet(flight.cls)
-        for tier in tiers(self.ground, self.places, fleet.ready, flight.homes):
-            fit = [b for b in tier if self._fits(now, b)]
-            best = fleet.least(now, flight, fit) if fit else None
-            if best is not None:
-                self._send(now, fleet, flight, self._nearer(now, fleet, flight, fit, best))
-                return
+        best = self._best(now, fleet, flight)
+        if best is not None:
+            self._send(now, fleet, flight, best)
+            return
         possible = flight.homes is None or bool(flight.homes)
         if possible and now - flight.came < PLACE_S * flight.cls.objective and flight.req.id not in self.waiting:
             self.waiting.append(flight.req.id)
         elif flight.req.id not in self.waiting:
             self._give_up(flight)
 
+    def _best(self, now: float, fleet: Fleet, flight: Flight) -> Backend | None:
+        """The best backend of the nearest tier that has one."""
+        fleet.meet(flight.cls)
+        for tier in tiers(self.ground, self.places, fleet.ready, flight.homes):
+            fit = [b for b in tier if self._fits(now, b)]
+            best = fleet.least(now, flight, fit) if fit else None
+            if best is not None:
+                return self._nearer(now, fleet, flight, fit, best)
+        return None
+
     def _nearer(self, now: float, fleet: Fleet, flight: Flight, fit: list[Backend], best: Backend) -> Backend:
         """One of this zone in place of the best, where it is about as good: bytes between zones are paid for."""
         zone = self.ground.zone
@@ -386,5 +393,11 @@
                     flight = self.flights.get(name)
                     if flight is None or not flight.found.route.repeatable or flight.backend != b.entry.backend:
                         continue
-                    if now - flight.sent > 2 * fleet.latency[flight.cls.name] and self._again(now, flight):
+                    late = now - flight.sent > 2 * fleet.latency[flight.cls.name]
+                    if late and self._again(now, flight) and self._other(now, fleet, flight):
                         self.acts.append(io.CancelAttempt(name, flight.sends - 1))
+
+    def _other(self, now: float, fleet: Fleet, flight: Flight) -> bool:
+        """Whether another backend would take a request whose backend is silent: silence alone ends no attempt."""
+        best = self._best(now, fleet, flight)
+        return best is not None and best.entry.backend != flight.backend
--- a/roadspur/registry/platform.py
+++ b/roadspur/registry/platform.py
@@ -27,6 +27,9 @@
         except (OSError, TimeoutError, EOFError):
             self.drop()
             return None
+        except asyncio.CancelledError:
+            self.drop()  # its answer would be the next call's
+            raise
 
     async def _get(self, target: str) -> Answer:
         if self.streams is None:
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -201,6 +201,13 @@
     assert {a.request for a in asked} <= names.keys() and asked
 
 
+def test_a_silent_backend_keeps_its_request_where_no_other_would_take_it():
+    rig = Rig(near=1, far=0)
+    rig.ask()
+    acts = [a for n in range(60) for a in rig.do(io.TimerFired(1), 0.05)]
+    assert not any(isinstance(a, io.CancelAttempt) for a in acts)
+
+
 def test_all_proxies_together_stay_within_the_budget_of_further_tries():
     """Half of a service has crashed: nine proxies see nothing but failures and would try each request again."""
     rng = random.Random(3)
