A connection given up while it was opened beats no more

Ruled out: is_closing(), which stays false there. Change: the link is made first and abandoned. The test fails without it.

--- a/roadspur/transport/links.py
+++ b/roadspur/transport/links.py
@@ -111,6 +111,12 @@
             self.transport.abort()
         self._ended()
 
+    def abandon(self) -> None:
+        """It was given up while it was being opened: nobody has had it, and nothing is told."""
+        self.open = False
+        if self.beater is not None:
+            self.beater.cancel()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None:
             self.why = str(exc)
@@ -181,11 +187,14 @@
             await self._pause()
 
     async def _open(self, end: Callable[[Link, str], None], for_s: float) -> Link:
-        async with asyncio.timeout(for_s):
-            _, link = await self.loop.create_connection(
-                lambda: Link(self.loop, lambda opened: None, self._message, end), self.host, self.port
-            )
-            return link
+        link = Link(self.loop, lambda opened: None, self._message, end)
+        try:
+            async with asyncio.timeout(for_s):
+                await self.loop.create_connection(lambda: link, self.host, self.port)
+        except BaseException:
+            link.abandon()  # it may stand already, and the loop closes it without a word
+            raise
+        return link
 
     async def _pause(self) -> None:
         self.there.clear()
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -109,3 +109,31 @@
 def test_what_expands_to_no_message_is_refused(body):
     with pytest.raises(MalformedMessage):
         list(Deframer().feed(struct.pack(">I", len(body) | COMPRESSED) + body))
+
+
+def test_a_connection_that_stands_as_it_is_given_up_says_nothing_more():
+    """A poke cancels an attempt that has just come to stand: the loop closes it and tells nobody."""
+    async def play() -> list[str]:
+        loop = asyncio.get_running_loop()
+        faults: list[str] = []
+        loop.set_exception_handler(lambda loop, context: faults.append(str(context.get("exception"))))
+        links_made: list[links.Link] = []
+
+        async def stands_and_is_cancelled(factory, host, port):
+            link = factory()
+            links_made.append(link)
+            link.open, link.transport = True, None
+            link.beater = loop.call_later(0, faults.append, "the beat of a link that nobody has")
+            raise asyncio.CancelledError
+
+        loop.create_connection = stands_and_is_cancelled
+        dial = Dial(loop, "127.0.0.1", 1, lambda: Hello("x"), lambda dial, message: None)
+        while not links_made:
+            await asyncio.sleep(0)
+        dial.close()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert not links_made[0].open
+        return faults
+
+    assert asyncio.run(play()) == []
