--- /dev/null
+++ b/benchmarks/control_faults.py
@@ -0,0 +1,334 @@
+"""The deliberate faults of `simnet_faults`: what each is, and which point of docs/hardening.md it is about."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Wrong(NamedTuple):
+    """One fault: the point it is about (0: all of them), the text as it is, and as it must not be."""
+
+    point: int
+    name: str
+    right: str
+    wrong: str
+
+
+EVERYWHERE = "everywhere = pending.here and pending.there >= set(leadership.view.replicas)"
+RECORDED = "if not (view.has_majority(recorded) and candidacy.view.has_majority(recorded)):"
+VOTE_REFUSED = "elif message.epoch <= durable.promised or self._helps_another(sender, view):"
+ELIGIBLE = "return view is not None and self._context.me in view.holders and replica.epoch >= view.epoch"
+MAY_SERVE = "return current and leadership.pending is None and self._context.now < leadership.until()"
+
+NOT_APPENDED = (
+    '        if not ok:\n            durable.replica.damaged()\n            durable.failed("a change")\n        elif'
+)
+
+FAULTS = (
+    # Those of the sessions before.
+    Wrong(0, "acknowledged without the replica", EVERYWHERE, "everywhere = pending.here"),
+    Wrong(
+        0,
+        "acknowledged without the lease",
+        "if not everywhere or self._context.now >= leadership.until():",
+        "if not everywhere:",
+    ),
+    Wrong(
+        0,
+        "acknowledged before the own disk has it",
+        EVERYWHERE,
+        "everywhere = pending.there >= set(leadership.view.replicas)",
+    ),
+    Wrong(
+        0,
+        "a machine that has forgotten votes",
+        "self.forgotten = durable.view is None and not self.founding",
+        "self.forgotten = False\n        if durable.view is None and not self.founding:\n"
+        "            durable.view = ViewRecord(1, min(context.seeds), (), dict.fromkeys(context.seeds, ''))",
+    ),
+    Wrong(
+        0,
+        "one of the others is enough to remember",
+        "elif len(told) >= len(newest.voters) - newest.majority + 1:",
+        "elif told:",
+    ),
+    Wrong(0, "any voter may lead", ELIGIBLE, "return view is not None and replica.epoch >= view.epoch"),
+    Wrong(
+        0,
+        "an old copy counts as whole",
+        ELIGIBLE,
+        "return view is not None and self._context.me in view.holders and replica.epoch >= 0",
+    ),
+    Wrong(
+        0,
+        "no guard for a live leader",
+        "guarded = self._role.guarded() and sender != view.leader",
+        "guarded = False",
+    ),
+    Wrong(0, "a promise is given twice", VOTE_REFUSED, VOTE_REFUSED.replace("<=", "<")),
+    Wrong(
+        0,
+        "a replica takes changes of another epoch",
+        "if view is None or view.epoch != message.epoch or view.leader != sender:\n            return\n        if not",
+        "if view is None:\n            return\n        if not",
+    ),
+    Wrong(0, "a view is in force before a majority has it", RECORDED, "if False:"),
+    Wrong(0, "new voters decide without those before", RECORDED, "if not view.has_majority(recorded):"),
+    Wrong(0, "one of several replicas is enough", EVERYWHERE, "everywhere = pending.here and bool(pending.there)"),
+    Wrong(
+        0,
+        "a copy counts as followed by its number alone",
+        "known = self._history.get(position.number) == position.written_in",
+        "known = position.number in self._history",
+    ),
+    Wrong(
+        0,
+        "leads without a copy elsewhere",
+        "if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):",
+        "if candidacy is None or candidacy.next is None:",
+    ),
+    Wrong(
+        0,
+        "leads before its replicas have the view",
+        "if not {self._context.me, *view.replicas} <= recorded:",
+        "if self._context.me not in recorded:",
+    ),
+    Wrong(0, "a read is answered without the lease", MAY_SERVE, "return current and leadership.pending is None"),
+    Wrong(0, "promises are not written", "records._replace(promised=epoch)", "records"),
+    Wrong(0, "the lease is longer than the guard", "LEASE_S = 0.6 ", "LEASE_S = 1.6 "),
+    Wrong(
+        0,
+        "a slow disk costs nothing",
+        "elif leadership.disk_since is not None and now - leadership.disk_since > DISK_S:",
+        "elif False:",
+    ),
+    # 1: cut off.
+    Wrong(
+        1,
+        "news are told without the lease",
+        "                if self.node.holds(now):\n                    out +=",
+        "                if True:\n                    out +=",
+    ),
+    Wrong(
+        1,
+        "one that comes to follow is told without the lease",
+        "        if self.node.holds(now):\n            return [Tell",
+        "        if True:\n            return [Tell",
+    ),
+    Wrong(
+        1,
+        "the lease of a new leader counts from a repeat",
+        "acked = {voter: candidacy.record_asked for voter in candidacy.recorded}",
+        "acked = {voter: candidacy.asked for voter in candidacy.recorded}",
+    ),
+    Wrong(
+        1,
+        "the lease counts from the answer",
+        "leadership.acked[sender] = max(leadership.acked.get(sender, NEVER), message.sent)",
+        "leadership.acked[sender] = self._context.now",
+    ),
+    Wrong(
+        1,
+        "a duty is granted without contact",
+        "return self.holds(now) or now - self.contact_at < CONTACT_S",
+        "return True",
+    ),
+    Wrong(
+        1,
+        "a voter that is not heard counts as in contact",
+        "Heartbeat(leadership.view, now, holds and hears)",
+        "Heartbeat(leadership.view, now, True)",
+    ),
+    Wrong(
+        1,
+        "a leader with a majority against it goes on",
+        "if message.view.epoch > leadership.view.epoch:",
+        "if False:",
+    ),
+    # 2: orders.
+    Wrong(
+        2,
+        "an order is judged by a change that is being kept",
+        MAY_SERVE,
+        MAY_SERVE.replace("leadership.pending is None and ", ""),
+    ),
+    Wrong(
+        2,
+        "a change is confirmed as its leader steps down",
+        "        if leadership.pending is not None:\n            self._calls.put_back(leadership.pending.change)\n"
+        "        self.tell_step_down",
+        "        if leadership.pending is not None:\n"
+        "            self._context.answer(leadership.pending.change.call, None)\n        self.tell_step_down",
+    ),
+    Wrong(
+        2,
+        "a lower number takes the place of a higher",
+        "return number_of(state) >= number",
+        "return number_of(state) == number",
+    ),
+    Wrong(
+        2,
+        "a repeat is checked again",
+        "if state is not None and identity is not None and was_taken(state, identity):",
+        "if False:",
+    ),
+    Wrong(
+        2,
+        "the end of an evacuation is taken for a repeat",
+        'return (held is not None and bool(held["on"])) == begin',
+        "return held is not None",
+    ),
+    # 3: a second loss, and members that leave.
+    Wrong(
+        3,
+        "a learner becomes a fourth voter",
+        "after = {name: zone for name, zone in voters.items() if name not in pairs}",
+        "after = dict(voters)",
+    ),
+    Wrong(
+        3,
+        "a spare gets a vote though nobody is gone",
+        "if len(voters) % 2 == 0 or len(voters) < LEAST_VOTERS:",
+        "if True:",
+    ),
+    Wrong(
+        3,
+        "a learner without a copy gets a vote",
+        "return replica.follows(learner.position) and replica.position.number - learner.position.number <= LAG_MOST",
+        "return True",
+    ),
+    Wrong(
+        3,
+        "a process ends while it holds a copy",
+        "return me not in view.holders and not self._joining.learners.present()",
+        "return True",
+    ),
+    Wrong(3, "a gone voter is exchanged late", "EXCHANGE_S = 2.8 ", "EXCHANGE_S = 8.0 "),
+    Wrong(3, "a lost copy is not mended", "                self._mend_replicas(leadership)\n", ""),
+    Wrong(
+        3,
+        "copies stay in one zone",
+        "if leadership.pending is None and not late and self._abroad(leadership, free):",
+        "if False:",
+    ),
+    Wrong(
+        3,
+        "one without a vote is voted for",
+        "if self._context.me not in view.voters or sender not in view.voters:",
+        "if self._context.me not in view.voters:",
+    ),
+    Wrong(
+        3,
+        "a silent replica is not replaced",
+        "if late and free:",
+        "if False:",
+    ),
+    Wrong(
+        3,
+        "new seeds take the place of the old",
+        "self._context.seeds |= set(seeds)",
+        "self._context.seeds = set(seeds)",
+    ),
+    # 4: changes, snapshots, disks.
+    Wrong(
+        4,
+        "a change is taken after another than its base",
+        "elif position != message.base:",
+        "elif position.number != message.base.number:",
+    ),
+    Wrong(
+        4,
+        "changes are installed on another copy than their base",
+        "elif replica.position == message.base:",
+        "elif replica.position.number >= 0:",
+    ),
+    Wrong(
+        4,
+        "what waits behind a write that failed is written",
+        "if not ok:  # what waits may rest on it",
+        "if False:",
+    ),
+    Wrong(
+        4,
+        "a change that the disk refused counts",
+        '            durable.replica.damaged()\n            durable.failed("a change")',
+        '            durable.failed("a change")',
+    ),
+    Wrong(
+        4,
+        "a change is told as kept though the disk refused it",
+        NOT_APPENDED,
+        "        if",
+    ),
+    Wrong(
+        4,
+        "a change is told before it is kept",
+        "Publish(self._durable.replica.state.copied())",
+        "Publish(self._durable.replica.state)",
+    ),
+    Wrong(
+        4,
+        "a copy of another change counts as the leader's",
+        "if message.position.same_change(self._durable.replica.position):",
+        "if True:",
+    ),
+    Wrong(
+        4,
+        "the answer to an earlier change counts",
+        "if message.number == self._durable.replica.position.number:",
+        "if True:",
+    ),
+    Wrong(
+        4,
+        "each change costs the whole state",
+        "append = Append(leadership.view.epoch, pending.base, pending.position, pending.items)",
+        "append = Append(leadership.view.epoch, pending.base, pending.position, self._durable.replica.state.items)",
+    ),
+    Wrong(
+        4,
+        "learners are never brought on",
+        "if learner.position == replica.position or waited < patience:",
+        "if True:",
+    ),
+    # 5: answers and grants for the right one, once.
+    Wrong(
+        5,
+        "a call that waited too long is answered twice",
+        "            self._waiting = deque(call for call in self._waiting if self._context.now <= call.until)\n",
+        "            pass\n",
+    ),
+    Wrong(
+        5,
+        "an answer bears the number of another call",
+        "self._carry(now, self.node.call(now, make(self.calls)))",
+        "self._carry(now, self.node.call(now, make(max(1, self.calls - 1))))",
+    ),
+    Wrong(5, "a grant is told before it is on disk", "        if not changed:\n", "        if True:\n"),
+    Wrong(
+        5, "one that has just got a vote grants at once", "            self.grantor.pause(now)\n", "            pass\n"
+    ),
+    Wrong(
+        5,
+        "a duty is granted to two",
+        "free = now >= grant.until or (request.holder != grant.holder and same_machine)",
+        "free = True",
+    ),
+    Wrong(
+        5,
+        "a grant of an earlier term counts",
+        "if message.term == self.term and self.begun is not None:",
+        "if self.begun is not None:",
+    ),
+    Wrong(
+        5,
+        "a holder counts on a grant for too long",
+        "return asked[majority - 1] + GRANT_S - MARGIN_S",
+        "return asked[majority - 1] + GRANT_S + MARGIN_S",
+    ),
+    Wrong(
+        5,
+        "a process that starts grants at once",
+        'Grant(f"{machine}/", term, now + GRANT_S) for duty',
+        'Grant(f"{machine}/", term, now) for duty',
+    ),
+)
