Scale run: keeps its results after each size

A run at 1,000 proxies was ended after four minutes on a machine with a load of 40 on 16 cores; what 30, 100 and 300 had given was lost with it.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -68,7 +68,7 @@
             with tempfile.TemporaryDirectory(prefix="scale-") as folder:
                 results.append((size, uvloop.run(measure(Path(folder), size, options.each))))
             print(f"{size} proxies: {time.monotonic() - began:.0f} s, load {os.getloadavg()[0]:.1f}", flush=True)
-        keep("by proxies", results, TARGET_PROXIES)
+            keep("by proxies", results, TARGET_PROXIES)
     if "charges" in options.parts:
         with tempfile.TemporaryDirectory(prefix="scale-") as folder:
             charges = uvloop.run(measure_charges(Path(folder), CHARGE_PROXIES, options.each, CHARGE_RATES))
