--- a/roadspur/proxy/decisions.py
+++ b/roadspur/proxy/decisions.py
@@ -26,16 +26,16 @@
 from roadspur.proxy.placement import Ground, Place, homes_of, tiers
 from roadspur.proxy.quota import Quota
 
-SWEEP = 1          # token of the timer
+SWEEP = 1  # token of the timer
 SWEEP_S = 0.05
-SILENT_X = 8.0     # usual times of owed answers, after which a backend counts as silent
-MOST_SENDS = 5     # sends of one request, whether they came anywhere or not
+SILENT_X = 8.0  # usual times of owed answers, after which a backend counts as silent
+MOST_SENDS = 5  # sends of one request, whether they came anywhere or not
 NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
 PLAN = "all"
-AGAIN_S = 0.05     # added to the time until a tenant's next window
-NEARER_X = 1.25    # times the usual time of the best, that one of this zone may take
+AGAIN_S = 0.05  # added to the time until a tenant's next window
+NEARER_X = 1.25  # times the usual time of the best, that one of this zone may take
 UNKNOWN_WINDOW = -1
-PLACE_S = 0.2      # of its aim, for which a request may wait for a backend before it is refused
+PLACE_S = 0.2  # of its aim, for which a request may wait for a backend before it is refused
 
 
 class Charge(NamedTuple):
@@ -70,11 +70,37 @@
 class Flight:
     """A request that is owed one final answer; what `policy.fleet` asks of one, and more."""
 
-    __slots__ = ("req", "cls", "work", "bad", "ran_on", "found", "tenant", "service", "homes", "sends", "arrived",
-                 "ran", "charged", "window", "counted", "aim", "came", "sent", "backend")
-
-    def __init__(self, req: io.Request, asked: Asked, cls: io.ClassSettings, now: float, service: str,
-                 homes: frozenset[str] | None) -> None:
+    __slots__ = (
+        "req",
+        "cls",
+        "work",
+        "bad",
+        "ran_on",
+        "found",
+        "tenant",
+        "service",
+        "homes",
+        "sends",
+        "arrived",
+        "ran",
+        "charged",
+        "window",
+        "counted",
+        "aim",
+        "came",
+        "sent",
+        "backend",
+    )
+
+    def __init__(
+        self,
+        req: io.Request,
+        asked: Asked,
+        cls: io.ClassSettings,
+        now: float,
+        service: str,
+        homes: frozenset[str] | None,
+    ) -> None:
         self.req, self.cls, self.work, self.bad = req, cls, 1.0, set[str]()
         self.ran_on: io.BackendEntry | None = None
         self.found, self.tenant, self.service, self.homes = asked.found, asked.tenant, service, homes
@@ -88,15 +114,27 @@
 def class_of(found: Found) -> io.ClassSettings:
     """A route as a class of the decision module."""
     route = found.route
-    return io.ClassSettings(found.name, io.Effect.SAFE if route.repeatable else io.Effect.UNSAFE,
-                            max(0.05, route.target_ms / 1000), route.deadline_ms / 1000)
+    return io.ClassSettings(
+        found.name,
+        io.Effect.SAFE if route.repeatable else io.Effect.UNSAFE,
+        max(0.05, route.target_ms / 1000),
+        route.deadline_ms / 1000,
+    )
 
 
 class Decisions:
     """One proxy's."""
 
-    def __init__(self, node: str, zone: str, region: str, bounds: Bounds, rng: random.Random, now: float,
-                 born: float | None = None) -> None:
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        region: str,
+        bounds: Bounds,
+        rng: random.Random,
+        now: float,
+        born: float | None = None,
+    ) -> None:
         """`born`: when this process began; `now` where it is not known."""
         self.node, self.bounds, self.rng = node, bounds, rng
         self.ground = Ground(zone, region)
@@ -116,11 +154,20 @@
         self.acts: list[Any] = []
         self.armed = False
         self.settings = io.Settings(
-            (io.ClassSettings("-", io.Effect.UNSAFE, 1.0, 30.0),), (io.PlanSettings(PLAN, 0.0, 0.0),),
-            max_retry_after=0.25, instances=1, may_cancel=True, own_backends=True)
+            (io.ClassSettings("-", io.Effect.UNSAFE, 1.0, 30.0),),
+            (io.PlanSettings(PLAN, 0.0, 0.0),),
+            max_retry_after=0.25,
+            instances=1,
+            may_cancel=True,
+            own_backends=True,
+        )
         self.take: dict[type, Callable[[float, Any], None]] = {
-            io.Request: self._asked, Counted: self._counted, io.AttemptEnded: self._ended, io.ClientGone: self._gone,
-            io.TimerFired: self._sweep}
+            io.Request: self._asked,
+            Counted: self._counted,
+            io.AttemptEnded: self._ended,
+            io.ClientGone: self._gone,
+            io.TimerFired: self._sweep,
+        }
 
     def handle(self, now: float, event: Any) -> list[Any]:
         """One event; the actions that follow from it."""
@@ -155,7 +202,8 @@
         for place in self.places.values():
             phase = io.Phase.STOPPING if place.draining else io.Phase.RUNNING
             by_service.setdefault(place.service, []).append(
-                io.BackendEntry(place.name, phase, float(place.slots), zone=place.zone))
+                io.BackendEntry(place.name, phase, float(place.slots), zone=place.zone)
+            )
         for service in by_service.keys() | self.fleets.keys():
             fleet = self._fleet(now, service)
             fleet.listed(now, io.ListUpdate(io.ListKind.WHOLE, 0, tuple(by_service.get(service, ()))))
@@ -222,8 +270,9 @@
     def _tries(self, service: str) -> Tries:
         tries = self.tries.get(service)
         if tries is None:
-            tries = self.tries[service] = Tries(self.bounds.retry_ratio, self.bounds.retry_slack,
-                                                self.bounds.retry_window_s)
+            tries = self.tries[service] = Tries(
+                self.bounds.retry_ratio, self.bounds.retry_slack, self.bounds.retry_window_s
+            )
         return tries
 
     def _counted(self, now: float, e: Counted) -> None:
@@ -286,8 +335,12 @@
         if best.entry.zone == zone:
             return best
         here = fleet.least(now, flight, [b for b in fit if b.entry.zone == zone])
-        same = here is not None and here.work <= best.work and here.ratio <= NEARER_X * best.ratio and (
-            here.errors <= best.errors)
+        same = (
+            here is not None
+            and here.work <= best.work
+            and here.ratio <= NEARER_X * best.ratio
+            and (here.errors <= best.errors)
+        )
         return here if same and here is not None else best
 
     def _fits(self, now: float, b: Backend) -> bool:
@@ -297,8 +350,11 @@
         if now >= place.cold_until:
             return True
         service = self.config.services.get(place.service) if self.config is not None else None
-        return service is None or service.cold_per_s <= 0 or self.colds.may(
-            now, place.name, service.cold_per_s, self.ingresses)
+        return (
+            service is None
+            or service.cold_per_s <= 0
+            or self.colds.may(now, place.name, service.cold_per_s, self.ingresses)
+        )
 
     def _send(self, now: float, fleet: Fleet, flight: Flight, best: Backend) -> None:
         name = best.entry.backend
--- a/tests/system/test_decisions.py
+++ b/tests/system/test_decisions.py
@@ -14,17 +14,44 @@
 from roadspur.proxy.directory import addresses
 from roadspur.proxy.placement import Place, homes_of
 
-CONFIG = record(Configuration, {
-    "version": "00000001",
-    "routes": {
-        "pure": {"hostname": "h", "path_prefix": "/p/", "variant": "pure", "deadline_ms": 3000, "target_ms": 800,
-                 "target": "s", "tries": 2},
-        "effect": {"hostname": "h", "path_prefix": "/e/", "variant": "effectful", "deadline_ms": 3000, "target_ms": 800,
-                   "target": "s", "tries": 2},
-        "homed": {"hostname": "h", "path_prefix": "/h/", "variant": "pure", "deadline_ms": 3000, "target_ms": 800,
-                  "target": "s", "tries": 2, "regions_allowed": ["far"]}},
-    "services": {"s": {"warmup_s": 3.0, "cold_per_s": 12.0, "max_conns": 100}},
-    "tenants": {"t": {"rate_per_s": 10, "burst": 10}, "free": {}, "nowhere": {"regions_allowed": ["near"]}}})
+CONFIG = record(
+    Configuration,
+    {
+        "version": "00000001",
+        "routes": {
+            "pure": {
+                "hostname": "h",
+                "path_prefix": "/p/",
+                "variant": "pure",
+                "deadline_ms": 3000,
+                "target_ms": 800,
+                "target": "s",
+                "tries": 2,
+            },
+            "effect": {
+                "hostname": "h",
+                "path_prefix": "/e/",
+                "variant": "effectful",
+                "deadline_ms": 3000,
+                "target_ms": 800,
+                "target": "s",
+                "tries": 2,
+            },
+            "homed": {
+                "hostname": "h",
+                "path_prefix": "/h/",
+                "variant": "pure",
+                "deadline_ms": 3000,
+                "target_ms": 800,
+                "target": "s",
+                "tries": 2,
+                "regions_allowed": ["far"],
+            },
+        },
+        "services": {"s": {"warmup_s": 3.0, "cold_per_s": 12.0, "max_conns": 100}},
+        "tenants": {"t": {"rate_per_s": 10, "burst": 10}, "free": {}, "nowhere": {"regions_allowed": ["near"]}},
+    },
+)
 
 
 class Rig:
@@ -104,9 +131,9 @@
     rig = Rig()
     rig.d.quota.born, rig.d.quota.slack = rig.now, 0.0  # a standing share that has had no time to fill
     name, _ = rig.ask(tenant="t")
-    assert kinds(rig.do(io.TimerFired(1), PROMPT_S + 0.01)) == []          # no answer, no share: it waits
+    assert kinds(rig.do(io.TimerFired(1), PROMPT_S + 0.01)) == []  # no answer, no share: it waits
     acts = rig.do(io.TimerFired(1), ALONE_S)
-    assert kinds(acts) == [Charge, io.Refuse] and acts[1].retry_in == 0.0   # and is refused, not let in
+    assert kinds(acts) == [Charge, io.Refuse] and acts[1].retry_in == 0.0  # and is refused, not let in
     assert kinds(rig.do(Counted(name, OK, 0.5))) == []
 
 
@@ -120,18 +147,21 @@
     assert kinds(rig.do(Counted(name, OVER, 0.5))) == []
 
 
-@pytest.mark.parametrize("route, outcome, then", [
-    ("pure", io.Outcome.CONNECT_FAILED, io.Attempt),   # before anything was sent
-    ("effect", io.Outcome.CONNECT_FAILED, io.Attempt),
-    ("pure", io.Outcome.RESET, io.Attempt),            # after its last byte
-    ("effect", io.Outcome.RESET, io.Fail),
-    ("pure", io.Outcome.FULL, io.Attempt),             # proof that it has not run
-    ("effect", io.Outcome.FULL, io.Attempt),
-    ("pure", io.Outcome.ERROR, io.Attempt),
-    ("effect", io.Outcome.ERROR, io.Fail),
-    ("pure", io.Outcome.TIMEOUT, io.Attempt),
-    ("effect", io.Outcome.TIMEOUT, io.Fail),
-])
+@pytest.mark.parametrize(
+    "route, outcome, then",
+    [
+        ("pure", io.Outcome.CONNECT_FAILED, io.Attempt),  # before anything was sent
+        ("effect", io.Outcome.CONNECT_FAILED, io.Attempt),
+        ("pure", io.Outcome.RESET, io.Attempt),  # after its last byte
+        ("effect", io.Outcome.RESET, io.Fail),
+        ("pure", io.Outcome.FULL, io.Attempt),  # proof that it has not run
+        ("effect", io.Outcome.FULL, io.Attempt),
+        ("pure", io.Outcome.ERROR, io.Attempt),
+        ("effect", io.Outcome.ERROR, io.Fail),
+        ("pure", io.Outcome.TIMEOUT, io.Attempt),
+        ("effect", io.Outcome.TIMEOUT, io.Fail),
+    ],
+)
 def test_what_follows_an_attempt_goes_by_variant(route, outcome, then):
     rig = Rig()
     name, acts = rig.ask(route)
@@ -239,14 +269,16 @@
             proxy.spend(now, "b")
             sent.append(now)
     for n, at in enumerate(sent):
-        assert sum(1 for t in sent[n:n + 60] if t < at + 1.0) <= 12 * 1.5 + 5
+        assert sum(1 for t in sent[n : n + 60] if t < at + 1.0) <= 12 * 1.5 + 5
     assert len(sent) > 20 * 8  # and it is not starved
 
 
 def test_clients_are_sent_to_ingresses_of_their_region_that_are_up():
-    members = {n: {"front": f"{n}:1", "region": r, "zone": "z", "up": up}
-               for n, r, up in (("a", "k", True), ("b", "k", False), ("c", "l", True), ("d", "k", True))}
+    members = {
+        n: {"front": f"{n}:1", "region": r, "zone": "z", "up": up}
+        for n, r, up in (("a", "k", True), ("b", "k", False), ("c", "l", True), ("d", "k", True))
+    }
     assert addresses(members, set(), "k", "z") == ["a:1", "d:1"]
     assert addresses(members, {"a"}, "k", "z") == ["d:1"]
-    assert addresses(members, {"a", "d"}, "k", "z") == ["c:1"]       # the region is away
+    assert addresses(members, {"a", "d"}, "k", "z") == ["c:1"]  # the region is away
     assert len(addresses({"b": members["b"]}, set(), "k", "z")) == 1  # somewhat old beats none
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -36,6 +36,7 @@
         finally:
             dial.close()
             listener.close()
+
     assert asyncio.run(play()) == Hello("x")
 
 
@@ -46,6 +47,7 @@
 
         def write(self, data: bytes) -> None:
             raise RuntimeError("closed")
+
     ended = []
     loop = asyncio.new_event_loop()
     link = links.Link(loop, lambda link: None, lambda link, message: None, lambda link, why: ended.append(why))
@@ -55,12 +57,16 @@
     loop.close()
 
 
-@pytest.mark.parametrize("data", [
-    struct.pack(">I", 3) + b"\xff\xff\xff",          # no message
-    struct.pack(">I", 1 << 31),                       # longer than any
-    struct.pack(">I", 8) + msgspec.msgpack.encode(["hello", 5]),  # a field of another type
-    frame(NewsAck(1)),                                # well formed, and not taken here
-], ids=["no message", "too long", "wrong type", "not taken"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack(">I", 3) + b"\xff\xff\xff",  # no message
+        struct.pack(">I", 1 << 31),  # longer than any
+        struct.pack(">I", 8) + msgspec.msgpack.encode(["hello", 5]),  # a field of another type
+        frame(NewsAck(1)),  # well formed, and not taken here
+    ],
+    ids=["no message", "too long", "wrong type", "not taken"],
+)
 def test_what_is_no_message_or_not_taken_is_refused_logged_and_ends_its_connection(monkeypatch, data):
     said, came = [], []
     monkeypatch.setattr(links, "say", lambda event, *fields: said.append(event.name))
@@ -84,6 +90,7 @@
         finally:
             writer.close()
             listener.close()
+
     assert asyncio.run(play()) == b""
     assert came == [Hello("x")] and said == ["REFUSED_MESSAGE"]
 
@@ -101,7 +108,7 @@
     assert len(data) < 400 * 50
     for step in (1, 3, 1000, len(data)):
         deframer = Deframer()
-        came = [each for at in range(0, len(data), step) for each in deframer.feed(data[at:at + step])]
+        came = [each for at in range(0, len(data), step) for each in deframer.feed(data[at : at + step])]
         assert came == [news, Beat(), news]
 
 
@@ -113,6 +120,7 @@
 
 def test_a_connection_that_stands_as_it_is_given_up_says_nothing_more():
     """A poke cancels an attempt that has just come to stand: the loop closes it and tells nobody."""
+
     async def play() -> list[str]:
         loop = asyncio.get_running_loop()
         faults: list[str] = []
--- a/tests/system/test_news.py
+++ b/tests/system/test_news.py
@@ -9,12 +9,12 @@
 def test_a_follower_gets_what_changed_and_acknowledges_it():
     publisher, follower = Publisher(State()), Follower()
     publisher.state.set(1, {"a": 1})
-    (name, message), = publisher.follow("f", 0)
+    ((name, message),) = publisher.follow("f", 0)
     changed, reply = follower.heard(message)
     assert (changed, reply) == ({"a": 1}, NewsAck(1))
     publisher.ack(name, 1)
     publisher.state.set(2, {"b": 2, "a": None})
-    (_, message), = publisher.tell()
+    ((_, message),) = publisher.tell()
     assert follower.heard(message)[0] == {"a": None, "b": 2}
     assert publisher.count() == (0, 1)
     publisher.ack("f", 2)
@@ -28,7 +28,7 @@
     late = publisher.state.since(2)
     changed, reply = follower.heard(late)
     assert changed is None and reply == Follow("f", 0)
-    (_, message), = publisher.follow("f", reply.number)
+    ((_, message),) = publisher.follow("f", reply.number)
     assert follower.heard(message)[0] == {"k1": 1, "k2": 2, "k3": 3}
 
 
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -64,6 +64,7 @@
             counter.here(self.clock.now, name, life, mine)
             share, now, by = counter.ingresses[name].share, self.clock.now, str(self.term)
             self.way("c", name, lambda: ingress.quota.echoed(self.clock.now, by, at, now, share))
+
         ingress = self.ingresses[name]
         at, echo, life, term = self.clock.now, ingress.quota.echo, ingress.life, self.term
         self.way(name, "c", lambda: there(ingress, life, at, echo, term))
@@ -99,6 +100,7 @@
             if state["open"] and self.ingresses[name] is ingress and ingress.quota.spend(self.clock.now, "t"):
                 state["open"] = False
                 self.let_in.append(self.clock.now)
+
         self.way(name, "c", there)
         self.clock.later(PROMPT_S, prompt)
         self.clock.later(max(PROMPT_S, ALONE_S), prompt)
@@ -171,10 +173,10 @@
     quota = Quota(10.0, SLACK, born=9.5)
     quota.follow({"small": (4.0, 4.0)})
     quota.echoed(10.0, "c", 9.9, 5.0, 0.1)
-    assert quota.spend(10.0, "small")      # its part of half of the slack
+    assert quota.spend(10.0, "small")  # its part of half of the slack
     assert not quota.spend(10.1, "small")  # and no more of that: 0.1 of 0.42 of 4 a second since its birth
     quota.uncounted(10.1, "small", 1.0)
-    assert quota.spend(12.0, "small")      # parts of both stores together make one
+    assert quota.spend(12.0, "small")  # parts of both stores together make one
 
 
 def test_all_that_begin_at_once_have_half_of_the_slack_together():
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -25,8 +25,16 @@
 
 
 def entry(n, phase="ready", cold=0):
-    return {"target": "s", "address": f"10.9.0.{n}:80", "zone": "z", "version": "v1", "capacity": 3, "phase": phase,
-            "cold_left_ms": cold, "id": f"i{n}"}
+    return {
+        "target": "s",
+        "address": f"10.9.0.{n}:80",
+        "zone": "z",
+        "version": "v1",
+        "capacity": 3,
+        "phase": phase,
+        "cold_left_ms": cold,
+        "id": f"i{n}",
+    }
 
 
 def page(*entries, token=None):
@@ -60,9 +68,19 @@
     assert survey.due(0.0) is None and survey.due(0.1) == "/instances?page_token=p%2050"
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"{", b"[]", b"null", page(entry(1))[:-9], json.dumps({"instances": [{"id": "i1"}]}).encode(),
-    json.dumps({"instances": [dict(entry(1), address="nowhere")]}).encode(), b"\xff\xfe"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        page(entry(1))[:-9],
+        json.dumps({"instances": [{"id": "i1"}]}).encode(),
+        json.dumps({"instances": [dict(entry(1), address="nowhere")]}).encode(),
+        b"\xff\xfe",
+    ],
+)
 def test_garbage_leaves_the_list_as_it_was(body):
     survey = Survey(0.0, 47.0)
     now, _ = read(survey, 0.0, page(entry(1), entry(2)))
@@ -126,17 +144,17 @@
     for at in (0.5, 1.0):
         for node in "abcd" if at == 0.5 else "bcd":
             members.here(at, node, {"front": node}, "1", True, ["a"] if node == "b" else [])
-    assert members.listed(1.0)["a"]["up"]           # one watcher's word
+    assert members.listed(1.0)["a"]["up"]  # one watcher's word
     members.here(1.1, "c", {"front": "c"}, "1", True, ["a"])
-    assert not members.listed(1.1)["a"]["up"]       # two watchers'
+    assert not members.listed(1.1)["a"]["up"]  # two watchers'
     members.here(1.2, "a", {"front": "a"}, "1", True, [])
     for at in (2.0, 2.6):
         for node in "bcd":
             members.here(at, node, {"front": node}, "1", True, [])
-    assert members.listed(1.2 + SILENT_S + 0.3)["a"]["up"]   # silent here alone
-    assert not members.listed(1.2 + ALONE_S)["a"]["up"]      # for too long
+    assert members.listed(1.2 + SILENT_S + 0.3)["a"]["up"]  # silent here alone
+    assert not members.listed(1.2 + ALONE_S)["a"]["up"]  # for too long
     members.here(4.0, "d", {"front": "d"}, "1", False, [])
-    assert not members.listed(4.0)["d"]["up"]       # it says so itself, as it ends
+    assert not members.listed(4.0)["d"]["up"]  # it says so itself, as it ends
 
 
 def test_each_ingress_is_watched_by_a_few_that_its_place_names():
@@ -152,8 +170,8 @@
     assert watcher.silent(0.5 + RING_S + 0.1) >= {"n0"}
     assert watcher.beat(3.0, "n0") and "n0" not in watcher.silent(3.1)
     mine = (7, 9)
-    assert not watcher.behind(6.0, "n0", (0, 0), mine)          # the core may bring it itself
-    assert watcher.behind(6.01 + LACKS_S, "n0", (0, 0), mine)    # it did not
+    assert not watcher.behind(6.0, "n0", (0, 0), mine)  # the core may bring it itself
+    assert watcher.behind(6.01 + LACKS_S, "n0", (0, 0), mine)  # it did not
     assert not watcher.behind(6.1 + LACKS_S, "n0", (0, 0), mine)  # not at every beat
     for n in range(20):  # news that come all the time: it is a beat behind, and lacks nothing
         assert not watcher.behind(7.0 + LACKS_S * n / 2, "n0", (n, n), (n + 1, n + 1))
@@ -223,8 +241,11 @@
 
 def test_a_message_that_nobody_here_takes_is_refused():
     registry = on_duty()
-    for take in (lambda m: registry.from_follower(10.1, "d", m), lambda m: registry.from_control(10.1, "1", m),
-                 lambda m: registry.from_peer(10.1, m)):
+    for take in (
+        lambda m: registry.from_follower(10.1, "d", m),
+        lambda m: registry.from_control(10.1, "1", m),
+        lambda m: registry.from_peer(10.1, m),
+    ):
         with pytest.raises(UnexpectedMessage):
             take(Beat())
 
--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -91,16 +91,30 @@
     return name, {**entry, "p": "ready"}
 
 
-@pytest.mark.parametrize("patch, troubles, plan, rule", [
-    ((Route, "repeatable", property(lambda self: True)), [(6.0, "answers lost", 6.0)], [], "TWICE"),
-    ((decisions, "NEVER_RAN", (*decisions.NEVER_RAN, decisions.io.Outcome.RESET)), [(6.0, "answers lost", 6.0)], [],
-     "(TWICE|REFUSED)"),
-    ((Quota, "spend", open_to_all), [(6.0, "hot", 9.0)], [], "QUOTA"),
-    ((instances, "entry_of", always_ready), [], [(6.0, "drain")], "DRAIN"),
-    ((decisions.Decisions, "evacuated", nothing), [], [(6.0, "begin a1")], "EVAC"),
-    ((Registry, "_check_lease", nothing_now), [(6.0 + 0.5 * n, "core freeze", 2.0) for n in range(6)], [], "LEASE"),
-], ids=["repeats what may not be", "a reset never ran", "fails open", "drains unseen", "evacuations unseen",
-        "a thawed registry answers"])
+@pytest.mark.parametrize(
+    "patch, troubles, plan, rule",
+    [
+        ((Route, "repeatable", property(lambda self: True)), [(6.0, "answers lost", 6.0)], [], "TWICE"),
+        (
+            (decisions, "NEVER_RAN", (*decisions.NEVER_RAN, decisions.io.Outcome.RESET)),
+            [(6.0, "answers lost", 6.0)],
+            [],
+            "(TWICE|REFUSED)",
+        ),
+        ((Quota, "spend", open_to_all), [(6.0, "hot", 9.0)], [], "QUOTA"),
+        ((instances, "entry_of", always_ready), [], [(6.0, "drain")], "DRAIN"),
+        ((decisions.Decisions, "evacuated", nothing), [], [(6.0, "begin a1")], "EVAC"),
+        ((Registry, "_check_lease", nothing_now), [(6.0 + 0.5 * n, "core freeze", 2.0) for n in range(6)], [], "LEASE"),
+    ],
+    ids=[
+        "repeats what may not be",
+        "a reset never ran",
+        "fails open",
+        "drains unseen",
+        "evacuations unseen",
+        "a thawed registry answers",
+    ],
+)
 def test_the_rules_are_seen(monkeypatch, patch, troubles, plan, rule):
     monkeypatch.setattr(*patch)
     with pytest.raises(Broken, match=rule):
@@ -110,8 +124,18 @@
 
 def test_a_seed_plays_the_same_day_in_every_process():
     """Also where sets of names come in another order."""
-    program = ("from simnet import core, system; w = system.run(2); c = core.run(2); "
-               "print(__import__('zlib').crc32(str((w.ran, w.log, c.log)).encode()))")
-    said = {subprocess.run([sys.executable, "-c", program], env={**os.environ, "PYTHONHASHSEED": seed}, text=True,
-                           capture_output=True, check=True).stdout for seed in "12"}
+    program = (
+        "from simnet import core, system; w = system.run(2); c = core.run(2); "
+        "print(__import__('zlib').crc32(str((w.ran, w.log, c.log)).encode()))"
+    )
+    said = {
+        subprocess.run(
+            [sys.executable, "-c", program],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            text=True,
+            capture_output=True,
+            check=True,
+        ).stdout
+        for seed in "12"
+    }
     assert len(said) == 1
