A member that stood for long may vote again; holders stand in their turn when a leader steps down

A learner now takes copies whatever it promised, and is given a vote by an epoch above its promise, which it tells. And of two replicas both stood at once for one epoch, three times over. Both have tests that fail without the mend.

--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -93,7 +93,7 @@
         """Ask for the next epoch, with other voters where they are given."""
         durable, role = self._durable, self._role
         assert durable.view is not None
-        epoch = max(durable.promised, durable.view.epoch) + 1
+        epoch = max(durable.promised, durable.view.epoch, self._promised_by(voters or {})) + 1
         self._context.note(Event.CANDIDATE, epoch, why)
         if role.leadership is not None:  # its voters still guard it, and know it as the one that asks
             role.begin_anew()
@@ -102,6 +102,11 @@
         role.candidacy = Candidacy(epoch, durable.view, self._context.now, self._context.now, voters=voters)
         role.promise(epoch, Records(), self._begin_asking)
 
+    def _promised_by(self, voters: Mapping[str, str]) -> int:
+        """What the learners among some voters have promised: one that was cut off may have stood again and again."""
+        learners = self._joining.learners.present()
+        return max((learners[name].promised for name in voters if name in learners), default=0)
+
     def linked(self, other: str) -> None:
         """A connection to another machine stands anew: what was said to it before may be lost."""
         candidacy = self._role.candidacy
--- a/roadspur/control/joining.py
+++ b/roadspur/control/joining.py
@@ -33,6 +33,7 @@
     since: float
     heard: float
     position: Position
+    promised: int = 0
 
 
 class Learners:
@@ -42,12 +43,12 @@
         self._context = context
         self._learners: dict[str, Learner] = {}
 
-    def heard(self, name: str, zone: str, position: Position) -> None:
+    def heard(self, name: str, zone: str, position: Position, promised: int) -> None:
         """A learner that is ready has asked for the status."""
         now = self._context.now
         old = self._learners.get(name)
         since = old.since if old is not None and now - old.heard < LEARNER_GONE_S else now
-        self._learners[name] = Learner(zone, since, now, position)
+        self._learners[name] = Learner(zone, since, now, position, promised)
 
     def moved(self, name: str, position: Position) -> None:
         """A learner's copy is at a position, on its disk."""
@@ -126,7 +127,7 @@
         self._ask_at = self._context.now + RETRY_S
         position = self._durable.replica.position
         for other in self.others():
-            self._context.send(other, StatusRequest(self._context.zone, self.ready, position))
+            self._context.send(other, StatusRequest(self._context.zone, self.ready, position, self._durable.promised))
 
     def on_status(self, sender: str, message: Status) -> None:
         """What another machine knows."""
@@ -191,7 +192,7 @@
         if sender in view.voters:
             self.learners.gone(sender)
         elif message.ready:
-            self.learners.heard(sender, message.zone, message.position)
+            self.learners.heard(sender, message.zone, message.position, message.promised)
 
     def tell_status(self, to: str) -> None:
         """Tell a machine what is known here."""
--- a/roadspur/control/leading.py
+++ b/roadspur/control/leading.py
@@ -32,6 +32,7 @@
     SETTLE_S,
     SHUN_S,
     STEADY_S,
+    TURN_S,
 )
 from roadspur.transport.messages import (
     Append,
@@ -229,7 +230,10 @@
             return
         role.leader_heard_at = role.leader_seen_at = NEVER
         if role.eligible() and role.leadership is None and role.candidacy is None and not role.stopping:
-            self.elections.stand("the leader has stepped down")
+            if view.replicas[0] == self._context.me:
+                self.elections.stand("the leader has stepped down")
+            else:  # all standing at once would only hinder each other
+                role.stand_at = self._context.now + TURN_S * view.holders.index(self._context.me)
 
     def _mend_replicas(self, leadership: Leadership) -> None:
         """Give replicas the copy that they lost, with their disk or by a write that failed; no change may be due."""
--- a/roadspur/control/voting.py
+++ b/roadspur/control/voting.py
@@ -133,8 +133,8 @@
 
     def on_install(self, sender: str, message: Install) -> None:
         """A copy, or what this copy lacks, from a candidate or, for a learner, from the leader."""
-        durable, replica = self._durable, self._durable.replica
-        if message.epoch < durable.promised or not self._may_install(sender, message):
+        replica = self._durable.replica
+        if not self._may_install(sender, message):
             return
         if message.base is None:
             replica.install(message.position, message.floor, message.items)
@@ -146,14 +146,28 @@
         self._keep_installed(sender, message)
 
     def _may_install(self, sender: str, message: Install) -> bool:
-        joining, view = self._joining, self._durable.view
+        """From whom a copy is taken. A learner takes it whatever it has promised, as it decides nothing by that."""
+        joining, view, me = self._joining, self._durable.view, self._context.me
+        promised_more = message.epoch < self._durable.promised
         if joining.founding:
-            return sender in self._context.seeds
+            return sender in self._context.seeds and not promised_more
         if view is None or (joining.forgotten and not joining.ready):
             return False
+        if me not in view.voters:
+            return joining.ready and (
+                sender == view.leader if view.epoch == message.epoch else view.epoch < message.epoch
+            )
+        if promised_more:
+            return False
         if view.epoch == message.epoch:
-            return sender == view.leader and (self._context.me not in view.voters or self._context.me in view.replicas)
-        return view.epoch < message.epoch and (self._context.me in view.voters or joining.ready)
+            return sender == view.leader and me in view.replicas
+        return view.epoch < message.epoch
+
+    def _may_tell(self, epoch: int) -> bool:
+        """Whether what was written under an epoch may be told to its leader: no higher one was promised since."""
+        durable = self._durable
+        learner = durable.view is not None and self._context.me not in durable.view.voters
+        return durable.replica.epoch == epoch and (learner or durable.promised <= epoch)
 
     def _keep_installed(self, sender: str, message: Install) -> None:
         durable, position = self._durable, message.position
@@ -172,7 +186,7 @@
         if not ok:
             durable.replica.damaged()
             durable.failed("a copy")
-        elif durable.promised <= epoch and durable.replica.epoch == epoch:
+        elif self._may_tell(epoch):
             self._context.send(sender, Installed(epoch, position))
 
     def on_append(self, sender: str, message: Append) -> None:
@@ -196,14 +210,14 @@
         durable = self._durable
         if self._context.me in view.voters:
             return self._context.me in view.replicas and durable.recorded == view.epoch == durable.promised
-        return self._joining.ready and durable.promised <= view.epoch
+        return self._joining.ready
 
     def _appended(self, sender: str, message: Append, ok: bool) -> None:
         durable = self._durable
         if not ok:
             durable.replica.damaged()
             durable.failed("a change")
-        elif durable.promised <= message.epoch and durable.replica.epoch == message.epoch:
+        elif self._may_tell(message.epoch):
             self._context.send(sender, Appended(message.epoch, message.position.number))
 
     # Heartbeats.
--- a/roadspur/transport/messages.py
+++ b/roadspur/transport/messages.py
@@ -90,6 +90,7 @@
     zone: str
     ready: bool
     position: Position
+    promised: int
 
 
 class Status(Message, tag="status", frozen=True):
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -598,6 +598,35 @@
     end(core)
 
 
+def test_a_member_that_stood_for_long_and_lost_its_vote_may_have_one_again():
+    core = calm()
+    first = core.leader()
+    spare = core.add(first.zone)
+    for other in core.machines.values():
+        if other is not first:
+            core.wires.cut(first.address, other.address, 12.0)
+    core.trouble(core.clock.now + 12.0)
+    run_for(core, 12.0)
+    for _ in range(40):
+        put(core, ["10.0.0.2"])
+        run_for(core, 0.05)
+    assert voters(core) == {"10.0.0.2", "10.0.0.3", spare.address}
+    assert first.node.promised > core.leader().node.view.epoch  # it stood again and again
+    core.remove(core.machines["10.0.0.3"])
+    core.reseed()
+    run_for(core, 4.0)
+    assert voters(core) == {"10.0.0.2", first.address, spare.address}
+    end(core)
+
+
+def test_holders_stand_in_their_turn_when_a_leader_steps_down():
+    for seed in range(6):
+        core = calm(5, seed=seed)
+        core.terminate(core.leader())
+        core.trouble(core.clock.now + 1.0)
+        assert wait(core, lambda c=core: c.holder() not in (None, c.machines["10.0.0.1"])) < 0.15
+
+
 # Replication.
 
 
