--- a/roadspur/registry/charges.py
+++ b/roadspur/registry/charges.py
@@ -17,7 +17,7 @@
 from roadspur.transport.errors import UnexpectedMessage
 from roadspur.transport.messages import Charge, ChargeResult
 
-REMEMBERED = 1024  # charges of a sender's life
+REMEMBERED = 256  # charges of a sender's life; what comes later than so many others is neither counted nor given back
 
 
 class CountedCharge:
