Large orders are read beside the leader's loop

Ruled out: reading in slices (the checks' library takes a document whole). Change: orders of 64 KB and more are read and checked in one thread, without the state; whether one is a repeat is decided as the leader serves it. One test holds both ways to one outcome.

--- a/roadspur/control/program.py
+++ b/roadspur/control/program.py
@@ -10,11 +10,12 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 from roadspur.common.boot import CONTROL
-from roadspur.common.events import say
+from roadspur.common.events import Event, say
 from roadspur.common.failures import Failure, Kind
 from roadspur.common.process import Settings, serve
 from roadspur.control import orders
@@ -42,6 +43,7 @@
 LAST_WORDS_S = 0.15  # for last messages to go out
 HAND_OVER_S = 0.03  # between looks at whether this process may end
 GRACE_LEFT_S = 0.8  # of the grace that the platform gives, for the end itself
+LARGE_ORDER = 64 * 1024  # bytes, from which an order is read beside the event loop
 LOAD_S = 2.0  # after its start, when this process loads what configurations are checked by, if none has come
 
 Done = Callable[[Any], None]
@@ -66,6 +68,7 @@
         self.listener = Listener(self.loop, self._heard, self._gone)
         self.api = CallServer(self.loop, self._handlers(), Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
         self.waiting: dict[int, Done] = {}
+        self.reader = ThreadPoolExecutor(1, "reader")  # of large orders, one at a time
         self.control_port = read_address(boot.binds.control)[1] if boot.binds.control else 0
 
     def _handlers(self) -> list[Handler[Any]]:
@@ -99,6 +102,7 @@
         for dial in self.dials.values():
             dial.close()
         self.storage.close()
+        self.reader.shutdown(wait=False, cancel_futures=True)
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
@@ -191,7 +195,24 @@
 
     def replace(self, call: ReplaceConfiguration, done: Done) -> None:
         """Checked whole before anything else, by the leader; INVALID with all faults in one line."""
-        self._call(lambda number: orders.replace_unread(number, call.document), done)
+        if len(call.document) < LARGE_ORDER or not self.service.node.holds(time.monotonic()):
+            self._call(lambda number: orders.replace_unread(number, call.document), done)
+        else:
+            self._read_beside(call.document, done)
+
+    def _read_beside(self, document: bytes, done: Done) -> None:
+        """Read a large order in a thread: the loop that sends heartbeats must not stand still for a lease's time."""
+        reading = self.loop.run_in_executor(self.reader, orders.read_document, document)
+
+        def was_read(future: asyncio.Future[orders.ReadDocument]) -> None:
+            error = future.exception()
+            if error is not None:
+                say(Event.FAULT, "reading an order", repr(error))
+                done(Failure(Kind.FAULT))
+            else:
+                self._call(lambda number: orders.replace_read(number, future.result()), done)
+
+        reading.add_done_callback(was_read)
 
     def read(self, call: ReadConfiguration, done: Done) -> None:
         """The newest configuration, from the leader."""
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -105,6 +105,31 @@
     assert in_force(leader) == json.loads(sent if standing is Standing.NEWER else document(7))
 
 
+def outcome(unread, state: State):
+    """What an order that is read by the leader leads to: settled or the items that it sets, or why it is refused."""
+    try:
+        change = unread.change(state)
+    except Failure as failure:
+        return failure.kind, failure.text
+    return change.what, change.settled(state) or change.items(state)
+
+
+@pytest.mark.parametrize(
+    "sent", [document(7), document(7, "b"), document(6), document(8, "b"), invalid(8), b"{", b"[]"]
+)
+def test_an_order_read_beside_the_loop_leads_to_what_one_read_in_it_does(sent, monkeypatch):
+    state = holding(7).state
+    expected = outcome(orders.replace_unread(1, sent), state)
+    assert outcome(orders.replace_read(1, orders.read_document(sent)), state) == expected
+
+    def stricter(read):
+        raise ExceptionGroup("configuration", [checks.BadConfiguration("a new rule")])
+
+    monkeypatch.setattr(checks, "check_configuration", stricter)  # a repeat is not judged again, any other order is
+    expected = outcome(orders.replace_unread(1, sent), state)
+    assert outcome(orders.replace_read(1, orders.read_document(sent)), state) == expected
+
+
 @pytest.mark.parametrize("number", [6, 7, 8])
 def test_an_invalid_one_is_refused_under_any_number(number):
     leader = holding(7)
