--- a/benchmarks/control_faults.py
+++ b/benchmarks/control_faults.py
@@ -6,12 +6,21 @@
 
 
 class Wrong(NamedTuple):
-    """One fault: the point it is about (0: all of them), the text as it is, and as it must not be."""
+    """One fault: the point it is about (0: all of them), the text as it is, and as it must not be.
+
+    `also`: further places, for a fault that a second guard makes harmless: all of it is taken out.
+    """
 
     point: int
     name: str
     right: str
     wrong: str
+    also: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def edits(self) -> tuple[tuple[str, str], ...]:
+        """All texts, as they are and as they must not be."""
+        return ((self.right, self.wrong), *self.also)
 
 
 EVERYWHERE = "everywhere = pending.here and pending.there >= set(leadership.view.replicas)"
@@ -24,6 +33,10 @@
     '        if not ok:\n            durable.replica.damaged()\n            durable.failed("a change")\n        elif'
 )
 
+TAKES_CHANGES = "return self._context.me in view.replicas and durable.recorded == view.epoch == durable.promised"
+MAY_TELL = "return durable.replica.epoch == epoch and (learner or durable.promised <= epoch)"
+INSTALLED = "if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):"
+
 FAULTS = (
     # Those of the sessions before.
     Wrong(0, "acknowledged without the replica", EVERYWHERE, "everywhere = pending.here"),
@@ -84,7 +97,7 @@
     Wrong(
         0,
         "leads without a copy elsewhere",
-        "if candidacy is None or candidacy.next is None or not candidacy.installed >= set(candidacy.next.replicas):",
+        INSTALLED,
         "if candidacy is None or candidacy.next is None:",
     ),
     Wrong(
@@ -331,4 +344,32 @@
         'Grant(f"{machine}/", term, now + GRANT_S) for duty',
         'Grant(f"{machine}/", term, now) for duty',
     ),
+    # Faults of both guards, where one alone makes the other's loss harmless.
+    Wrong(
+        0,
+        "acknowledged without the lease, by replicas that promised more",
+        "if not everywhere or self._context.now >= leadership.until():",
+        "if not everywhere:",
+        (
+            (TAKES_CHANGES, TAKES_CHANGES.removesuffix(" == durable.promised")),
+            (MAY_TELL, "return durable.replica.epoch == epoch"),
+        ),
+    ),
+    Wrong(
+        0,
+        "an old copy counts as whole, and a view names replicas that have none",
+        ELIGIBLE,
+        "return view is not None and self._context.me in view.holders and replica.epoch >= 0",
+        (
+            (INSTALLED, "if candidacy is None or candidacy.next is None:"),
+            ("if not {self._context.me, *view.replicas} <= recorded:", "if self._context.me not in recorded:"),
+        ),
+    ),
+    Wrong(
+        0,
+        "no guard for a live leader, and a silent replica keeps its place",
+        "guarded = self._role.guarded() and sender != view.leader",
+        "guarded = False",
+        (("REPLICA_S = 0.7 ", "REPLICA_S = 2.0 "),),
+    ),
 )
--- a/benchmarks/simnet_faults.py
+++ b/benchmarks/simnet_faults.py
@@ -30,15 +30,20 @@
     """A fault's line is not in the sources, or in several places."""
 
 
-def wronged(fault: Wrong, folder: Path) -> None:
-    """Make a copy of the tree with a fault in it."""
+def copied(tree: Path, folder: Path) -> None:
+    """Copy what a run needs."""
     for part in PARTS:
-        shutil.copytree(ROOT / part, folder / part, ignore=shutil.ignore_patterns("__pycache__"))
-    shutil.copy(ROOT / "pyproject.toml", folder)
-    paths = [path for path in (folder / "roadspur" / "control").glob("*.py") if fault.right in path.read_text()]
-    if len(paths) != 1 or paths[0].read_text().count(fault.right) != 1:
-        raise Moved
-    paths[0].write_text(paths[0].read_text().replace(fault.right, fault.wrong))
+        shutil.copytree(tree / part, folder / part, ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copy(tree / "pyproject.toml", folder)
+
+
+def wronged(fault: Wrong, folder: Path) -> None:
+    """Put a fault into a copy of the tree."""
+    for right, wrong in fault.edits:
+        paths = [path for path in (folder / "roadspur" / "control").glob("*.py") if right in path.read_text()]
+        if len(paths) != 1 or paths[0].read_text().count(right) != 1:
+            raise Moved
+        paths[0].write_text(paths[0].read_text().replace(right, wrong))
 
 
 def run(folder: Path, *arguments: str) -> subprocess.CompletedProcess[str]:
@@ -78,18 +83,19 @@
     return (done.stderr.strip().splitlines() or ["?"])[-1]
 
 
-def play(fault: Wrong, minutes: float) -> str:
+def play(fault: Wrong, tree: Path, minutes: float) -> str:
     """What finds one fault; empty for nothing."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
+        copied(tree, folder)
         wronged(fault, folder)
         return by_days(folder, minutes) or by_search(folder, 4 * minutes) or by_tests(folder)
 
 
-def report(fault: Wrong, minutes: float) -> tuple[Wrong, str]:
+def report(fault: Wrong, tree: Path, minutes: float) -> tuple[Wrong, str]:
     """One fault's line for the table."""
     try:
-        return fault, play(fault, minutes) or "NOT FOUND"
+        return fault, play(fault, tree, minutes) or "NOT FOUND"
     except Moved:
         return fault, "NOT FOUND: the line has moved"
 
@@ -103,8 +109,9 @@
     options = parser.parse_args()
     faults = [fault for fault in FAULTS if options.only in fault.name]
     missed = 0
-    with ThreadPoolExecutor(options.jobs) as pool:
-        for fault, found in pool.map(lambda fault: report(fault, options.minutes), faults):
+    with tempfile.TemporaryDirectory() as tree, ThreadPoolExecutor(options.jobs) as pool:
+        copied(ROOT, Path(tree))  # as the sources are now, whatever becomes of them meanwhile
+        for fault, found in pool.map(lambda fault: report(fault, Path(tree), options.minutes), faults):
             missed += found.startswith("NOT FOUND")
             print(f"| {fault.point} | {fault.name} | {found} |", flush=True)
     return 1 if missed else 0
