What came into force before a new leader's lease stood is told once it stands

Cause: a leader elected with its lease over (its own disk slow) published and told nobody, and when the lease stood told only who votes; clients stayed behind what was acknowledged until the next change. The test fails without the mend.

--- a/roadspur/control/service.py
+++ b/roadspur/control/service.py
@@ -164,7 +164,10 @@
         if not begun and (view is None or view.epoch == self._told_epoch):
             return []
         self._told_epoch = view.epoch if view is not None else NO_EPOCH
-        return [Tell(name, self._core()) for name in sorted(self.followers)]
+        told: list[Outward] = [Tell(name, self._core()) for name in sorted(self.followers)]
+        if begun:  # what came into force before the lease stood
+            told += self._news(self.publisher.tell())
+        return told
 
     def _news(self, messages: Iterable[tuple[str, News]]) -> list[Outward]:
         return [Tell(name, message) for name, message in messages if name in self.followers]
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -333,6 +333,22 @@
     end(core)
 
 
+def test_what_was_in_force_before_the_lease_stood_is_told_once_it_stands():
+    core = calm()
+    first, replica, witness = by_role(core)
+    put(core, [first.address])
+    wait(core, lambda: replica.disk.item("config")["v"] == 2)
+    core.end(first, back_s=10.0)  # before it could tell anybody
+    assert [c.follower.state.value("config")["v"] for c in core.clients.clients.values()] == [1, 1]
+    wait(core, lambda: witness.disk.position.epoch == 2)
+    replica.disk.stalled_until = core.clock.now + 0.75
+    wait(core, lambda: replica.node.leadership is not None)
+    assert core.holder() is None
+    run_for(core, 0.3)
+    assert [c.follower.state.value("config")["v"] for c in core.clients.clients.values()] == [2, 2]
+    end(core)
+
+
 def test_a_change_is_repeated_at_another_machine_while_the_first_hangs():
     core = calm()
     first, replica, _ = by_role(core)
