--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -651,7 +651,7 @@
     wait(core, lambda: new.disk.position.epoch == 3)  # it holds a copy for the epoch that gives it a vote
     assert new.disk.view is not None and new.address not in new.disk.view.voters
     core.end(new, back_s=0.2)
-    wait(core, lambda: new.address in voters(core) and core.holder() is not None, most=6.0)
+    wait(core, lambda: core.holder() is not None and new.address in voters(core), most=6.0)
     end(core)
 
 
