A view with other voters is no base for the next until those before it are known to agree

Cause: the learner that a view was to give a vote had that view on disk as soon as its candidate asked, and could be elected for the next epoch by its own voters alone - the candidate and itself - while the voters before it, no majority of which had recorded the view, elected another leader for the same epoch (named test: 'epoch 4 has two leaders'). Ruled out: leases and guards, which hold within one set of voters. Change: a view names the voters before it where these are others (ViewRecord.before) until its leader is known to lead; until then what follows it needs majorities of both, in votes and in records.

--- a/benchmarks/control_faults.py
+++ b/benchmarks/control_faults.py
@@ -372,4 +372,15 @@
         "guarded = False",
         (("REPLICA_S = 0.7 ", "REPLICA_S = 2.0 "),),
     ),
+    Wrong(
+        0,
+        "a replica takes changes of another epoch after another than their base",
+        "if view is None or view.epoch != message.epoch or view.leader != sender:\n            return\n        if not",
+        "if view is None:\n            return\n        if not",
+        (
+            ("elif position != message.base:", "elif position.number != message.base.number:"),
+            (MAY_TELL, "return True"),
+            (TAKES_CHANGES, "return True"),
+        ),
+    ),
 )
--- a/roadspur/control/durable.py
+++ b/roadspur/control/durable.py
@@ -48,6 +48,10 @@
     return {**items, **part.items}
 
 
+def _nothing(ok: bool) -> None:
+    """Nothing rests on it."""
+
+
 class Durable:
     """One node's."""
 
@@ -96,6 +100,16 @@
         self._context.known.update(view.voters)
         if self.view is None or view.epoch > self.view.epoch:
             self.view = view
+        elif view.epoch == self.view.epoch and not view.before:
+            self.confirm()
+
+    def confirm(self) -> None:
+        """The leader of the newest view is known to lead: the voters before it are asked no more."""
+        if self.view is None or not self.view.before:
+            return
+        self.view = self.view.confirmed()
+        if self.recorded == self.view.epoch:
+            self.write(Records(view=self.view), _nothing)
 
     def failed(self, what: str) -> None:
         """A write that mattered is not on disk."""
--- a/roadspur/control/elections.py
+++ b/roadspur/control/elections.py
@@ -124,7 +124,7 @@
         if candidacy is None or candidacy.epoch != self._durable.promised:
             return
         candidacy.votes[self._context.me] = self._durable.view
-        for voter in candidacy.view.voters:
+        for voter in candidacy.view.deciders:
             if voter not in candidacy.votes:
                 self._context.send(voter, VoteRequest(candidacy.epoch, candidacy.view))
 
@@ -155,7 +155,7 @@
         if newest.epoch > candidacy.view.epoch:  # others may vote by now: they are asked too
             candidacy.view, candidacy.voters = newest, None
             self._ask()
-        if not newest.has_majority(candidacy.votes):
+        if not newest.decided_by(candidacy.votes):
             return
         if not self._role.eligible():
             self._role.candidacy = None
@@ -205,7 +205,9 @@
         voters = candidacy.voters if candidacy.voters is not None else candidacy.view.voters
         replicas = membership.choose_replicas(context.me, voters, context.tolerance, self._preference(candidacy))
         candidacy.tried |= set(replicas)
-        candidacy.next = ViewRecord(candidacy.epoch, context.me, replicas, dict(voters))
+        same = voters.keys() == candidacy.view.voters.keys()
+        before = candidacy.view.before if same else candidacy.view.voters
+        candidacy.next = ViewRecord(candidacy.epoch, context.me, replicas, dict(voters), before)
         for replica in replicas:
             if replica not in candidacy.installed:
                 self._send_copy(replica, candidacy)
@@ -262,7 +264,7 @@
             self._count_records(candidacy)
 
     def _ask_to_record(self, candidacy: Candidacy, view: ViewRecord) -> None:
-        for voter in {**candidacy.view.voters, **view.voters}:
+        for voter in {**candidacy.view.deciders, **view.voters}:
             if voter not in candidacy.recorded and voter != self._context.me:
                 self._context.send(voter, RecordView(view))
 
@@ -280,13 +282,14 @@
         assert view is not None
         if not {self._context.me, *view.replicas} <= recorded:
             return
-        if not (view.has_majority(recorded) and candidacy.view.has_majority(recorded)):
+        if not (view.has_majority(recorded) and candidacy.view.decided_by(recorded)):
             return
         if self._joining.founding:
             if self._context.now - candidacy.since < CANDIDACY_S and len(recorded) < len(view.voters):
                 return
             self._context.note(Event.FOUNDED, ", ".join(sorted(view.voters)))
         self._durable.view = view
+        self._durable.confirm()
         self._joining.has_vote(True)
         self._role.candidacy = None
         self._elected(candidacy)
--- a/roadspur/control/joining.py
+++ b/roadspur/control/joining.py
@@ -148,14 +148,14 @@
     def _consider(self) -> None:
         """With enough told: ready for a vote, or a voter again."""
         newest = max((told.view for told in self._told.values()), key=lambda view: view.epoch)
-        told = [name for name in self._told if name in newest.voters and name != self._context.me]
+        told = [name for name in self._told if name in newest.deciders and name != self._context.me]
         if self._context.me not in newest.voters:
             self._durable.adopt(newest)
-            if newest.has_majority(told):
+            if newest.decided_by(told):
                 self.ready = True
                 self._durable.promised = max(self._durable.promised, self._highest_promise())
                 self._told = {}
-        elif len(told) >= len(newest.voters) - newest.majority + 1:
+        elif len(newest.voters.keys() & set(told)) >= len(newest.voters) - newest.majority + 1:
             self._remember(newest)
 
     def _highest_promise(self) -> int:
--- a/roadspur/control/node.py
+++ b/roadspur/control/node.py
@@ -247,6 +247,8 @@
         view, me = self._durable.view, self._context.me
         if view is None:
             return True
+        if me in view.before:  # as a voter before it, it may be asked what follows
+            return False
         if not self._joining.votes:  # a copy of a later epoch: that is to give it a vote
             return self._durable.replica.epoch <= view.epoch
         if self._role.confirmed < view.epoch:  # known, but its leader has not been heard: it may not have begun
--- a/roadspur/transport/messages.py
+++ b/roadspur/transport/messages.py
@@ -24,6 +24,7 @@
     leader: str
     replicas: tuple[str, ...]  # that hold a copy beside the leader's
     voters: dict[str, str]
+    before: dict[str, str] = {}  # the voters before, where these are others and its leader is not known to lead
 
     @property
     def majority(self) -> int:
@@ -39,6 +40,24 @@
         """Whether a majority of the voters is among some machines."""
         return len(self.voters.keys() & set(names)) >= self.majority
 
+    @property
+    def deciders(self) -> dict[str, str]:
+        """Who is asked for what follows this view."""
+        return {**self.before, **self.voters}
+
+    def decided_by(self, names: Iterable[str]) -> bool:
+        """Whether some machines may decide on what follows this view.
+
+        As long as it is not known whether the voters before it agreed, a majority of these is needed too.
+        """
+        agreed = set(names)
+        known = not self.before or 2 * len(self.before.keys() & agreed) > len(self.before)
+        return known and self.has_majority(agreed)
+
+    def confirmed(self) -> ViewRecord:
+        """The same view, whose leader is known to lead."""
+        return msgspec.structs.replace(self, before={})
+
 
 class Position(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """How far a copy of the control state is.
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -643,6 +643,20 @@
         assert wait(core, lambda c=core: c.holder() not in (None, c.machines["10.0.0.1"])) < 0.15
 
 
+def test_an_exchange_needs_a_majority_of_the_voters_before_it():
+    core = calm()
+    first, replica, witness = by_role(core)
+    core.wires.cut(first.address, replica.address, 12.0)
+    core.trouble(core.clock.now + 12.0)
+    new = core.add(replica.zone)
+    wait(core, lambda: new.disk.position.epoch == 3)  # the witness has voted for the epoch that exchanges the replica
+    for machine in (first, new):
+        core.wires.cut(machine.address, witness.address, 8.0)
+    wait(core, lambda: core.holder() is witness, most=4.0)  # with the vote of the replica, which has not lost it
+    run_for(core, 2.0)  # the rules see whether both lead
+    end(core)
+
+
 def test_a_learner_that_restarts_as_it_gets_a_vote_has_forgotten_nothing():
     core = calm()
     first, replica, _ = by_role(core)
