--- a/benchmarks/control_faults.py
+++ b/benchmarks/control_faults.py
@@ -213,7 +213,7 @@
     Wrong(
         3,
         "a process ends while it holds a copy",
-        "return me not in view.holders and not self._joining.learners.present()",
+        "return led and me not in view.holders and not self._joining.learners.present()",
         "return True",
     ),
     Wrong(3, "a gone voter is exchanged late", "EXCHANGE_S = 2.8 ", "EXCHANGE_S = 8.0 "),
--- a/roadspur/control/node.py
+++ b/roadspur/control/node.py
@@ -253,7 +253,8 @@
             return self._durable.replica.epoch <= view.epoch
         if self._role.confirmed < view.epoch:  # known, but its leader has not been heard: it may not have begun
             return False
-        return me not in view.holders and not self._joining.learners.present()
+        led = self._role.guarded()  # else its vote may be the one that is lacking
+        return led and me not in view.holders and not self._joining.learners.present()
 
     # What follows.
 
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -643,6 +643,18 @@
         assert wait(core, lambda c=core: c.holder() not in (None, c.machines["10.0.0.1"])) < 0.15
 
 
+def test_a_voter_that_is_told_to_end_stays_to_vote_where_nobody_leads():
+    core = calm()
+    first, replica, witness = by_role(core)
+    core.end(first, power=True, back_s=20.0)
+    run_for(core, 0.82)  # the replica is about to stand
+    core.terminate(witness, back_s=20.0)
+    wait(core, lambda: core.holder() is replica, most=2.0)
+    core.trouble(core.clock.now + 20.0)
+    run_for(core, 22.0)
+    end(core)
+
+
 def test_an_exchange_needs_a_majority_of_the_voters_before_it():
     core = calm()
     first, replica, witness = by_role(core)
