--- a/roadspur/control/program.py
+++ b/roadspur/control/program.py
@@ -11,17 +11,19 @@
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from roadspur.common.boot import CONTROL
-from roadspur.common.events import Event, say
+from roadspur.common.events import say
 from roadspur.common.failures import Failure, Kind
 from roadspur.common.process import Settings, serve
 from roadspur.control import orders
 from roadspur.control.interface import Answer, Call, Note, Outward, Send, Tell, Write
 from roadspur.control.leases import Grantor
 from roadspur.control.node import ControlNode
+from roadspur.control.reading import DocumentReader
 from roadspur.control.service import ControlService
 from roadspur.control.storage import Storage
 from roadspur.net.server import Bounds
@@ -68,7 +70,8 @@
         self.listener = Listener(self.loop, self._heard, self._gone)
         self.api = CallServer(self.loop, self._handlers(), Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
         self.waiting: dict[int, Done] = {}
-        self.reader = ThreadPoolExecutor(1, "reader")  # of large orders, one at a time
+        self.executor = ThreadPoolExecutor(1, "reader")
+        self.reader = DocumentReader(self.loop, self.executor)  # of large orders
         self.control_port = read_address(boot.binds.control)[1] if boot.binds.control else 0
 
     def _handlers(self) -> list[Handler[Any]]:
@@ -102,7 +105,7 @@
         for dial in self.dials.values():
             dial.close()
         self.storage.close()
-        self.reader.shutdown(wait=False, cancel_futures=True)
+        self.executor.shutdown(wait=False, cancel_futures=True)
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
@@ -198,21 +201,14 @@
         if len(call.document) < LARGE_ORDER or not self.service.node.holds(time.monotonic()):
             self._call(lambda number: orders.replace_unread(number, call.document), done)
         else:
-            self._read_beside(call.document, done)
+            self.reader.read(call.document, partial(self._was_read, done))
 
-    def _read_beside(self, document: bytes, done: Done) -> None:
-        """Read a large order in a thread: the loop that sends heartbeats must not stand still for a lease's time."""
-        reading = self.loop.run_in_executor(self.reader, orders.read_document, document)
-
-        def was_read(future: asyncio.Future[orders.ReadDocument]) -> None:
-            error = future.exception()
-            if error is not None:
-                say(Event.FAULT, "reading an order", repr(error))
-                done(Failure(Kind.FAULT))
-            else:
-                self._call(lambda number: orders.replace_read(number, future.result()), done)
-
-        reading.add_done_callback(was_read)
+    def _was_read(self, done: Done, read: orders.ReadDocument | Failure) -> None:
+        """A large order was read beside the loop, which must not stand still for a lease's time."""
+        if isinstance(read, Failure):
+            done(read)
+        else:
+            self._call(lambda number: orders.replace_read(number, read), done)
 
     def read(self, call: ReadConfiguration, done: Done) -> None:
         """The newest configuration, from the leader."""
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -1,7 +1,9 @@
 """The operator's orders: what each is known by, what is answered, what is in force (the table of docs/hardening.md)."""
 
+import asyncio
 import json
 import zlib
+from concurrent.futures import Future
 
 import pytest
 from hypothesis import given, settings
@@ -12,6 +14,7 @@
 from roadspur.common.failures import Failure, Kind
 from roadspur.control import orders
 from roadspur.control.orders import Standing
+from roadspur.control.reading import MOST_DOCUMENTS, DocumentReader
 from roadspur.transport.news import State
 
 
@@ -291,3 +294,37 @@
     leader = holding(7)
     changed = changes(leader.state, 8, document(8, "b"))
     assert set(changed) == {"config", "route:r", "taken:2"}
+
+
+class Threads:
+    """An executor whose work ends when the test says so."""
+
+    def __init__(self) -> None:
+        self.works: list[tuple[Future, object, tuple]] = []
+
+    def submit(self, work, *arguments) -> Future:
+        self.works.append((Future(), work, arguments))
+        return self.works[-1][0]
+
+    def finish(self) -> None:
+        future, work, arguments = self.works.pop(0)
+        future.set_result(work(*arguments))
+
+
+def test_a_large_document_that_comes_again_while_it_is_read_is_read_once():
+    async def play() -> None:
+        threads, told = Threads(), []
+        reader = DocumentReader(asyncio.get_running_loop(), threads)
+        for _ in range(5):
+            reader.read(document(7), told.append)
+        for number in range(8, 8 + MOST_DOCUMENTS):
+            reader.read(document(number), told.append)
+        assert len(threads.works) == MOST_DOCUMENTS and [each.kind for each in told] == [Kind.CROWDED]
+        threads.finish()
+        while len(told) < 6:
+            await asyncio.sleep(0)
+        assert {each.identity.number for each in told[1:]} == {7}
+        reader.read(document(7), told.append)  # it is not remembered beyond its reading
+        assert len(threads.works) == MOST_DOCUMENTS
+
+    asyncio.run(play())
