--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -647,7 +647,7 @@
     core = calm()
     first, replica, witness = by_role(core)
     core.end(first, power=True, back_s=20.0)
-    run_for(core, 0.82)  # the replica is about to stand
+    wait(core, lambda: not witness.node._role.guarded())  # the replica is about to stand
     core.terminate(witness, back_s=20.0)
     wait(core, lambda: core.holder() is replica, most=2.0)
     core.trouble(core.clock.now + 20.0)
