--- a/simnet/cluster.py
+++ b/simnet/cluster.py
@@ -394,10 +394,18 @@
         if len(holding) < min(self.tolerance + 1, len(here)):
             names = [m.address for m in holding]
             raise Broken(f"after {COPIES_S} s of calm {self.ledger.acknowledged} is only on the disks of {names}")
+        self._check_same(leader)
         self.clients.check_calm()
         if len({m.zone for m in here}) > 1 and len({m.zone for m in holding}) < 2:
             raise Broken(f"after {COPIES_S} s of calm all copies are in zone {holding[0].zone}")
 
+    def _check_same(self, leader: Machine) -> None:
+        """Copies that end with the same change hold the same items."""
+        for machine in self.machines.values():
+            same = machine.disk.position.same_change(leader.disk.position)
+            if same and machine.disk.position.epoch >= 0 and machine.disk.items != leader.disk.items:
+                raise Broken(f"{machine.address} and {leader.address} end with one change and hold different items")
+
     def _stored_number(self, machine: Machine) -> int:
         held = machine.disk.item(CONFIG)
         return held["v"] if held is not None else -1
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -744,6 +744,27 @@
         end(core)
 
 
+def test_a_change_that_one_replica_alone_has_is_taken_from_it_by_the_next_copy():
+    core = calm(5)
+    first = core.leader()
+    one, other = (core.machines[a] for a in first.node.view.replicas)
+    core.wires.cut(first.address, other.address, 1.0, both=False)
+    core.operators.evacuate("q", True)
+    wait(core, lambda: one.disk.item("evac:q") is not None)
+    core.operators._evacuations[-1].done = True  # its operator gives up
+    core.end(first, power=True, back_s=30.0)
+    one.frozen_until = core.clock.now + 2.0
+    wait(core, lambda: core.holder() is other)  # which has never heard of it
+    core.operators.evacuate("r", True)  # takes its number
+    wait(core, lambda: core.ledger.evacuated.get("r") is True)
+    run_for(core, 2.0)
+    for replica in other.node.view.replicas:
+        core.end(core.machines[replica], power=True, back_s=8.0)
+    wait(core, lambda: core.holder() is other and one.address in other.node.view.replicas)
+    assert one.disk.items == other.disk.items
+    end(core)
+
+
 def test_items_on_disk_stay_few_over_ten_thousand_changes():
     core = calm()
     first = core.leader()
