--- a/roadspur/control/orders.py
+++ b/roadspur/control/orders.py
@@ -116,60 +116,21 @@
     return Change(call, settled, items, f"configuration {number:08x}, contents {digest[:DIGEST_SHOWN]}")
 
 
-class ReadDocument(NamedTuple):
-    """A document that was read without a state: its parts where it is valid, else its faults in one line."""
-
-    identity: Identity | None  # None where it can have none
-    parts: Split | None
-    faults: str
-
-
-def read_document(document: bytes) -> ReadDocument:
-    """Read and check a document whole. It needs no state, so that it may run beside the loop that leads."""
-    identity = None
-    try:
-        identity = _identity(checks().read_json(document).value)
-        parts = parse(document).parts
-    except ExceptionGroup as group:
-        return ReadDocument(identity, None, _one_line(group))
-    return ReadDocument(identity, parts, "")
-
-
-def replace_read(call: int, read: ReadDocument) -> Unread:
-    """The order of a document that was read before. Failure(INVALID) where it is no repeat and has faults."""
-
-    def change(state: State) -> Change:
-        if read.identity is not None and was_taken(state, read.identity):
-            return _described(call, state, ParsedOrder(read.identity, None))
-        if read.parts is None:
-            raise Failure(Kind.INVALID, read.faults)
-        return _described(call, state, ParsedOrder(read.parts.identity, read.parts))
-
-    return Unread(call, change)
-
-
 def replace_unread(call: int, document: bytes) -> Unread:
-    """The order of a document that is read by whoever leads then. Failure(INVALID) with all faults in one line."""
+    """The same of a document that is read by whoever leads then. Failure(INVALID) with all faults in one line."""
 
     def change(state: State) -> Change:
         try:
-            return _described(call, state, parse(document, state))
+            order = parse(document, state)
         except ExceptionGroup as group:
-            raise Failure(Kind.INVALID, _one_line(group)) from None
+            faults = "; ".join(str(error) for error in group.exceptions)
+            raise Failure(Kind.INVALID, faults[:MOST_REASON]) from None
+        made = replace(call, order)
+        return made._replace(what=f"{made.what}, {standing(state, order).value}")
 
     return Unread(call, change)
 
 
-def _described(call: int, state: State, order: ParsedOrder) -> Change:
-    """The change that an order asks for, with how it stands to the state in force for the log."""
-    made = replace(call, order)
-    return made._replace(what=f"{made.what}, {standing(state, order).value}")
-
-
-def _one_line(group: ExceptionGroup[Exception]) -> str:
-    return "; ".join(str(error) for error in group.exceptions)[:MOST_REASON]
-
-
 def evacuate_unread(call: int, zone: str, begin: bool) -> Unread:
     """The same of an evacuation's begin or end."""
     return Unread(call, lambda state: evacuate(call, zone, begin))
--- a/roadspur/control/program.py
+++ b/roadspur/control/program.py
@@ -10,8 +10,6 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from concurrent.futures import ThreadPoolExecutor
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +21,6 @@
 from roadspur.control.interface import Answer, Call, Note, Outward, Send, Tell, Write
 from roadspur.control.leases import Grantor
 from roadspur.control.node import ControlNode
-from roadspur.control.reading import DocumentReader
 from roadspur.control.service import ControlService
 from roadspur.control.storage import Storage
 from roadspur.net.server import Bounds
@@ -45,7 +42,6 @@
 LAST_WORDS_S = 0.15  # for last messages to go out
 HAND_OVER_S = 0.03  # between looks at whether this process may end
 GRACE_LEFT_S = 0.8  # of the grace that the platform gives, for the end itself
-LARGE_ORDER = 64 * 1024  # bytes, from which an order is read beside the event loop
 LOAD_S = 2.0  # after its start, when this process loads what configurations are checked by, if none has come
 
 Done = Callable[[Any], None]
@@ -70,8 +66,6 @@
         self.listener = Listener(self.loop, self._heard, self._gone)
         self.api = CallServer(self.loop, self._handlers(), Bounds(body=BODY_MOST, slow=10.0, idle=30.0))
         self.waiting: dict[int, Done] = {}
-        self.executor = ThreadPoolExecutor(1, "reader")
-        self.reader = DocumentReader(self.loop, self.executor)  # of large orders
         self.control_port = read_address(boot.binds.control)[1] if boot.binds.control else 0
 
     def _handlers(self) -> list[Handler[Any]]:
@@ -105,7 +99,6 @@
         for dial in self.dials.values():
             dial.close()
         self.storage.close()
-        self.executor.shutdown(wait=False, cancel_futures=True)
 
     def _changed(self) -> None:
         self.boot = self.settings.boot
@@ -198,17 +191,7 @@
 
     def replace(self, call: ReplaceConfiguration, done: Done) -> None:
         """Checked whole before anything else, by the leader; INVALID with all faults in one line."""
-        if len(call.document) < LARGE_ORDER or not self.service.node.holds(time.monotonic()):
-            self._call(lambda number: orders.replace_unread(number, call.document), done)
-        else:
-            self.reader.read(call.document, partial(self._was_read, done))
-
-    def _was_read(self, done: Done, read: orders.ReadDocument | Failure) -> None:
-        """A large order was read beside the loop, which must not stand still for a lease's time."""
-        if isinstance(read, Failure):
-            done(read)
-        else:
-            self._call(lambda number: orders.replace_read(number, read), done)
+        self._call(lambda number: orders.replace_unread(number, call.document), done)
 
     def read(self, call: ReadConfiguration, done: Done) -> None:
         """The newest configuration, from the leader."""
