--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -13,6 +13,7 @@
 from roadspur.transport.messages import Position, ViewRecord, Vote, VoteRefused, VoteRequest
 from simnet.cluster import Cluster
 from simnet.core import draw, finish, run
+from simnet.disk import Disk
 from simnet.faults import Fault, Faults
 from simnet.rules import Broken
 
@@ -333,6 +334,34 @@
     end(core)
 
 
+@pytest.mark.parametrize("machines", [3, 5])
+def test_a_leader_that_is_cut_off_answers_no_read(machines):
+    core = calm(machines)
+    first = core.leader()
+    for other in core.machines.values():
+        core.wires.cut(first.address, other.address, 3.0)
+    core.trouble(core.clock.now + 3.0)
+    for _ in range(40):
+        core.operators.read([first.address])  # the rules see who answers without contact
+        run_for(core, 0.05)
+    end(core)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leader_thaws_as_another_is_elected_with_reads_and_answers_in_its_sockets(seed):
+    for step in range(12):
+        core = calm(seed=seed)
+        first = core.leader()
+        run_for(core, 0.01 * step)
+        first.frozen_until = core.clock.now + 0.85 + 0.05 * step
+        core.trouble(first.frozen_until)
+        core.operators.read([first.address])
+        run_for(core, 0.5)
+        core.operators.read([first.address])
+        run_for(core, 1.5)  # the rules see whether both hold the lease, and what is answered
+        end(core)
+
+
 def test_what_was_in_force_before_the_lease_stood_is_told_once_it_stands():
     core = calm()
     first, replica, witness = by_role(core)
@@ -478,6 +507,18 @@
     assert said(control.message(1.3, "10.0.0.2", ask)) == [VoteRefused]
 
 
+def test_a_voter_that_restarts_after_its_vote_gives_that_epoch_to_nobody_else():
+    disk = Disk(random.Random(1))
+    disk.promised, disk.view = VIEW.epoch, VIEW
+    control = ControlNode("10.0.0.3", "a", ["10.0.0.1"], False, disk.stored(), 0.0, random.Random(1))
+    [write] = control.message(1.0, "10.0.0.1", VoteRequest(2, VIEW))
+    disk.begin(1.0, write.records)
+    disk.end()
+    assert said(control.written(1.01, write.token, True)) == [Vote]
+    later = ControlNode("10.0.0.3", "a", ["10.0.0.1"], False, disk.stored(), 2.0, random.Random(1))
+    assert said(later.message(3.0, "10.0.0.2", VoteRequest(2, VIEW))) == [VoteRefused]
+
+
 # Membership.
 
 
