--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -4,13 +4,26 @@
 import random
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from roadspur.control.context import Context
 from roadspur.control.durable import Durable
-from roadspur.control.interface import Send, Stored
+from roadspur.control.interface import Send, Stored, Write
+from roadspur.control.leases import Holder
 from roadspur.control.node import ControlNode
-from roadspur.transport.messages import Position, ViewRecord, Vote, VoteRefused, VoteRequest
+from roadspur.transport.messages import (
+    Install,
+    InstallRefused,
+    LeaseGranted,
+    LeaseRequest,
+    LeaseTaken,
+    Position,
+    ViewRecord,
+    Vote,
+    VoteRefused,
+    VoteRequest,
+)
 from simnet.cluster import Cluster
 from simnet.core import draw, finish, run
 from simnet.disk import Disk
@@ -507,6 +520,25 @@
     assert said(control.message(1.3, "10.0.0.2", ask)) == [VoteRefused]
 
 
+def test_seeds_are_kept_by_one_that_has_heard_of_nobody():
+    control = ControlNode("10.0.9.1", "a", ["10.0.0.1", "10.0.0.2"], False, Stored(), 0.0, random.Random(1))
+    control.reseed(["10.0.9.9"])
+    assert control.others() == ["10.0.0.1", "10.0.0.2", "10.0.9.9"]
+
+
+def test_one_that_lost_its_vote_moves_no_promise_though_nobody_leads():
+    control = node("10.0.0.3", msgspec.structs.replace(VIEW, epoch=2, voters={**VIEW.voters, "10.0.0.4": "b"}))
+    asked = control.message(9.0, "10.0.0.9", VoteRequest(7, VIEW))
+    assert said(asked) == [VoteRefused] and control.promised == 2
+
+
+def test_changes_are_not_installed_on_a_copy_that_lacks_what_they_go_on_from():
+    control = node("10.0.0.2")
+    changes = Install(1, Position(1, 5, 1), Position(1, 6, 1), 0, {"config": (6, {"v": 6, "z": ""})})
+    assert said(control.message(1.0, "10.0.0.1", changes)) == [InstallRefused]
+    assert control.position.number == 0 and control.state.value("config") is None
+
+
 def test_a_voter_that_restarts_after_its_vote_gives_that_epoch_to_nobody_else():
     disk = Disk(random.Random(1))
     disk.promised, disk.view = VIEW.epoch, VIEW
@@ -722,6 +754,56 @@
     end(core)
 
 
+# Duties.
+
+
+REQUEST = LeaseRequest("work", "f9/1", 1 << 40, 0.0)
+
+
+@pytest.mark.parametrize("direction", ["both", "out"])
+def test_a_voter_without_contact_grants_no_duty(direction):
+    core = calm()
+    _, _, witness = by_role(core)
+    assert witness.service.heard(core.time(witness), "f9", REQUEST) != []
+    for other in core.machines.values():
+        core.wires.cut(witness.address, other.address, 5.0, both=direction == "both")
+    core.trouble(core.clock.now + 5.0)
+    run_for(core, 2.5)
+    assert witness.service.heard(core.time(witness), "f9", REQUEST) == []
+    end(core)
+
+
+def test_a_grant_is_told_once_it_is_on_disk():
+    core = calm()
+    _, _, witness = by_role(core)
+    now = core.time(witness)
+    [write] = witness.service.heard(now, "f9", REQUEST)
+    assert isinstance(write, Write) and write.records.leases["work"] == ("f9", REQUEST.term)
+    [told] = witness.service.written(now, write.token, True)
+    assert told.message == LeaseGranted("work", REQUEST.term, REQUEST.sent)
+
+
+def test_one_that_has_just_got_a_vote_grants_nothing_for_as_long_as_an_earlier_grant_may_last():
+    core = calm()
+    core.remove(by_role(core)[2])
+    new = core.add()
+    wait(core, lambda: new.node.votes and new.node.in_contact(core.time(new)))
+    [told] = new.service.heard(core.time(new), "f9", REQUEST)
+    assert isinstance(told.message, LeaseTaken)
+    run_for(core, 1.1)
+    [write] = new.service.heard(core.time(new), "f9", REQUEST)
+    assert isinstance(write, Write)
+
+
+def test_a_grant_of_an_earlier_term_does_not_count():
+    holder = Holder("work", "f9/1", 0.0, random.Random(1))
+    holder.voters(["1", "2", "3"])
+    holder.tick(0.0, lambda address, message: None)
+    for grantor in "123":
+        holder.heard(grantor, LeaseGranted("work", holder.term - 1, 0.0))
+    assert not holder.holds(0.1)
+
+
 # Replication.
 
 
