--- a/benchmarks/simnet_faults.py
+++ b/benchmarks/simnet_faults.py
@@ -23,7 +23,16 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = ("roadspur", "simnet", "tests", "benchmarks", "docs")
 SEARCH_DEPTH = 4
-NAMED = ("test_control.py", "test_orders.py", "test_leases.py", "test_news.py", "test_search.py")
+NAMED = (
+    "test_control.py",
+    "test_orders.py",
+    "test_leases.py",
+    "test_news.py",
+    "test_search.py",
+    "test_service.py",
+    "test_copies.py",
+    "test_guards.py",
+)
 
 
 class Moved(Exception):
