--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -13,6 +13,8 @@
 from roadspur.control.leases import Holder
 from roadspur.control.node import ControlNode
 from roadspur.transport.messages import (
+    Append,
+    Deposed,
     Install,
     InstallRefused,
     LeaseGranted,
@@ -375,6 +377,26 @@
         end(core)
 
 
+def test_a_leader_that_thaws_after_its_lease_confirms_nothing_by_old_answers():
+    for step in range(8):
+        core = calm()
+        first = core.leader()
+        put(core, [first.address])
+        run_for(core, 0.001)  # on its way to the replica
+        first.frozen_until = core.clock.now + 0.72 + 0.01 * step
+        core.trouble(first.frozen_until)
+        run_for(core, 1.0)  # the rules see who confirms without contact
+        end(core)
+
+
+def test_a_leader_that_hears_of_a_later_epoch_leads_no_more():
+    core = calm()
+    first, _, witness = by_role(core)
+    later = msgspec.structs.replace(first.node.view, epoch=5, leader=witness.address)
+    first.service.heard(core.time(first), witness.address, Deposed(1, 5, later))
+    assert first.node.leadership is None
+
+
 def test_what_was_in_force_before_the_lease_stood_is_told_once_it_stands():
     core = calm()
     first, replica, witness = by_role(core)
@@ -532,6 +554,17 @@
     assert said(asked) == [VoteRefused] and control.promised == 2
 
 
+def test_a_replica_takes_changes_of_its_leader_after_their_base_only():
+    control = node("10.0.0.2")
+    position = control.position
+    items = {"config": (1, {"v": 1, "z": ""})}
+    other = Position(position.epoch, position.number, position.written_in + 1)
+    assert control.message(1.0, "10.0.0.1", Append(2, position, Position(2, 1, 2), items)) == []
+    assert control.message(1.0, "10.0.0.3", Append(1, position, Position(1, 1, 1), items)) == []
+    assert said(control.message(1.0, "10.0.0.1", Append(1, other, Position(1, 1, 1), items))) == [InstallRefused]
+    assert control.position == position
+
+
 def test_changes_are_not_installed_on_a_copy_that_lacks_what_they_go_on_from():
     control = node("10.0.0.2")
     changes = Install(1, Position(1, 5, 1), Position(1, 6, 1), 0, {"config": (6, {"v": 6, "z": ""})})
@@ -574,6 +607,20 @@
     end(core)
 
 
+def test_a_learner_gets_no_vote_before_it_has_the_copy():
+    core = calm()
+    _, _, witness = by_role(core)
+    core.remove(witness)
+    new = core.add(witness.zone)
+    new.disk.stalled_until = core.clock.now + 6.0
+    core.trouble(core.clock.now + 6.0)
+    run_for(core, 5.5)
+    assert new.address not in voters(core)
+    run_for(core, 2.0)
+    assert new.address in voters(core)
+    end(core)
+
+
 @pytest.mark.parametrize("role", [0, 1, 2])
 @pytest.mark.parametrize("machines", [3, 5])
 @pytest.mark.parametrize("gap", [0.0, 0.2])
