--- a/roadspur/control/durable.py
+++ b/roadspur/control/durable.py
@@ -14,7 +14,7 @@
 from roadspur.control.context import Context
 from roadspur.control.interface import Records, Stored, Write
 from roadspur.control.replica import Replica
-from roadspur.transport.messages import Items, ViewRecord
+from roadspur.transport.messages import Items, Position, ViewRecord
 
 After = Callable[[bool], None]  # told whether a write is on disk
 
@@ -61,8 +61,10 @@
         self.view = stored.view  # the newest that is known
         self.recorded = stored.view.epoch if stored.view is not None else 0  # the epoch of the view on disk
         self.replica = Replica(stored)
+        self.position = stored.position  # of the copy on disk, which the replica in memory may be ahead of
         self._waiting: list[Waiting] = []
         self._in_flight: list[After] = []
+        self._writing: Position | None = None  # the position that the write in flight brings
         self._token = 0
 
     def write(self, records: Records, after: After) -> None:
@@ -75,13 +77,17 @@
         waiting, self._waiting = self._waiting, []
         self._in_flight = [each.after for each in waiting]
         self._token += 1
-        self._context.emit(Write(self._token, joined([each.records for each in waiting])))
+        records = joined([each.records for each in waiting])
+        self._writing = records.position
+        self._context.emit(Write(self._token, records))
 
     def written(self, token: int, ok: bool) -> None:
         """A write has ended; `ok`: it is on disk."""
         if token != self._token or not self._in_flight:
             return
         ended, self._in_flight = self._in_flight, []
+        if ok and self._writing is not None:
+            self.position = self._writing
         if not ok:  # what waits may rest on it
             ended += [each.after for each in self._waiting]
             self._waiting = []
--- a/roadspur/control/joining.py
+++ b/roadspur/control/joining.py
@@ -125,7 +125,7 @@
         if self._context.now < self._ask_at:
             return
         self._ask_at = self._context.now + RETRY_S
-        position = self._durable.replica.position
+        position = self._durable.position
         for other in self.others():
             self._context.send(other, StatusRequest(self._context.zone, self.ready, position, self._durable.promised))
 
