--- a/tests/system/test_search.py
+++ b/tests/system/test_search.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from roadspur.control.leading import Leading
 from simnet.search import BEGINNINGS, LEARNER, search
 
 
@@ -21,3 +22,15 @@
     found = search(depth, beginning=beginning)
     assert found.steps is None, (found.why, found.steps)
     assert found.depth == depth and found.states >= least
+
+
+def test_the_search_sees_a_change_that_is_answered_before_its_replica_has_it(monkeypatch):
+    real = Leading._begin_change
+
+    def hasty(self, leadership, change):
+        real(self, leadership, change)
+        leadership.pending.there = set(leadership.view.replicas)
+
+    monkeypatch.setattr(Leading, "_begin_change", hasty)
+    found = search(4)
+    assert found.steps is not None and "LOST" in found.why
