--- /dev/null
+++ b/benchmarks/days.py
@@ -0,0 +1,146 @@
+"""Plays days of the project's own on the users' bench, and prints one line for each.
+
+python -m benchmarks.days --fleetbench PATH --site FILE... [--day GLOB] [--jobs N] [--seeds 1,2] [--why TEXT]
+
+The days are the files of tests/days; each is played on each site with each seed (with the day's own where none is
+given). The bench's path may also be given by the environment variable FLEETBENCH. The full output and the report of
+each run are kept in the folder that `--keep` names. The exit status is 1 where a rule is broken, a gate is failed or a
+run gave no report.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+DAYS = Path(__file__).parent.parent / "tests" / "days"
+HEADER = f"{'site':22} {'day':22} {'seed':>6}  {'rules broken':24} {'gate':8} {'worth':>6} {'whole':>6}"
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One day to play: on which site and with which seed (the day's own where None)."""
+
+    site: Path
+    day: Path
+    seed: int | None
+
+    @property
+    def label(self) -> str:
+        """A name for the files of this run."""
+        return f"{self.site.stem}.{self.day.stem}.{self.seed or 'own'}"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What the report of one run says; `error` where there is none."""
+
+    play: Play
+    broken: dict[str, int]
+    gate: str
+    worth: float
+    whole: float
+    error: str = ""
+
+    @property
+    def passed(self) -> bool:
+        """Whether no rule is broken and the gate is passed."""
+        return not self.broken and not self.error and self.gate == "passed"
+
+    def line(self) -> str:
+        """The line of the table."""
+        rules = " ".join(f"{rule}:{times}" for rule, times in self.broken.items()) or "none"
+        seed = "own" if self.play.seed is None else str(self.play.seed)
+        start = f"{self.play.site.stem:22} {self.play.day.stem:22} {seed:>6}"
+        if self.error:
+            return f"{start}  no report: {self.error}"
+        return f"{start}  {rules:24} {self.gate:8} {self.worth:6.3f} {self.whole:6.3f}"
+
+
+def count(value: Any) -> int:
+    """How often a rule was broken, as the report gives it: a number, or a list of the cases."""
+    return value if isinstance(value, int) else len(value)
+
+
+def gate(report: dict[str, Any]) -> str:
+    """Whether the day passes the gate, and the first reason where it does not."""
+    if report["breaks"]:
+        return "rules"
+    if report["fault"]:
+        return "fault"
+    if report["short"]:
+        return "floor"
+    if report["missed"]:
+        return "acks"
+    return "passed"
+
+
+def read_report(play: Play, path: Path) -> Result:
+    """The result that a report holds."""
+    report = json.loads(path.read_text())
+    broken = {rule: count(value) for rule, value in report["breaks"].items()}
+    return Result(play, broken, gate(report), report["G"], report["all"]["worth"])
+
+
+def play_day(bench: Path, play: Play, why: str, keep: Path) -> Result:
+    """Plays one day; its output and report go to the folder."""
+    report = keep / f"{play.label}.json"
+    report.unlink(missing_ok=True)
+    command = [str(bench), "run", str(play.site), str(play.day), "--report", str(report), "--why", why, "--log", "core"]
+    if play.seed is not None:
+        command += ["--seed", str(play.seed)]
+    with (keep / f"{play.label}.log").open("w") as output:
+        status = subprocess.run(command, stdout=output, stderr=subprocess.STDOUT, check=False).returncode
+    if not report.exists():
+        return Result(play, {}, "", 0.0, 0.0, f"exit status {status}")
+    return read_report(play, report)
+
+
+def play_all(bench: Path, plays: list[Play], why: str, jobs: int, keep: Path) -> Iterator[Result]:
+    """Plays the days, several at a time; yields the results in order."""
+    with ThreadPoolExecutor(jobs) as pool:
+        yield from pool.map(lambda play: play_day(bench, play, why, keep), plays)
+
+
+def parse_options() -> argparse.Namespace:
+    """The options of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--fleetbench", type=Path, default=os.environ.get("FLEETBENCH"), help="path of the bench")
+    parser.add_argument("--site", type=Path, nargs="+", required=True)
+    parser.add_argument("--day", nargs="+", default=["*"], help="names of days, with wildcards")
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--seeds", type=lambda text: [int(seed) for seed in text.split(",")], default=[None])
+    parser.add_argument("--why", default="Days of the project's own, on the points of hardening")
+    parser.add_argument("--keep", type=Path, default=Path(tempfile.gettempdir()) / "own-days")
+    options = parser.parse_args()
+    if options.fleetbench is None:
+        parser.error("--fleetbench or the variable FLEETBENCH names the bench")
+    return options
+
+
+def main() -> int:
+    """Plays what the command line asks for."""
+    options = parse_options()
+    options.keep.mkdir(parents=True, exist_ok=True)
+    days = sorted({day for name in options.day for day in DAYS.glob(f"{name}.toml")})
+    plays = [Play(site, day, seed) for site in options.site for day in days for seed in options.seeds]
+    subprocess.run([str(options.fleetbench), "build"], stdout=subprocess.DEVNULL, check=True)
+    print(HEADER)
+    passed = True
+    for result in play_all(options.fleetbench, plays, options.why, options.jobs, options.keep):
+        print(result.line(), flush=True)
+        passed = passed and result.passed
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
