Attempts for clients that have left are ended; the simulated system checks GONE

Cause: the driver let a written attempt run on when its client left, as no cancel stops the work of the backends of the program in service. In the system a backend stops once its connection ends; so work went on for clients that had left.

Change: Settings.cancel_stops_work says which holds. Where it does, the attempt of a repeatable request is ended once nobody waits for its answer; others run on. AttemptPort.abandon is apart from cancel, from which the upstream infers a dead backend. A request keeps the class it was accepted with, whatever is configured since. The simulated system has slow backends, clients that leave and the rule GONE.

--- a/simnet/system/backends.py
+++ b/simnet/system/backends.py
@@ -1,4 +1,7 @@
-"""Simulated backends, and a proxy's attempts to have one of them work on a request."""
+"""Simulated backends, and a proxy's attempts to have one of them work on a request.
+
+A backend stops its work once the connection of an attempt ends, as most of the users' do.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +31,7 @@
         self.draining_since: float | None = None  # when the platform's list first shows it as draining
         self.crashed = False
         self.loses_answers = False
+        self.slowdown = 1.0  # factor on the time for which it works on a request
 
 
 class Observer(Protocol):
@@ -36,6 +40,9 @@
     def request_arrived(self, name: str, route: str, tenant: str, backend: Backend) -> None:
         """Take note that a backend begins to work on a request."""
 
+    def work_ended(self, name: str) -> None:
+        """Take note that a backend works on a request no longer."""
+
 
 class Backends:
     """All backends of the one service."""
@@ -72,6 +79,7 @@
         self._serves = serves
         self._on_end = on_end
         self._ended = False
+        self._working = False  # the backend, on this attempt
 
     def start(self, timeout: float) -> None:
         """Send the request, to be answered within some seconds."""
@@ -84,7 +92,11 @@
         else:
             self.written = True
             clock.later(delay, lambda: self._arrive(delay))
-        self._end_later(timeout, Outcome.TIMEOUT)
+        clock.later(timeout, self._time_out)
+
+    def _time_out(self) -> None:
+        if not self._ended:
+            self._close(Outcome.TIMEOUT)
 
     def _arrive(self, delay: float) -> None:
         backend, rng = self._backend, self._backends.rng
@@ -96,21 +108,40 @@
             return
         route, tenant = self._request.context
         self._backends.observer.request_arrived(self._request.request.id, route, tenant, backend)
-        duration = WORK_S + WORK_SPREAD_S * rng.random()
+        self._working = True
+        duration = backend.slowdown * (WORK_S + WORK_SPREAD_S * rng.random())
 
         def complete() -> None:
+            if not self._working:
+                return
+            self._stop_work()
             broken = backend.crashed or (backend.loses_answers and rng.random() < LOST_SHARE)
             self._end_later(delay, Outcome.RESET if broken else Outcome.OK)
 
         self._backends.clock.later(duration, complete)
 
+    def _stop_work(self) -> None:
+        if self._working:
+            self._working = False
+            self._backends.observer.work_ended(self._request.request.id)
+
     def expire(self) -> None:
         """End the attempt, as its time is up."""
-        self._end(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
+        self._close(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
 
     def cancel(self) -> None:
-        """End the attempt, as nobody waits for it."""
-        self._end(Outcome.CANCELLED if self.written else Outcome.MOOT)
+        """End the attempt, as its backend does not answer."""
+        self._close(Outcome.CANCELLED if self.written else Outcome.MOOT)
+
+    def abandon(self) -> None:
+        """End the attempt, as nobody waits for its answer."""
+        self.cancel()
+
+    def _close(self, outcome: Outcome) -> None:
+        """Close the attempt's connection; its end reaches the backend behind the request."""
+        delay = one_way_delay(MACHINES[self._proxy.machine].zone, self._backend.zone)
+        self._backends.clock.later(delay, self._stop_work)
+        self._end(outcome)
 
     def _end_later(self, delay_s: float, outcome: Outcome) -> None:
         self._backends.clock.later(delay_s, lambda: self._end(outcome))
--- a/simnet/system/clients.py
+++ b/simnet/system/clients.py
@@ -5,6 +5,7 @@
 import random
 
 from simnet.clock import Clock
+from simnet.system.process import ProcessScheduler
 from simnet.system.proxy_process import ProxyProcess
 from simnet.system.rules import Rules
 from simnet.system.topology import DEADLINE_S, EFFECTFUL_ROUTE, LIMITED_TENANT, PURE_ROUTE, UNLIMITED_TENANT
@@ -15,16 +16,24 @@
 USUAL_LIMITED_SHARE = 0.35
 CALM_LIMITED_SHARE = 0.1
 HOT_LIMITED_SHARE = 0.9
+USUAL_LEAVE_SHARE = 0.05  # of requests whose client leaves before it has waited for `MAX_PATIENCE_S`
+HASTY_LEAVE_SHARE = 0.9
+MAX_PATIENCE_S = 0.3
 
 
 class Clients:
-    """All clients. `limited_share`: the share of requests that are the limited tenant's."""
+    """All clients.
 
-    def __init__(self, clock: Clock, rng: random.Random, rules: Rules) -> None:
+    `limited_share`: the share of requests that are the limited tenant's. `leave_share`: of those whose clients leave.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random, rules: Rules, scheduler: ProcessScheduler) -> None:
         self.limited_share = USUAL_LIMITED_SHARE
+        self.leave_share = USUAL_LEAVE_SHARE
         self._clock = clock
         self._rng = rng
         self._rules = rules
+        self._scheduler = scheduler
 
     def next_in(self) -> float:
         """Draw the seconds until the next request at a proxy."""
@@ -44,3 +53,11 @@
             self._rules.request_answered(name, route, final, sent)
 
         proxy.take(name, route, tenant, DEADLINE_S, answered)
+        if self._rng.random() < self.leave_share:
+            patience_s = MAX_PATIENCE_S * self._rng.random()
+            self._scheduler.later(proxy, patience_s, lambda: self._leave(proxy, name, route))
+
+    def _leave(self, proxy: ProxyProcess, name: str, route: str) -> None:
+        """Close a request's connection; the proxy knows of it from here on."""
+        if self._rules.client_left(name, route):
+            proxy.driver.client_gone(name)
--- a/simnet/system/faults.py
+++ b/simnet/system/faults.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from simnet.system.clients import HOT_LIMITED_SHARE, USUAL_LIMITED_SHARE
+from simnet.system.clients import HASTY_LEAVE_SHARE, HOT_LIMITED_SHARE, USUAL_LEAVE_SHARE, USUAL_LIMITED_SHARE
 from simnet.system.control_process import ControlProcess
 from simnet.system.process import Process
 from simnet.system.topology import CORES, MACHINES
@@ -35,6 +35,8 @@
     CRASH = "crash"
     ANSWERS_LOST = "answers lost"
     HOT = "hot"
+    SLOW = "slow"
+    CLIENTS_LEAVE = "clients leave"
 
 
 ONE_CORE_MACHINE = frozenset(
@@ -43,6 +45,9 @@
 )  # kinds that are about a machine of the core, and not about any machine
 
 
+SLOWDOWN = 8.0  # of all backends, while they are slow
+
+
 class Fault(NamedTuple):
     """One fault: when, what, and for how many seconds."""
 
@@ -76,6 +81,8 @@
             FaultKind.CRASH: self._crash_backend,
             FaultKind.ANSWERS_LOST: self._lose_answers,
             FaultKind.HOT: self._heat,
+            FaultKind.SLOW: self._slow_backends,
+            FaultKind.CLIENTS_LEAVE: self._hurry_clients,
         }
 
     def inject(self, kind: FaultKind, duration_s: float) -> None:
@@ -154,3 +161,14 @@
         clients = self._world.clients
         clients.limited_share = HOT_LIMITED_SHARE
         self._world.clock.later(duration_s, lambda: setattr(clients, "limited_share", USUAL_LIMITED_SHARE))
+
+    def _slow_backends(self, machine: str, duration_s: float) -> None:
+        backends = list(self._world.backends.by_name.values())
+        for backend in backends:
+            backend.slowdown = SLOWDOWN
+            self._world.clock.later(duration_s, lambda backend=backend: setattr(backend, "slowdown", 1.0))
+
+    def _hurry_clients(self, machine: str, duration_s: float) -> None:
+        clients = self._world.clients
+        clients.leave_share = HASTY_LEAVE_SHARE
+        self._world.clock.later(duration_s, lambda: setattr(clients, "leave_share", USUAL_LEAVE_SHARE))
--- a/simnet/system/proxy_process.py
+++ b/simnet/system/proxy_process.py
@@ -118,15 +118,17 @@
         version = command.configuration.config.number
         self._environment.rules.configuration_applied(self.name, self.version, version)
         self.version = version
-        self.driver.classes |= self.decisions.classes
 
     def take(self, name: str, route: str, tenant: str, deadline_s: float, on_final: Callable[[Final], None]) -> None:
         """Take a client's request; the proxy is ready."""
         index = self.cluster_view.index
         assert index is not None
-        self.decisions.expect(name, RequestContext(RouteMatch(route, index.config.routes[route]), tenant))
+        match = RouteMatch(route, index.config.routes[route])
+        self.decisions.expect(name, RequestContext(match, tenant))
         self._environment.rules.request_sent(name, self)
-        self.driver.accept(events.Request(name, route, "all", 0, deadline_s, 1.0), on_final, (route, tenant))
+        request = events.Request(name, route, "all", 0, deadline_s, 1.0)
+        request_class = self.decisions.class_of(match)
+        self.driver.accept(request, on_final, (route, tenant), request_class=request_class)
 
     # The driver's port to backends.
 
--- a/simnet/system/rules.py
+++ b/simnet/system/rules.py
@@ -1,8 +1,8 @@
 """The users' rules that can be seen in the simulated system, checked as things happen.
 
 By the users' names: TWICE and REFUSED (what may not be repeated), QUOTA (over every five seconds), DRAIN and EVAC (what
-arrives at a backend that is to get nothing), CONFIG (no proxy goes back, all have in time what was acknowledged), and
-LOST (each request gets its one answer in time). Bounds in time hold once there has been no fault for `CONTACT_S`, as on
+arrives at a backend that is to get nothing), CONFIG (no proxy goes back, all have in time what was acknowledged), LOST
+(each request gets its one answer in time), and GONE (nothing is sent or worked on for a client that has left). Bounds in time hold once there has been no fault for `CONTACT_S`, as on
 the users' page.
 """
 
@@ -18,6 +18,7 @@
 from thistleusher.core.ports import Final, Verdict
 
 CONTACT_S = 5.0  # without a fault, after which bounds in time hold
+GONE_S = 0.5  # after a client has left, from which no backend may get its request, or work on it where it is repeatable
 LATE_S = 0.1  # after a request's deadline, when its answer counts as missing
 REJECTIONS = (Verdict.OVER_QUOTA, Verdict.NO_ROOM)  # by which clients know that a request has not run
 
@@ -30,6 +31,14 @@
     deadline: float
 
 
+class LeftRequest(NamedTuple):
+    """A request whose client has left: at which incarnation of a proxy, which knew of it at `at`."""
+
+    proxy: Process
+    incarnation: int
+    at: float
+
+
 class Acknowledgement(NamedTuple):
     """The newest version of the configuration that an operator knows to be stored, and since when."""
 
@@ -55,9 +64,12 @@
         self.runs: dict[str, list[str]] = {}  # request -> backends that it ran on
         self.served_count = 0
         self.answered_count = 0
+        self.left_count = 0  # requests whose clients have left
         self._clock = clock
         self._open: dict[str, OpenRequest] = {}
         self._rejected: set[str] = set()
+        self._left: dict[str, LeftRequest] = {}
+        self._working: dict[str, int] = {}  # how many backends work on each request
         self._limited_runs: deque[float] = deque()  # times of the limited tenant's runs, within the quota's window
 
     def report(self, why: str) -> None:
@@ -81,12 +93,45 @@
 
     def request_arrived(self, name: str, route: str, tenant: str, backend: Backend) -> None:
         """Check a request as a backend begins to work on it."""
+        self._working[name] = self._working.get(name, 0) + 1
         self._check_repeat(name, route, backend)
+        self._check_client_left(name, backend)
         if tenant == LIMITED_TENANT:
             self._check_quota()
         self._check_draining(name, backend)
         self._check_evacuation(name, backend)
 
+    def work_ended(self, name: str) -> None:
+        """Record that one of the backends that work on a request has ended."""
+        self._working[name] -= 1
+        if not self._working[name]:
+            del self._working[name]
+
+    def client_left(self, name: str, route: str) -> bool:
+        """Record that a request's client has left, as its proxy learns of it; return False where it has its answer."""
+        request = self._open.pop(name, None)
+        if request is None:
+            return False
+        self.left_count += 1
+        self._left[name] = LeftRequest(request.proxy, request.incarnation, self._clock.now)
+        if route != EFFECTFUL_ROUTE:
+            self._clock.later(GONE_S, lambda: self._check_work_stopped(name))
+        return True
+
+    def _has_carried_on(self, name: str) -> bool:
+        """Return whether the proxy of a request whose client has left has run ever since."""
+        proxy, incarnation, at = self._left[name]
+        return proxy.running and proxy.incarnation == incarnation and proxy.frozen_until <= at
+
+    def _check_work_stopped(self, name: str) -> None:
+        if name in self._working and self._has_carried_on(name):
+            self.report(f"GONE: a backend still works on {name}, {GONE_S} s after its client has left")
+
+    def _check_client_left(self, name: str, backend: Backend) -> None:
+        left = self._left.get(name)
+        if left is not None and self._clock.now - left.at > GONE_S and self._has_carried_on(name):
+            self.report(f"GONE: {backend.name} gets {name} {self._clock.now - left.at:.2f} s after its client has left")
+
     def _check_repeat(self, name: str, route: str, backend: Backend) -> None:
         runs = self.runs.setdefault(name, [])
         runs.append(backend.name)
--- a/simnet/system/world.py
+++ b/simnet/system/world.py
@@ -46,7 +46,7 @@
         self.rules = Rules(self.clock)
         self.backends = Backends(self.clock, self.rng, self.scheduler, self.rules)
         self.platform = Platform(self.clock, self.rng, self.backends)
-        self.clients = Clients(self.clock, self.rng, self.rules)
+        self.clients = Clients(self.clock, self.rng, self.rules, self.scheduler)
         self._environment = Environment(self.clock, self.rng, self.scheduler, self.network, self.rules, clock_origins)
         self._control: dict[str, ControlProcess] = {}
         self._add_processes()
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -26,6 +26,9 @@
         self.on_end(Ended(Outcome.TIMEOUT))
 
     def cancel(self):
+        raise AssertionError("only the module may find that a backend does not answer")
+
+    def abandon(self):
         self.cancelled += 1
         self.on_end(Ended(Outcome.CANCELLED if self.written else Outcome.MOOT))
 
@@ -166,4 +169,4 @@
 def test_what_is_out_and_written_may_have_run():
     rig = Rig(on_request(Attempt("r1", "b0")))
     in_flight = rig.accept(cls="once")
-    assert rig.attempts[0].written and not rig.driver.may_refuse(in_flight)
+    assert rig.attempts[0].written and not in_flight.may_refuse()
--- a/tests/simnet/test_system.py
+++ b/tests/simnet/test_system.py
@@ -26,6 +26,16 @@
         run(seed)
 
 
+SLOW_AND_HASTY = Day([Fault(6.0, FaultKind.SLOW, 6.0), Fault(6.5, FaultKind.CLIENTS_LEAVE, 6.0)], [])
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_nothing_goes_on_for_clients_that_leave_slow_backends(seed):
+    world = World(seed)
+    play(world, SLOW_AND_HASTY)
+    assert world.rules.left_count > 200
+
+
 def test_a_day_is_the_same_each_time():
     first, again = run(5), run(5)
     assert (first.log, first.rules.runs, first.clock.now) == (again.log, again.rules.runs, again.clock.now)
--- a/thistleusher/core/driver.py
+++ b/thistleusher/core/driver.py
@@ -3,6 +3,7 @@
 Guarantees, whatever the surroundings do:
 
 - `on_final` of a request is called exactly once, or never if the client went first (`client_gone`);
+- once nobody waits for an answer, no attempt starts, and one that is out is ended where that stops its work harmlessly;
 - it is called by the request's deadline at the latest, a little before the client's own time is up;
 - one attempt of a request is out at a time, and none is started once the request has its final answer;
 - the module is never entered while it decides: what an action brings about at once waits for its turn.
@@ -34,7 +35,7 @@
     Timer,
     Verdict,
 )
-from thistleusher.core.settings import Settings
+from thistleusher.core.settings import ClassSettings, Settings
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +59,7 @@
         self.backends = backends
         self.scheduler = scheduler
         self.unix = unix
-        self.classes = {c.name: c for c in settings.classes}  # a front may name further ones as they come
+        self.classes = {c.name: c for c in settings.classes}
         self.counter: CounterPort | None = None
         self.peers: PeerPort | None = None
         self.in_flight: dict[str, InFlightRequest] = {}
@@ -144,11 +145,12 @@
         on_final: Callable[[Final], None],
         context: Any = None,
         received_at: float | None = None,
+        request_class: ClassSettings | None = None,
     ) -> InFlightRequest | None:
         """Take a request in: from here on it is owed one answer.
 
-        `received_at`: when its client's time began, on the scheduler's clock; None: now. Returns None, with INVALID to
-        `on_final`, where its id is that of a request still in flight.
+        `received_at`: when its client's time began, on the scheduler's clock; None: now. `request_class`: None: as the
+        settings name it. Returns None, with INVALID to `on_final`, where its id is that of a request still in flight.
         """
         if request.id in self.in_flight:
             on_final(Final(Verdict.INVALID))
@@ -156,7 +158,8 @@
         now = self.scheduler.time()
         left = (now if received_at is None else received_at) + request.expires_in - now
         left -= min(MARGIN_S, MARGIN_SHARE * request.expires_in)
-        in_flight = InFlightRequest(request, on_final, context, now + left)
+        request_class = request_class or self.classes[request.class_name]
+        in_flight = InFlightRequest(request, request_class, on_final, context, now + left)
         self.in_flight[request.id] = in_flight
         in_flight.timer = self.scheduler.call_at(in_flight.deadline, self._expire, in_flight)
         self.submit(request._replace(expires_in=max(0.0, left)))
@@ -165,15 +168,14 @@
     def client_gone(self, name: str) -> None:
         """Note that the client has left: nothing more goes out, and `on_final` is not called any more.
 
-        What a backend already has is waited for: no cancel stops its work, and the module counts it as load.
+        Its attempt is ended, or waited for, by `InFlightRequest.abandon_attempt`.
         """
         in_flight = self.in_flight.get(name)
         if in_flight is None or in_flight.answered:
             return
         in_flight.answered = True
         self.submit(events.ClientGone(name))
-        in_flight.cancel_unwritten()
-        self._forget_if_done(in_flight)
+        self._end_answered(in_flight)
 
     def begin_answer(self, in_flight: InFlightRequest) -> bool:
         """Note that a backend's answer begins to go out as the final one; return False if there is one already."""
@@ -188,7 +190,11 @@
             return
         in_flight.answered = True
         in_flight.on_final(final)
-        in_flight.cancel_unwritten()
+        self._end_answered(in_flight)
+
+    def _end_answered(self, in_flight: InFlightRequest) -> None:
+        """Leave a backend no work for a request that is owed nothing any more, and forget the request once it is done."""
+        in_flight.abandon_attempt(self.settings.cancel_stops_work)
         self._forget_if_done(in_flight)
 
     def _expire(self, in_flight: InFlightRequest) -> None:
@@ -204,11 +210,7 @@
 
     def _give_up(self, in_flight: InFlightRequest) -> None:
         """Answer for the module: refused where a retry is harmless, failed elsewhere."""
-        self.answer(in_flight, self._refusal(0.0) if self.may_refuse(in_flight) else Final(Verdict.FAILED))
-
-    def may_refuse(self, in_flight: InFlightRequest) -> bool:
-        """Return whether a request may be refused, which says that a retry is harmless."""
-        return in_flight.may_refuse(self.classes[in_flight.request.class_name])
+        self.answer(in_flight, self._refusal(0.0) if in_flight.may_refuse() else Final(Verdict.FAILED))
 
     def _refusal(self, wait: float) -> Final:
         """Return the answer to a refused request; beyond a quota the module says when there is headroom again."""
@@ -313,7 +315,7 @@
         for in_flight in list(self.in_flight.values()):
             in_flight.over = True
             if in_flight.attempt is not None:
-                in_flight.attempt.cancel()
+                in_flight.attempt.abandon()
             if not in_flight.answered:
                 self._give_up(in_flight)
             if in_flight.timer is not None:
--- a/thistleusher/core/in_flight_request.py
+++ b/thistleusher/core/in_flight_request.py
@@ -15,6 +15,7 @@
 
     __slots__ = (
         "request",
+        "request_class",
         "on_final",
         "context",
         "deadline",
@@ -27,9 +28,15 @@
     )
 
     def __init__(
-        self, request: events.Request, on_final: Callable[[Final], None], context: Any, deadline: float
+        self,
+        request: events.Request,
+        request_class: ClassSettings,
+        on_final: Callable[[Final], None],
+        context: Any,
+        deadline: float,
     ) -> None:
         self.request = request
+        self.request_class = request_class  # as it was when the request came, whatever is configured since
         self.on_final = on_final
         self.context = context
         self.deadline = deadline
@@ -40,13 +47,20 @@
         self.may_have_run = False
         self.over = False  # its time is up: no attempt is started any more, whatever the module makes of the last one
 
-    def may_refuse(self, cls: ClassSettings) -> bool:
+    def may_refuse(self) -> bool:
         """Return whether it may be refused, which says that a retry is harmless: nothing ran, or repeats are safe."""
         if not self.may_have_run and (self.attempt is None or not self.attempt.written):
             return True
-        return cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+        effect = self.request_class.effect
+        return effect is Effect.SAFE or (effect is Effect.KEYED and self.request_class.group is Group.ALL)
 
-    def cancel_unwritten(self) -> None:
-        """End the attempt unless it is written: no cancel stops a backend's work, which goes on counting as load."""
-        if self.attempt is not None and not self.attempt.written:
-            self.attempt.cancel()
+    def abandon_attempt(self, cancel_stops_work: bool) -> None:
+        """End the attempt, as nobody waits for its answer, unless that does no good or may do harm.
+
+        One that may have begun runs on where a cancel does not stop it, as it is load until it ends; and where its
+        class may not be repeated, as a payment that is broken off midway leaves its client unsure for good.
+        """
+        if self.attempt is None:
+            return
+        if not self.attempt.written or (cancel_stops_work and self.request_class.effect is Effect.SAFE):
+            self.attempt.abandon()
--- a/thistleusher/core/ports.py
+++ b/thistleusher/core/ports.py
@@ -113,7 +113,10 @@
         """End as timed out: the client's time is up."""
 
     def cancel(self) -> None:
-        """End as cancelled, or as moot where nothing was written."""
+        """End as cancelled, or as moot where nothing was written: the backend does not answer."""
+
+    def abandon(self) -> None:
+        """End as `cancel` does, but because nobody waits for the answer: nothing is inferred about the backend."""
 
 
 class BackendPort(Protocol):
--- a/thistleusher/core/settings.py
+++ b/thistleusher/core/settings.py
@@ -110,6 +110,7 @@
     max_retry_after: float = 0.0
     may_probe: bool = False
     may_cancel: bool = False
+    cancel_stops_work: bool = False  # a backend stops once the connection of an attempt ends; else it runs on, as load
     peers: bool = False
     peer_in_per_s: float = 0.0
     second_copies: bool = False
--- a/thistleusher/embed/admission.py
+++ b/thistleusher/embed/admission.py
@@ -202,6 +202,10 @@
         if not self.begun:
             self._interrupt(Outcome.CANCELLED)
 
+    def abandon(self) -> None:
+        """End it as cancelled, unless its answer has begun."""
+        self.cancel()
+
     def _interrupt(self, outcome: Outcome) -> None:
         if self.over:
             return
--- a/thistleusher/net/ingress.py
+++ b/thistleusher/net/ingress.py
@@ -52,9 +52,13 @@
         self.upstream.expire(self.exchange)
 
     def cancel(self) -> None:
-        """End it as cancelled."""
+        """End it as cancelled, as its backend does not answer."""
         self.upstream.cancel(self.exchange)
 
+    def abandon(self) -> None:
+        """End it as cancelled, as nobody waits for its answer."""
+        self.exchange.give_up(Outcome.CANCELLED)
+
 
 class Ingress:
     """One ingress: a driver, and the backends that it reaches over HTTP."""
--- a/thistleusher/net/upstream.py
+++ b/thistleusher/net/upstream.py
@@ -90,7 +90,10 @@
         self._give_up(exchange, Outcome.TIMEOUT)
 
     def cancel(self, exchange: BackendExchange) -> None:
-        """Stop waiting for an exchange."""
+        """Stop waiting for an exchange whose backend does not answer.
+
+        `BackendExchange.give_up` is for one that nobody waits for any more: that says nothing of its backend.
+        """
         self._give_up(exchange, Outcome.CANCELLED)
 
     def _give_up(self, exchange: BackendExchange, outcome: Outcome) -> None:
--- a/thistleusher/proxy/decisions.py
+++ b/thistleusher/proxy/decisions.py
@@ -45,6 +45,7 @@
     max_retry_after=0.25,
     instances=1,
     may_cancel=True,
+    cancel_stops_work=True,
     own_backends=True,
 )
 
@@ -126,6 +127,15 @@
 
     # A request, from its arrival to its first attempt.
 
+    def class_of(self, match: RouteMatch) -> ClassSettings:
+        """Return the class of a request by the route that it matched.
+
+        A request that was read ahead may have a route that has been dropped or changed since.
+        """
+        if self.config is not None and self.config.routes.get(match.name) is match.route:
+            return self.classes[match.name]
+        return class_settings_of(match)
+
     def expect(self, request: str, context: RequestContext) -> None:
         """Announce the request of this id, which comes next, with its route and tenant."""
         self.expected[request] = context
@@ -136,8 +146,7 @@
         assert config is not None
         match = context.match
         tenant = config.tenants.get(context.tenant) if context.tenant is not None else None
-        # A request that was read ahead may have a route that has been dropped since.
-        settings = self.classes.get(match.name) or class_settings_of(match)
+        settings = self.class_of(match)
         regions = allowed_regions(match.route.regions_allowed, tenant.regions_allowed if tenant is not None else ())
         service = draw_service(match, self.rng)
         request = self.requests[event.id] = RequestState(event, context, settings, now, service, regions)
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from thistleusher.common.errors import RESPONSES, ErrorKind, retry_after_header
-from thistleusher.configuration.index import Index
 from thistleusher.core import actions
 from thistleusher.core.events import Outcome
 from thistleusher.core.in_flight_request import InFlightRequest
@@ -18,7 +17,6 @@
 from thistleusher.proxy.decisions import Decisions
 from thistleusher.proxy.http_messages import MISDIRECTED, NOT_RUN_STATUSES, ClientRequest, answer_lines
 from thistleusher.proxy.requests import ChargeTenant
-from thistleusher.proxy.routing import class_settings_of
 from thistleusher.services.http_responses import Response
 
 STALL_S = 1.0  # without a byte in the middle of an answer, after which a repeatable request goes to another backend
@@ -50,20 +48,14 @@
         self.driver.handlers[actions.CancelAttempt] = self.cancel
         self.is_shutting_down: Callable[[], bool] = lambda: False
 
-    def apply_configuration(self, index: Index) -> None:
-        """Use this configuration's routes from here on; those of requests in flight stay known."""
-        self.driver.classes |= self.decisions.classes
-        used = {in_flight.request.class_name for in_flight in self.in_flight.values()}
-        for name in self.driver.classes.keys() - index.config.routes.keys() - used:
-            del self.driver.classes[name]
-
     def handle_request(self, call: ClientRequest, reply: Reply) -> None:  # type: ignore[override]
         """Take a client's request, which gets exactly one answer through `reply` from here on."""
         if call.request.id not in self.in_flight:
             self.decisions.expect(call.request.id, call.context)
-        # It was read ahead, and its route may have been dropped since.
-        self.driver.classes.setdefault(call.request.class_name, class_settings_of(call.context.match))
-        self.driver.accept(call.request, lambda final: self.answer(final, call, reply), call, call.received_at)
+        request_class = self.decisions.class_of(call.context.match)
+        self.driver.accept(
+            call.request, lambda final: self.answer(final, call, reply), call, call.received_at, request_class
+        )
 
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Cancel an attempt at a silent backend, so that another may follow.
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -50,7 +50,6 @@
             max(MIN_TIMEOUT_S, limits.header_timeout_ms / 1000),
             max(MIN_TIMEOUT_S, limits.idle_timeout_ms / 1000),
         )
-        self.ingress.apply_configuration(index)
 
     def read_request(self, connection: ClientConnection) -> Any:
         """Return the request that has come whole as a `ClientRequest`, or its early answer."""
