The end of a client is seen wherever its request waits

Cause: the end of a client's connection was noticed late or never while reading was paused (more than 16 requests read ahead, input discarded), while its earlier answers were unread, and by timers that are due before the reads of the same moment.

What a backend owed to cancelled attempts still counts towards its silence, so that clients which do not wait cannot hide a dead backend. Nothing else of a cancelled attempt counts. Settings.cancel_stops_work is the last field and has the key limits.cancelStopsWork.

Public forms: one setting, one method added.

--- a/simnet/system/backends.py
+++ b/simnet/system/backends.py
@@ -34,15 +34,19 @@
         self.slowdown = 1.0  # factor on the time for which it works on a request
 
 
+class Work(Protocol):
+    """A backend's work on one request."""
+
+    def is_in_progress(self) -> bool:
+        """Return whether the backend is at work now."""
+
+
 class Observer(Protocol):
     """Whoever is to know which requests arrive where."""
 
-    def request_arrived(self, name: str, route: str, tenant: str, backend: Backend) -> None:
+    def request_arrived(self, name: str, route: str, tenant: str, backend: Backend, work: Work) -> None:
         """Take note that a backend begins to work on a request."""
 
-    def work_ended(self, name: str) -> None:
-        """Take note that a backend works on a request no longer."""
-
 
 class Backends:
     """All backends of the one service."""
@@ -79,7 +83,7 @@
         self._serves = serves
         self._on_end = on_end
         self._ended = False
-        self._working = False  # the backend, on this attempt
+        self._work_until = 0.0  # when the backend completes its work, or stops it as the connection has ended
 
     def start(self, timeout: float) -> None:
         """Send the request, to be answered within some seconds."""
@@ -107,23 +111,20 @@
             self._end_later(delay, Outcome.FULL)
             return
         route, tenant = self._request.context
-        self._backends.observer.request_arrived(self._request.request.id, route, tenant, backend)
-        self._working = True
         duration = backend.slowdown * (WORK_S + WORK_SPREAD_S * rng.random())
+        if not self._ended:
+            self._work_until = self._backends.clock.now + duration
+        self._backends.observer.request_arrived(self._request.request.id, route, tenant, backend, self)
 
         def complete() -> None:
-            if not self._working:
-                return
-            self._stop_work()
             broken = backend.crashed or (backend.loses_answers and rng.random() < LOST_SHARE)
             self._end_later(delay, Outcome.RESET if broken else Outcome.OK)
 
         self._backends.clock.later(duration, complete)
 
-    def _stop_work(self) -> None:
-        if self._working:
-            self._working = False
-            self._backends.observer.work_ended(self._request.request.id)
+    def is_in_progress(self) -> bool:
+        """Return whether the backend is at work now."""
+        return self._backends.clock.now < self._work_until
 
     def expire(self) -> None:
         """End the attempt, as its time is up."""
@@ -138,9 +139,9 @@
         self.cancel()
 
     def _close(self, outcome: Outcome) -> None:
-        """Close the attempt's connection; its end reaches the backend behind the request."""
+        """Close the attempt's connection: the backend stops its work as soon as that reaches it."""
         delay = one_way_delay(MACHINES[self._proxy.machine].zone, self._backend.zone)
-        self._backends.clock.later(delay, self._stop_work)
+        self._work_until = min(self._work_until, self._backends.clock.now + delay)
         self._end(outcome)
 
     def _end_later(self, delay_s: float, outcome: Outcome) -> None:
--- a/simnet/system/clients.py
+++ b/simnet/system/clients.py
@@ -27,9 +27,19 @@
     `limited_share`: the share of requests that are the limited tenant's. `leave_share`: of those whose clients leave.
     """
 
-    def __init__(self, clock: Clock, rng: random.Random, rules: Rules, scheduler: ProcessScheduler) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        rules: Rules,
+        scheduler: ProcessScheduler,
+        leaving_rng: random.Random,
+        leave_share: float,
+    ) -> None:
+        """`leaving_rng`: who leaves is drawn apart, so that the other draws of a seed are the same if nobody does."""
         self.limited_share = USUAL_LIMITED_SHARE
-        self.leave_share = USUAL_LEAVE_SHARE
+        self.leave_share = leave_share
+        self._leaving_rng = leaving_rng
         self._clock = clock
         self._rng = rng
         self._rules = rules
@@ -53,8 +63,8 @@
             self._rules.request_answered(name, route, final, sent)
 
         proxy.take(name, route, tenant, DEADLINE_S, answered)
-        if self._rng.random() < self.leave_share:
-            patience_s = MAX_PATIENCE_S * self._rng.random()
+        if self._leaving_rng.random() < self.leave_share:
+            patience_s = MAX_PATIENCE_S * self._leaving_rng.random()
             self._scheduler.later(proxy, patience_s, lambda: self._leave(proxy, name, route))
 
     def _leave(self, proxy: ProxyProcess, name: str, route: str) -> None:
--- a/simnet/system/days.py
+++ b/simnet/system/days.py
@@ -39,14 +39,14 @@
     planned: list[PlannedWork]
 
 
-def draw(seed: int) -> Day:
-    """Draw a seed's day. A disk is lost only when no other machine of the core has a fault."""
+def draw(seed: int, kinds: Sequence[FaultKind] = KINDS) -> Day:
+    """Draw a seed's day of these kinds of faults. A disk is lost only when no other core machine has a fault."""
     rng = random.Random(seed * 7907 + 3)
     at = FIRST_FAULT_S
     faults: list[Fault] = []
     for _ in range(rng.randint(1, 4)):
         at += rng.choice((0.1, 1.0, 3.0)) * (0.5 + rng.random())
-        kind = rng.choice(KINDS)
+        kind = rng.choice(kinds)
         wipe_before = bool(faults) and faults[-1].kind is FaultKind.CORE_WIPE
         if kind is FaultKind.CORE_WIPE or wipe_before:
             at = max([at, *(fault.at + fault.duration_s + AFTER_WIPE_S for fault in faults)])
--- a/simnet/system/faults.py
+++ b/simnet/system/faults.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from functools import partial
 from typing import NamedTuple
 
 from simnet.system.clients import HASTY_LEAVE_SHARE, HOT_LIMITED_SHARE, USUAL_LEAVE_SHARE, USUAL_LIMITED_SHARE
@@ -166,7 +167,7 @@
         backends = list(self._world.backends.by_name.values())
         for backend in backends:
             backend.slowdown = SLOWDOWN
-            self._world.clock.later(duration_s, lambda backend=backend: setattr(backend, "slowdown", 1.0))
+            self._world.clock.later(duration_s, partial(setattr, backend, "slowdown", 1.0))
 
     def _hurry_clients(self, machine: str, duration_s: float) -> None:
         clients = self._world.clients
--- a/simnet/system/rules.py
+++ b/simnet/system/rules.py
@@ -2,8 +2,8 @@
 
 By the users' names: TWICE and REFUSED (what may not be repeated), QUOTA (over every five seconds), DRAIN and EVAC (what
 arrives at a backend that is to get nothing), CONFIG (no proxy goes back, all have in time what was acknowledged), LOST
-(each request gets its one answer in time), and GONE (nothing is sent or worked on for a client that has left). Bounds in time hold once there has been no fault for `CONTACT_S`, as on
-the users' page.
+(each request gets its one answer in time), and GONE (nothing is sent or worked on for a client that has left). Bounds
+in time hold once there has been no fault for `CONTACT_S`, as on the users' page; GONE's at a proxy that runs on.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from simnet.clock import Clock
-from simnet.system.backends import Backend
+from simnet.system.backends import Backend, Work
 from simnet.system.process import Process
 from simnet.system.topology import BOUNDS, BURST, DEADLINE_S, EFFECTFUL_ROUTE, LIMITED_TENANT, RATE_PER_S
 from thistleusher.core.ports import Final, Verdict
@@ -69,7 +69,7 @@
         self._open: dict[str, OpenRequest] = {}
         self._rejected: set[str] = set()
         self._left: dict[str, LeftRequest] = {}
-        self._working: dict[str, int] = {}  # how many backends work on each request
+        self._work: dict[str, list[Work]] = {}  # that backends have begun, by request
         self._limited_runs: deque[float] = deque()  # times of the limited tenant's runs, within the quota's window
 
     def report(self, why: str) -> None:
@@ -91,9 +91,9 @@
         """Record that a client has sent a request to a proxy that takes requests."""
         self._open[name] = OpenRequest(proxy, proxy.incarnation, self._clock.now + DEADLINE_S)
 
-    def request_arrived(self, name: str, route: str, tenant: str, backend: Backend) -> None:
+    def request_arrived(self, name: str, route: str, tenant: str, backend: Backend, work: Work) -> None:
         """Check a request as a backend begins to work on it."""
-        self._working[name] = self._working.get(name, 0) + 1
+        self._work.setdefault(name, []).append(work)
         self._check_repeat(name, route, backend)
         self._check_client_left(name, backend)
         if tenant == LIMITED_TENANT:
@@ -101,12 +101,6 @@
         self._check_draining(name, backend)
         self._check_evacuation(name, backend)
 
-    def work_ended(self, name: str) -> None:
-        """Record that one of the backends that work on a request has ended."""
-        self._working[name] -= 1
-        if not self._working[name]:
-            del self._working[name]
-
     def client_left(self, name: str, route: str) -> bool:
         """Record that a request's client has left, as its proxy learns of it; return False where it has its answer."""
         request = self._open.pop(name, None)
@@ -124,7 +118,8 @@
         return proxy.running and proxy.incarnation == incarnation and proxy.frozen_until <= at
 
     def _check_work_stopped(self, name: str) -> None:
-        if name in self._working and self._has_carried_on(name):
+        is_worked_on = any(work.is_in_progress() for work in self._work.get(name, ()))
+        if is_worked_on and self._has_carried_on(name):
             self.report(f"GONE: a backend still works on {name}, {GONE_S} s after its client has left")
 
     def _check_client_left(self, name: str, backend: Backend) -> None:
--- a/simnet/system/world.py
+++ b/simnet/system/world.py
@@ -11,7 +11,7 @@
 from simnet.clock import Clock
 from simnet.errors import RuleViolationError
 from simnet.system.backends import Backends
-from simnet.system.clients import Clients
+from simnet.system.clients import USUAL_LEAVE_SHARE, Clients
 from simnet.system.control_process import ControlProcess
 from simnet.system.environment import Environment
 from simnet.system.network import Network
@@ -34,7 +34,8 @@
 class World:
     """All of it. All that happens is drawn from one seed."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, leave_share: float = USUAL_LEAVE_SHARE) -> None:
+        """`leave_share`: the share of requests whose clients leave."""
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.clock.after_each = self.check
@@ -46,7 +47,9 @@
         self.rules = Rules(self.clock)
         self.backends = Backends(self.clock, self.rng, self.scheduler, self.rules)
         self.platform = Platform(self.clock, self.rng, self.backends)
-        self.clients = Clients(self.clock, self.rng, self.rules, self.scheduler)
+        self.clients = Clients(
+            self.clock, self.rng, self.rules, self.scheduler, random.Random(f"leaving clients {seed}"), leave_share
+        )
         self._environment = Environment(self.clock, self.rng, self.scheduler, self.network, self.rules, clock_origins)
         self._control: dict[str, ControlProcess] = {}
         self._add_processes()
--- a/tests/compatibility/test_simulated_runs.py
+++ b/tests/compatibility/test_simulated_runs.py
@@ -1,5 +1,7 @@
 """Simulated runs are the same as in release 0.2: virtual times, bytes sent, bytes written and log events of each seed.
 
+Those with clients that leave, and with slow backends, are as when they were added.
+
 What is seen here lies below any name that may change: the queue of due events (`heapq`), the encoder of the codec, and
 the encoder of simulated disks; log events count by their numbers.
 """
@@ -15,14 +17,25 @@
 import pytest
 
 import simnet.core.runs
-import simnet.system.days
 from simnet.search.explorer import search
+from simnet.system import days
+from simnet.system.faults import FaultKind
+from simnet.system.world import World
 from tests.compatibility.fixtures import load, positional
 from thistleusher.control.interface import LogEvent
 from thistleusher.transport import codec
 
 SEEDS = range(10)
-WORLDS = {"core": simnet.core.runs, "system": simnet.system.days}
+ADDED_FAULTS = (FaultKind.SLOW, FaultKind.CLIENTS_LEAVE)  # since release 0.2
+FORMER_FAULTS = tuple(kind for kind in FaultKind if kind not in ADDED_FAULTS)
+
+
+def play_clients_that_stay(seed: int) -> None:
+    """Play a seed's day of the system as release 0.2 has it, where no client leaves."""
+    days.play(World(seed, leave_share=0.0), days.draw(seed, FORMER_FAULTS))
+
+
+WORLDS = {"core": simnet.core.runs.run, "system": play_clients_that_stay, "leaving clients": days.run}
 
 
 class Recorder:
@@ -55,7 +68,7 @@
         return data
 
 
-def record(world: Any, seed: int, patch: Callable[[Any, str, Any], None]) -> dict[str, list[int | str]]:
+def record(run: Callable[[int], Any], seed: int, patch: Callable[[Any, str, Any], None]) -> dict[str, list[int | str]]:
     """Play a seed's day; `patch(owner, name, value)` sets an attribute for as long as it takes."""
     recorder = Recorder()
     pop, encode, make_note = heapq.heappop, msgspec.msgpack.encode, LogEvent.__new__
@@ -81,7 +94,7 @@
     encoders = [name for name, value in vars(codec).items() if isinstance(value, msgspec.msgpack.Encoder)]
     assert len(encoders) == 1
     patch(codec, encoders[0], RecordingEncoder(getattr(codec, encoders[0]), recorder))
-    world.run(seed)
+    run(seed)
     return recorder.result()
 
 
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -34,10 +34,10 @@
 
 
 class Rig:
-    def __init__(self, decide, writes=True):
+    def __init__(self, decide, writes=True, stops=False):
         self.clock, self.attempts, self.finals, self.writes = Clock(1000.0), [], [], writes
         self.script = Script(decide)
-        self.driver = Driver(settings(), self.script, self, self.clock, self.clock.time)
+        self.driver = Driver(settings(cancel_stops_work=stops), self.script, self, self.clock, self.clock.time)
 
     def prepare(self, in_flight, backend, on_end):
         self.attempts.append(ScriptedAttempt(on_end, self.writes))
@@ -122,6 +122,27 @@
     assert not rig.finals and rig.attempts[0].cancelled == 1 and not rig.driver.in_flight
 
 
+@pytest.mark.parametrize("cls, ends", [("read", True), ("pay", False), ("once", False)])
+@pytest.mark.parametrize("stops", [True, False])
+def test_what_a_backend_works_on_for_nobody_is_ended_where_that_stops_it_harmlessly(cls, ends, stops):
+    for leave in (lambda d: d.client_gone("r1"), lambda d: d.submit(events.TimerFired(1))):
+        rig = Rig(lambda e: [Attempt("r1", "b0")] if isinstance(e, events.Request) else [Fail("r1")], stops=stops)
+        rig.accept(cls=cls)
+        leave(rig.driver)
+        assert rig.attempts[0].cancelled == (ends and stops) and bool(rig.driver.in_flight) is not (ends and stops)
+        if rig.driver.in_flight:
+            rig.attempts[0].on_end(Ended(Outcome.OK))
+        assert rig.script.ends()[0].done and not rig.driver.in_flight
+
+
+def test_a_class_that_changes_meanwhile_does_not_change_a_request():
+    rig = Rig(on_request(Attempt("r1", "b0")), stops=True)
+    rig.accept(cls="once")
+    rig.driver.classes["once"] = rig.driver.classes["read"]
+    rig.driver.client_gone("r1")
+    assert not rig.attempts[0].cancelled
+
+
 def test_closing_answers_everything_and_stops_the_timers():
     rig = Rig(on_request(SetTimer(5.0, 1)))
     rig.accept("r1")
--- a/tests/net/test_ingress.py
+++ b/tests/net/test_ingress.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from tests.net.sockets import Client, Peer, Rig, call, closed_port, entry, in_turn, listing, ok, run, unix, until
 from thistleusher.core import actions, events
 from thistleusher.core.events import Outcome
+from thistleusher.net import socket_state
 
 
 def test_a_request_is_served_byte_for_byte_and_goes_on_unchanged():
@@ -104,6 +106,48 @@
     run(main())
 
 
+def test_a_backend_that_stops_with_its_connection_works_on_for_nobody():
+    async def main():
+        backend = await Peer.start(None)
+        rig = Rig(in_turn("b0"), cancel_stops_work=True)
+        client = await rig.start(b0=backend.port)
+        client.writer.write(call())
+        await until(lambda: backend.seen)
+        client.writer.close()
+        await until(backend.seen[0].ended)
+        assert [(e.outcome, e.done) for e in rig.script.ends()] == [(Outcome.CANCELLED, True)]
+        assert not rig.ingress.in_flight
+
+    run(main())
+
+
+def test_the_end_of_a_client_is_seen_behind_requests_that_nobody_reads():
+    async def main():
+        backend = await Peer.start(None)
+        rig = Rig(in_turn("b0"), cancel_stops_work=True)
+        client = await rig.start(b0=backend.port)
+        client.writer.write(b"".join(call(f"r{n}") for n in range(60)))
+        await until(lambda: backend.seen)
+        (connection,) = rig.server.connections
+        await until(lambda: connection.reading_paused)
+        client.writer.write(call("r99"))
+        client.writer.close()
+        await until(backend.seen[0].ended)
+        assert len(backend.seen) == 1 and not rig.ingress.in_flight
+
+    run(main())
+
+
+def test_the_end_of_a_client_is_seen_on_its_socket_whatever_lies_before_it():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        assert not socket_state.has_peer_closed(ours)
+        theirs.send(b"unread")
+        assert not socket_state.has_peer_closed(ours) and socket_state.unread_bytes(ours) == 6
+        theirs.shutdown(socket.SHUT_WR)
+        assert socket_state.has_peer_closed(ours)
+
+
 def test_an_attempt_that_is_out_when_the_client_goes_is_waited_for():
     async def main():
         go = asyncio.Event()
--- a/tests/proxy/caller_world.py
+++ b/tests/proxy/caller_world.py
@@ -16,6 +16,7 @@
 from thistleusher.configuration.records import Configuration
 from thistleusher.net.backend_connection import BackendConnection, UpstreamOptions
 from thistleusher.net.connection_pool import ConnectionPool, Endpoint
+from thistleusher.net.ingress import UNCHECKED_WAIT_S
 from thistleusher.net.upstream import Upstream
 from thistleusher.proxy.decisions import Decisions
 from thistleusher.proxy.forwarding import ProxyIngress
@@ -26,6 +27,7 @@
 MAX_ATTEMPTS = 3
 DEADLINE_MS = 1500
 FREEZE_S = 20.0
+GONE_S = 0.5  # after a client has left, when work for it must have ended
 SETTLE_S = 40.0  # after the last event, in which all must have come to its end
 PROMISES = (408, 421, 429, 503)
 ROUTE = {
@@ -61,6 +63,7 @@
         self.clients: list[Client] = []
         self.serial = 0
         self.steps: list[str] = []  # what backends do, where it is not drawn
+        self.unwanted: list[bytes] = []  # ids that were sent or worked on for a client that had left
         self.unproven_repeats: list[bytes] = []  # effectful ids that were sent a second time without a proof
         self.decisions = Decisions("me", "z", "r", Bounds(retry_slack=60), random.Random(seed), loop.time())
         self.upstream = ScriptedUpstream(loop, 0.5, 10.0, 50, UpstreamOptions(1 << 20, ATTEMPT_HEADER, 1.0, outcome_of))
@@ -138,14 +141,43 @@
         self.wires.append(backend.wire)
         return connection
 
-    def arrived(self, name: bytes) -> Run:
+    def arrived(self, name: bytes, wire: Wire) -> Run:
         """A request has come whole to a backend."""
+        self.check_is_wanted(name)
         runs = self.runs.setdefault(name, [])
         if name.startswith(b"e") and not all(run.proven_not_run for run in runs):
             self.unproven_repeats.append(name)
-        runs.append(Run(name))
+        runs.append(Run(name, wire))
         return runs[-1]
 
+    def asker(self, name: bytes) -> tuple[Client | None, float]:
+        """Who has asked for this, and when."""
+        for client in self.clients:
+            for asked, when in client.asked:
+                if asked == name:
+                    return client, when
+        return None, 0.0
+
+    def check_is_wanted(self, name: bytes) -> None:
+        """A request that goes out has a client, as far as can be seen on its connection."""
+        client, asked = self.asker(name)
+        if client is None:
+            return
+        unnoticed = None in client.wire.unread and self.loop.time() - asked <= UNCHECKED_WAIT_S
+        if client.wire.cut and not unnoticed:
+            self.unwanted.append(name)
+
+    def check_work(self) -> None:
+        """No backend works on what may be dropped and nobody waits for, half a second after its client has left."""
+        self.loop.call_later(GONE_S, self.check_work)
+        if self.frozen or self.loop.time() - self.thawed < GONE_S:
+            return
+        for client in self.clients:
+            if client.left is not None and self.loop.time() - client.left >= GONE_S:
+                for name, _ in client.asked:
+                    if name.startswith(b"p") and any(run.is_worked_on() for run in self.runs.get(name, [])):
+                        self.unwanted.append(name)
+
     def answer(self, run: Run, backend: str, status: int, step: str) -> bytes:
         seal = b"%s-%d" % (backend.encode(), len(self.answers_by_seal))
         body = b"" if status in (429, 503) else b"of " + run.name + b" " + seal
@@ -197,6 +229,7 @@
             wire.read()
 
     async def play(self, events: int = 60) -> None:
+        self.check_work()
         for _ in range(events):
             kind = self.rng.random()
             if kind < 0.2 or not self.clients:
@@ -204,7 +237,7 @@
             elif kind < 0.75:
                 self.ask(self.rng.choice(self.clients[-4:]))
             elif kind < 0.8:
-                self.rng.choice(self.clients).wire.deliver(None)
+                self.rng.choice(self.clients).leave()
             elif kind < 0.85 and self.fault_rate > 0.3:
                 self.freeze()
             elif kind < 0.9:
@@ -225,6 +258,7 @@
     # What must hold.
 
     def check(self) -> None:
+        assert not self.unwanted, f"went on for clients that had left: {self.unwanted}"
         assert not self.unproven_repeats, f"sent again without a proof: {self.unproven_repeats}"
         for name, runs in self.runs.items():
             ran = sum(run.ran for run in runs)
--- a/tests/proxy/simulated_peers.py
+++ b/tests/proxy/simulated_peers.py
@@ -24,6 +24,9 @@
     def has_unread_bytes(self) -> bool:
         return bool(self.transport.unread)
 
+    def has_client_left(self) -> bool:
+        return self.disconnected or None in self.transport.unread
+
     def unacknowledged_bytes(self) -> int:
         return 0
 
@@ -31,11 +34,17 @@
 class Run:
     """A request that has come whole to a backend."""
 
-    def __init__(self, name: bytes) -> None:
+    def __init__(self, name: bytes, wire: Wire | None = None) -> None:
         self.name = name
+        self.wire = wire  # of the backend that has it
         self.ran = True
+        self.answered = False  # all that its backend has to say is sent
         self.proven_not_run = False  # that it has not run, by an answer that has been handed over whole
 
+    def is_worked_on(self) -> bool:
+        """Whether its backend is at work on it: the connection stands, and its answer is not out."""
+        return self.wire is not None and not (self.answered or self.wire.ended or self.wire.cut)
+
 
 class Backend:
     """One backend's connection: does what it draws with each request."""
@@ -65,7 +74,7 @@
         self.buffer = rest[size:]
         marked = REQUEST.search(head + b"\r\n")
         assert marked is not None
-        self.serve(self.world.arrived(marked[1]))
+        self.serve(self.world.arrived(marked[1], self.wire))
 
     def serve(self, run: Run) -> None:
         """Do with a request what is drawn."""
@@ -121,6 +130,7 @@
         """The next piece; several may come in one read."""
         piece, run = self.sending[0]
         if run is not None:  # its answer is whole
+            run.answered = True
             run.proven_not_run = not run.ran
         self.wire.deliver(piece)
         self.sending.pop(0)
@@ -135,11 +145,18 @@
         self.world = world
         self.connection = SimClient(world.server)
         self.wire = Wire(world, self.connection, self.heard)
+        self.left: float | None = None  # when it closed its connection
         self.asked: list[tuple[bytes, float]] = []  # id (`e`: may run once, `p`: may be repeated), when it was sent
         self.got = b""
         self.times: list[float] = []
         self.connection.connection_made(self.wire)
 
+    def leave(self) -> None:
+        """Close the connection; what was asked on it is wanted no more."""
+        if not self.wire.cut:
+            self.left = self.world.loop.time()
+            self.wire.deliver(None)
+
     def heard(self, data: bytes) -> None:
         assert not self.wire.eof, "bytes after the end"
         self.got += data
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -107,6 +107,33 @@
     assert kinds(rig.do(ChargeAnswered(name, ALLOWED, 0.5, 3))) == [actions.Attempt]
 
 
+@pytest.mark.parametrize(
+    "outcome, refunded", [(Outcome.MOOT, True), (Outcome.CONNECT_FAILED, True), (Outcome.CANCELLED, False)]
+)
+def test_a_client_that_leaves_is_charged_for_what_may_have_run_alone(outcome, refunded):
+    rig = Rig()
+    name, _ = rig.ask(tenant="t")
+    sent = rig.do(ChargeAnswered(name, ALLOWED, 0.5, 3))
+    budget = rig.decisions.retries.budget_of("s")
+    assert not kinds(rig.do(events.ClientGone(name)))  # its attempt is out
+    acts = rig.end(name, sent, outcome, done=True)
+    assert [a for a in acts if isinstance(a, ChargeTenant)] == [ChargeTenant(name, "t", -1, 3)] * refunded
+    assert not rig.decisions.requests and not budget.retries and len(budget.requests) == 1
+
+
+def test_a_client_that_leaves_before_its_verdict_or_its_place_is_refunded_at_once():
+    rig = Rig(near=0, far=0)
+    name, _ = rig.ask(tenant="t")
+    assert kinds(rig.do(events.ClientGone(name))) == [ChargeTenant]
+    assert not kinds(rig.do(ChargeAnswered(name, ALLOWED, 0.5, 3)))
+    name, _ = rig.ask(tenant="t")
+    assert not kinds(rig.do(ChargeAnswered(name, ALLOWED, 0.5, 3)))  # there is no backend
+    assert kinds(rig.do(events.ClientGone(name))) == [ChargeTenant]
+    rig.add_backend("n0", "z1", "near")
+    rig.decisions.apply_backends(rig.now, rig.backends)
+    assert not kinds(rig.do(events.TimerFired(1), 0.05)) and not rig.decisions.requests
+
+
 def test_a_request_that_no_region_may_serve_is_rejected_at_once_and_not_charged():
     rig = Rig()
     assert kinds(rig.ask("far", tenant="nowhere")[1]) == [actions.Refuse]
--- a/tests/scripted_loop.py
+++ b/tests/scripted_loop.py
@@ -63,6 +63,7 @@
         self.eof = False
         self.unread: list[bytes | None] = []  # None: the other side's end
         self.buffered = 0  # bytes that the other side has not taken yet
+        self.paused = False  # the process reads nothing for now
 
     # The process's side.
 
@@ -80,10 +81,12 @@
         return self.buffered
 
     def pause_reading(self) -> None:
-        return
+        self.paused = True
 
     def resume_reading(self) -> None:
-        return
+        self.paused = False
+        if self.unread:
+            self.world.loop.call_soon(self.read)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return default
@@ -124,8 +127,16 @@
         if not self.world.frozen:
             self.read()
 
+    def finish(self) -> None:
+        """The other side closes in order, and may not have taken what was written to it."""
+        self.cut = True
+        if not self.protocol.eof_received():
+            self.close()
+
     def read(self) -> None:
         """The process reads all that has come, in one batch: bytes first, then the end."""
+        if self.paused or self.world.frozen:
+            return
         unread, self.unread = self.unread, []
         data = b"".join(part for part in unread if part)
         if data and not self.ended:
--- a/thistleusher/core/backend_table.py
+++ b/thistleusher/core/backend_table.py
@@ -40,11 +40,13 @@
         """Have what is outstanding at a backend take no slots."""
         if not backend.silent:
             backend.silent = True
+            backend.unanswered = 0.0
             self.load = max(0.0, self.load - backend.work)
 
     def mark_answered(self, now: float, backend: Backend) -> None:
         """Note a sign of life: what is outstanding there takes slots."""
         backend.last_answered = now
+        backend.unanswered = 0.0
         if backend.silent:
             backend.silent = False
             self.load += backend.work
--- a/thistleusher/core/driver.py
+++ b/thistleusher/core/driver.py
@@ -193,7 +193,7 @@
         self._end_answered(in_flight)
 
     def _end_answered(self, in_flight: InFlightRequest) -> None:
-        """Leave a backend no work for a request that is owed nothing any more, and forget the request once it is done."""
+        """Leave a backend no work for a request that is owed nothing any more; forget it once no attempt is out."""
         in_flight.abandon_attempt(self.settings.cancel_stops_work)
         self._forget_if_done(in_flight)
 
--- a/thistleusher/core/settings.py
+++ b/thistleusher/core/settings.py
@@ -110,7 +110,6 @@
     max_retry_after: float = 0.0
     may_probe: bool = False
     may_cancel: bool = False
-    cancel_stops_work: bool = False  # a backend stops once the connection of an attempt ends; else it runs on, as load
     peers: bool = False
     peer_in_per_s: float = 0.0
     second_copies: bool = False
@@ -130,6 +129,7 @@
     waste_price: float = 0.0
     cross_zone_price: float = 0.0
     probe_price: float = 0.0
+    cancel_stops_work: bool = False  # a backend stops once an attempt's connection ends; else it runs on, as load
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one class", self.classes)
--- a/thistleusher/core/settings_parser.py
+++ b/thistleusher/core/settings_parser.py
@@ -114,6 +114,7 @@
         waste_price=values.number("prices.waste", "0"),
         cross_zone_price=values.number("prices.crossZone", "0"),
         probe_price=values.number("prices.probe", "0"),
+        cancel_stops_work=values.flag("limits.cancelStopsWork"),
     )
     fields = values.text("loadReport.fields", "")
     return settings, tuple(f for f in fields.split(",") if f and f != "-")
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -90,11 +90,26 @@
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
         self.server.connection_opened(self)
 
+    def eof_received(self) -> bool:
+        """Take a client that has closed its side, or only stopped sending, for one that has left.
+
+        The transport closes once its responses have left, which a client that does not read can hold up.
+        """
+        self._abandon_requests()
+        if not self.closing:
+            self.closing = True
+            self._linger()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop what was read ahead, and report the request that is being decided on."""
         self.closing = True
         self.disconnected = True
         self.server.connections.discard(self)
+        self._abandon_requests()
+
+    def _abandon_requests(self) -> None:
+        """Drop what was read ahead, and report that the client of the present request has left."""
         self.queue.clear()
         request = self.current_request
         self.current_request = None
@@ -229,15 +244,18 @@
         if self.closing or self.transport is None:
             return
         self.closing = True
-        now = self.loop.time()
-        self.last_progress_at = now
         if self.discarding_input or self.queue or self.has_unread_bytes():
             self._discard_input()
             with contextlib.suppress(RuntimeError):  # it has broken, and `connection_lost` has not been called yet
                 self.transport.write_eof()
         else:
             self.transport.close()
-        self.loop.call_later(LINGER_S, self._end_linger, now + LINGER_S)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Abort after a while, whether or not the client has closed its side."""
+        self.last_progress_at = self.loop.time()
+        self.loop.call_later(LINGER_S, self._end_linger, self.last_progress_at + LINGER_S)
 
     def _discard_input(self) -> None:
         """Read and discard from here on what the client sends."""
@@ -276,7 +294,10 @@
         if self.closing or self.transport is None:
             return
         limits = self.server.limits
-        if self.writing_paused:
+        if self.reading_paused and self.has_client_left():  # an end that the transport does not read
+            self.closing = True
+            self.transport.abort()
+        elif self.writing_paused:
             if self.is_stalled(now):
                 self.closing = True
                 self.transport.abort()
@@ -315,6 +336,13 @@
         assert self.transport is not None
         return socket_state.unacknowledged_bytes(self.transport.get_extra_info("socket"))
 
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed its side, whether or not this program has got round to reading that."""
+        if self.disconnected or self.transport is None:
+            return True
+        sock = self.transport.get_extra_info("socket")
+        return sock is not None and socket_state.has_peer_closed(sock)
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have come that this program has not got round to reading."""
         assert self.transport is not None
--- a/thistleusher/net/ingress.py
+++ b/thistleusher/net/ingress.py
@@ -14,13 +14,14 @@
 from thistleusher.core.ports import Decisions, Ended, Final, Scheduler, Verdict
 from thistleusher.core.settings import Settings
 from thistleusher.net.backend_list import BackendList
-from thistleusher.net.client_call import Call
+from thistleusher.net.client_call import Call, WaitingCall
 from thistleusher.net.client_connection import Reply
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.upstream import Upstream
 from thistleusher.services.http_responses import Response
 
 MIN_PATIENCE_S = 0.001  # the smallest X-Budget of a backend, however little time is left
+UNCHECKED_WAIT_S = 0.1  # after its last byte, for which a request goes out without a look at its client's connection
 LOAD_REPORT_REQUEST = b"GET /load HTTP/1.1\r\nHost: backend.local\r\n\r\n"
 
 
@@ -108,6 +109,21 @@
 
     # Backends.
 
+    def may_send(self, in_flight: InFlightRequest, backend: str) -> bool:
+        """Return whether a byte of a request may go out now: its client waits for it, and its backend takes requests.
+
+        A request that has waited may have lost its client without this process having read that: timers of the same
+        moment come first, and reading may be paused. So its connection is looked at, at the cost of a system call.
+        """
+        if in_flight.answered or backend not in self.serving:
+            return False
+        call: WaitingCall = in_flight.context
+        waited_s = self.driver.scheduler.time() - call.received_at
+        if waited_s > UNCHECKED_WAIT_S and call.has_client_left():
+            self.driver.client_gone(call.request.id)
+            return False
+        return True
+
     def prepare(self, in_flight: InFlightRequest, backend: str, on_end: Callable[[Ended], None]) -> BackendAttempt:
         """Prepare an attempt. It is not sent if its client has gone or its backend drains by then."""
         call: Call = in_flight.context
@@ -116,7 +132,7 @@
             return call.message(max(MIN_PATIENCE_S, in_flight.deadline - self.driver.scheduler.time()))
 
         def can_send() -> bool:
-            return not in_flight.answered and backend in self.serving
+            return self.may_send(in_flight, backend)
 
         def ended(_: BackendExchange, outcome: Outcome, response: Response | None) -> None:
             true_units = 0.0
--- a/thistleusher/net/ingress_server.py
+++ b/thistleusher/net/ingress_server.py
@@ -64,4 +64,5 @@
             request = request._replace(expires_in=min(request.expires_in, left))
         head = [b"%s %s HTTP/1.1\r\n" % (method, connection.url)]
         head += [b"%s: %s\r\n" % (n, v) for n, v in connection.headers if n.lower() not in HOP_BY_HOP_HEADERS]
-        return Call(request, b"".join(head), bytes(connection.body), self.ingress.driver.scheduler.time())
+        received_at = self.ingress.driver.scheduler.time()
+        return Call(request, b"".join(head), bytes(connection.body), received_at, connection.has_client_left)
--- a/thistleusher/policy/fleet.py
+++ b/thistleusher/policy/fleet.py
@@ -206,6 +206,8 @@
             return
         if event.outcome in ANSWERS:  # a time-out is no sign of life, nor a fault
             self.backends.mark_answered(now, backend)
+        elif event.outcome is Outcome.CANCELLED:
+            backend.cancelled(now, attempt, self.latency)
         latency = event.elapsed / attempt.work  # as of a request of its class's mean work
         late = event.outcome is Outcome.TIMEOUT and latency > self.latency[attempt.class_name] and not backend.silent
         if event.outcome is Outcome.OK or late:
--- a/thistleusher/proxy/decisions.py
+++ b/thistleusher/proxy/decisions.py
@@ -2,8 +2,9 @@
 
 Guarantees: a request is sent on only once its tenant's count or share has admitted it; one that may have run is sent
 again only if its route allows it; one attempt of it is in flight at a time; every request ends with one final action
-or a served answer. The charge of a request that is rejected before an attempt has reached a backend is refunded; of one
-whose client has gone or whose time is up (both come as `ClientGone`), only if no attempt was begun.
+or a served answer. The charge of a request that ends before an attempt has reached a backend is refunded, however it
+ends: rejected, or forgotten as its client has gone or its time is up (both come as `ClientGone`). Of any other it stays
+counted, so that clients which do not wait for their answers get no more than their tenant's quota.
 
 It takes the place of the decision module of the ingress (`policy.gateway`) behind the same driver, with the same events
 and actions and two of its own: `ChargeTenant` and `ChargeAnswered`. Its parts: `routing` (what the route says),
@@ -186,6 +187,7 @@
 
     def _send(self, now: float, fleet: Fleet, request: RequestState, backend: Backend) -> None:
         request.attempts += 1
+        request.attempt_out = True
         request.sent_at = now
         request.backend = backend.entry.backend
         if request.attempts_arrived:
@@ -200,20 +202,27 @@
         request = self.requests.get(event.request)
         if request is None:
             return
+        request.attempt_out = False
+        self.retries.record_end(request, event)
         if event.done:
-            del self.requests[event.request]
+            self._forget(request)
             return
-        self.retries.record_failure(request, event)
         if self.retries.allowed(now, request):
             self._place(now, request)
         else:
             self._give_up(request)
 
     def _on_client_gone(self, now: float, event: events.ClientGone) -> None:
-        request = self.requests.pop(event.request, None)
+        """Forget a request, but not before its attempt has ended, which says whether a backend may have got it."""
         self.admission.forget(event.request)
-        if request is not None and not request.attempts:
-            self.admission.refund(request)
+        request = self.requests.get(event.request)
+        if request is not None and not request.attempt_out:
+            self._forget(request)
+
+    def _forget(self, request: RequestState) -> None:
+        """Forget a request that is owed nothing any more; its charge stays counted once a backend has got it."""
+        del self.requests[request.event.id]
+        self.admission.refund(request)
 
     def _give_up(self, request: RequestState) -> None:
         """Answer at once: rejected where it certainly has not run, failed otherwise."""
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -100,7 +100,7 @@
 
         def may_send() -> bool:
             in_time = self.driver.scheduler.time() < in_flight.deadline
-            return not in_flight.answered and in_time and backend in self.serving
+            return in_time and self.may_send(in_flight, backend)
 
         def stall_s() -> float:
             return STALL_S if repeatable and not self.is_shutting_down() else 0.0
--- a/thistleusher/proxy/http_messages.py
+++ b/thistleusher/proxy/http_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -101,6 +101,7 @@
     start: bytes  # request line and the headers that go on unchanged
     body: bytes
     received_at: float
+    has_client_left: Callable[[], bool]  # whether its connection has ended, read or not
     last_error: Response | None = None  # the newest answer of a backend that reports an error of its own
     has_length: bool = True  # whether it states a length
     attempt: BackendAttempt | None = None  # in flight
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -78,6 +78,7 @@
             b"%s %s HTTP/1.1\r\n%s" % (method, connection.url, headers.forwarded),
             bytes(connection.body),
             now,
+            connection.has_client_left,
             has_length=bool(connection.body) or method not in BODILESS_METHODS or b"content-length" in headers.values,
         )
 
--- a/thistleusher/proxy/requests.py
+++ b/thistleusher/proxy/requests.py
@@ -63,6 +63,7 @@
         "allowed_regions",
         "attempts",
         "attempts_arrived",
+        "attempt_out",
         "may_have_run",
         "charge_open",
         "charge_window",
@@ -93,6 +94,7 @@
         self.service = service
         self.allowed_regions = allowed_regions
         self.attempts = 0  # sent, whether they reached a backend or not
+        self.attempt_out = False
         self.attempts_arrived = 0  # that have ended and had reached a backend
         self.may_have_run = False
         self.charge_open = False  # it was charged, and the charge may still be refunded
--- a/thistleusher/proxy/retries.py
+++ b/thistleusher/proxy/retries.py
@@ -36,8 +36,8 @@
         return budget
 
     @staticmethod
-    def record_failure(request: RequestState, event: events.AttemptEnded) -> None:
-        """Note on the request what an attempt that was not served proves; rejected and cancelled ones count, too."""
+    def record_end(request: RequestState, event: events.AttemptEnded) -> None:
+        """Note on the request what the end of an attempt proves; rejected and cancelled ones count, too."""
         request.failed_backends.add(event.backend)
         if event.outcome not in NEVER_ARRIVED:
             request.attempts_arrived += 1
