A shutdown finishes payments whose clients have left; a trickling answer is given up in time

An attempt that may not be repeated runs on after its client has left, but a shutdown waited for connections only and broke it off. The client library for programs without an event loop limited each read, so that it waited without end for an answer that trickles in.

Change: Server.drain waits for such attempts until the shutdown's deadline. PlainClient ends the body once the time is up and closes the connection. The embedded ingress never ends the host's code for a client that has left: the host learns of it from its server.

--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -113,3 +113,30 @@
     with PlainClient(["d:1"], HOST, transport=httpx.MockTransport(service), on_try=seen.append) as client:
         client.get("/x")
     assert [(t.status, t.error.partition(":")[0]) for t in seen] == [(0, "ReadError"), (200, "")]
+
+
+def test_an_answer_that_trickles_in_is_given_up_when_the_callers_time_is_over(monkeypatch):
+    now, pieces, closed = [100.0], [], []
+    monkeypatch.setattr("time.monotonic", lambda: now[0])
+
+    class Trickle(httpx.SyncByteStream):
+        def __iter__(self):
+            for _ in range(1000):
+                now[0] += 0.4
+                pieces.append(b"x")
+                yield b"x"
+
+        def close(self):
+            closed.append(now[0])
+
+    def service(request):
+        if request.url.path == "/resolve":
+            return httpx.Response(200, json={"addresses": ["a.test:1"], "ttl_s": 500})
+        return httpx.Response(200, stream=Trickle())
+
+    with (
+        PlainClient(["d:1"], HOST, transport=httpx.MockTransport(service)) as client,
+        pytest.raises(UnknownEnd, match="ReadTimeout"),
+    ):
+        client.call("POST", "/x", deadline_s=2.0)
+    assert closed and closed[0] <= 103.0 and len(pieces) < 10
--- a/tests/proxy/test_leaving_clients.py
+++ b/tests/proxy/test_leaving_clients.py
@@ -151,3 +151,17 @@
         world.thaw()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("name, outlasts", [(b"p1", False), (b"e1", True)])
+def test_a_shutdown_waits_for_what_may_not_be_repeated_also_if_its_client_has_left(name: bytes, outlasts: bool):
+    async def scenario(world: World) -> None:
+        client = await asked(world, name)
+        client.leave()
+        drained = asyncio.ensure_future(world.server.drain(asyncio.sleep(0.0)))
+        await asyncio.sleep(0.1)
+        assert drained.done() is not outlasts
+        await asyncio.sleep(2.0)  # its time is up
+        assert drained.done()
+
+    play(scenario)
--- a/thistleusher/client/client.py
+++ b/thistleusher/client/client.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from types import TracebackType
-from typing import Any, Self
+from typing import Any, Self, cast
 
 import httpx
 
 from thistleusher.client.calls import Answered, Ended
-from thistleusher.client.steps import CallSteps, Sleep
+from thistleusher.client.steps import CallSteps, Send, Sleep
 
 DEFAULT_DEADLINE_S = 3.0
 
@@ -71,6 +72,24 @@
         return await self.call("GET", path, repeatable=True, **more)
 
 
+class TimedStream(httpx.SyncByteStream):
+    """The body of an answer, until a time of the steady clock."""
+
+    def __init__(self, stream: httpx.SyncByteStream | httpx.AsyncByteStream, ends_at: float) -> None:
+        self.stream = cast(httpx.SyncByteStream, stream)  # of a client that is not asynchronous
+        self.ends_at = ends_at
+
+    def __iter__(self) -> Iterator[bytes]:
+        for piece in self.stream:
+            if time.monotonic() > self.ends_at:
+                raise httpx.ReadTimeout("the answer did not come whole in time")
+            yield piece
+
+    def close(self) -> None:
+        """Close the connection, unless the body was read whole."""
+        self.stream.close()
+
+
 class PlainClient(CallSteps):
     """The client for programs without an event loop: `with PlainClient(...) as client`."""
 
@@ -99,7 +118,7 @@
         deadline_s: float = DEFAULT_DEADLINE_S,
         repeatable: bool = False,
     ) -> Ended:
-        """Make one call as `Client.call`; each read of the answer may take the time that was left at its start."""
+        """Make one call as `Client.call`; one read of the answer may outlast its time, by as much as was left."""
         steps = self._steps(method, path, body, headers or {}, deadline_s, repeatable)
         result: Any = None
         while True:
@@ -113,10 +132,24 @@
                 time.sleep(step.for_s)
                 continue
             try:
-                result = self.http.send(step.with_timeouts())
+                result = self._send(step)
             except httpx.TransportError as error:
                 result = error
 
+    def _send(self, step: Send) -> httpx.Response:
+        """Send a request and return its answer, read whole.
+
+        httpx limits each read alone, so an answer that trickles in would be waited for without end. Raises ReadTimeout
+        once its time is up; the connection is closed then, so that the service works no longer for a caller that has
+        gone on.
+        """
+        ends_at = time.monotonic() + step.answer_timeout_s
+        response = self.http.send(step.with_timeouts(), stream=True)
+        with contextlib.closing(response):
+            response.stream = TimedStream(response.stream, ends_at)
+            response.read()
+        return response
+
     def get(self, path: str, **more: Any) -> Ended:
         """Make a read, which may be repeated; `more`: the further arguments of `call`."""
         return self.call("GET", path, repeatable=True, **more)
--- a/thistleusher/core/driver.py
+++ b/thistleusher/core/driver.py
@@ -35,7 +35,7 @@
     Timer,
     Verdict,
 )
-from thistleusher.core.settings import ClassSettings, Settings
+from thistleusher.core.settings import ClassSettings, Effect, Settings
 
 log = logging.getLogger(__name__)
 
@@ -235,6 +235,13 @@
                 in_flight.timer.cancel()
             self.in_flight.pop(in_flight.request.id, None)
 
+    def has_unrepeatable_in_flight(self) -> bool:
+        """Return whether a request is in flight that may not be repeated, whether its client waits for it or has left.
+
+        Cost: a step for each request in flight.
+        """
+        return any(each.request_class.effect is not Effect.SAFE for each in self.in_flight.values())
+
     # Attempts.
 
     def _start_attempt(self, action: actions.Attempt) -> None:
--- a/thistleusher/embed/ingress.py
+++ b/thistleusher/embed/ingress.py
@@ -71,6 +71,7 @@
             own_backends=True,
             own_counter=counter is None,
             peers=settings.peers and peers is not None,
+            cancel_stops_work=False,  # the host ends its own code: it learns from its server that a client has left
         )
         if self.settings.counter_timeout <= 0:
             raise ValueError(f"counter_timeout: expected more than 0, got {settings.counter_timeout!r}")
--- a/thistleusher/net/ingress_server.py
+++ b/thistleusher/net/ingress_server.py
@@ -42,6 +42,10 @@
         """Return whether a request could be served: a backend can be sent requests, and no shutdown has begun."""
         return bool(self.ingress.serving) and not self.shutting_down
 
+    def has_pending_work(self) -> bool:
+        """Return whether a backend may be at work on what may not be repeated; each ends with its deadline."""
+        return self.ingress.driver.has_unrepeatable_in_flight()
+
     def read_request(self, connection: ClientConnection) -> Any:
         """Return the call that a request is, or the response to one that is refused without a decision."""
         if connection.url.partition(b"?")[0] == HEALTH_PATH:
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -57,6 +57,10 @@
     def client_disconnected(self, request: Any) -> None:
         """Take note that the client of an unanswered request has gone."""
 
+    def has_pending_work(self) -> bool:
+        """Return whether something is yet to end that no connection stands for: its client has left."""
+        return False
+
     def connection_opened(self, connection: ClientConnection) -> None:
         """Take a new connection; beyond the limit, close the one that never sent anything, or is idle longest.
 
@@ -86,7 +90,7 @@
 
         Connections are kept until then: the front may go on sending requests to this ingress, and can open no new
         ones. Requests that were taken are answered, however long it takes; only a kill, or a caller that cancels this,
-        cuts them off.
+        cuts them off. What may not be repeated is finished even if its client has left, until `shutdown` is over.
         """
         self.shutting_down = True
         self.shutdown = shutdown
@@ -96,12 +100,16 @@
         self.draining = True
         if self.listener is not None:
             self.listener.close()
-        while self.connections:
+        while self.connections or self._waits_for_work(shutdown):
             for connection in list(self.connections):
                 if connection.is_idle():  # one that was accepted last may appear only now
                     connection.close()
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _waits_for_work(self, shutdown: GracefulShutdown | None) -> bool:
+        in_time = shutdown is None or self.loop.time() < shutdown.deadline
+        return in_time and self.has_pending_work()
+
     def close(self) -> None:
         """Close the listener and its connections at once."""
         self.draining = True
