--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -24,7 +24,8 @@
 
 DAYS = Path(__file__).parent.parent / "tests" / "days"
 NOT_OPEN = "is not open"  # how the bench refuses a kind of fault whose contract a site does not hold
-HEADER = f"{'site':22} {'day':22} {'seed':>6}  {'rules broken':24} {'gate':8} {'worth':>6} {'whole':>6}"
+HEADER = f"{'site':22} {'day':22} {'seed':>6}  {'rules broken':24} {'gate':8} {'worth':>6} {'whole':>6} {'gone':>5}"
+LEFT_PRICE = "worth worked on after its client had left"  # its name among the prices of a report
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,7 @@
     gate: str
     worth: float
     whole: float
+    gone: float = 0.0  # worth that backends worked on after its clients had left
     missing: str = ""
     skipped: bool = False
 
@@ -65,7 +67,7 @@
         start = f"{self.play.site.stem:22} {self.play.day.stem:22} {seed:>6}"
         if self.missing:
             return f"{start}  {'not played' if self.skipped else 'no report'}: {self.missing}"
-        return f"{start}  {rules:24} {self.gate:8} {self.worth:6.3f} {self.whole:6.3f}"
+        return f"{start}  {rules:24} {self.gate:8} {self.worth:6.3f} {self.whole:6.3f} {self.gone:5.0f}"
 
 
 def count(value: Any) -> int:
@@ -90,7 +92,8 @@
     """Return the result that a report holds."""
     report = json.loads(path.read_text())
     broken = {rule: count(value) for rule, value in report["breaks"].items()}
-    return Result(play, broken, gate(report), report["G"], report["all"]["worth"])
+    gone = sum(amount for name, amount, _ in report["prices"] if name == LEFT_PRICE)
+    return Result(play, broken, gate(report), report["G"], report["all"]["worth"], gone)
 
 
 def without_report(play: Play, log: Path) -> Result:
