--- a/tests/simnet/test_system.py
+++ b/tests/simnet/test_system.py
@@ -9,7 +9,7 @@
 from simnet.errors import RuleViolationError
 from simnet.system.days import Day, PlannedWork, draw, play, run
 from simnet.system.faults import Fault, FaultInjector, FaultKind
-from simnet.system.topology import CORES
+from simnet.system.topology import CORES, TOLERANCE
 from simnet.system.world import World
 from thistleusher.configuration.records import Route
 from thistleusher.control.interface import Change
@@ -65,6 +65,24 @@
     assert world.rules.served_count > 30  # those without a limit; it has no share of the limited tenant's
 
 
+@pytest.mark.parametrize("wiped", sorted(CORES))
+def test_a_disk_is_lost_while_all_other_machines_lose_power_and_what_was_acknowledged_is_kept(wiped):
+    """Also proxies, which no tolerance counts: the configuration and the list come back from the disks that are left."""
+    world = calm()
+    world.operator.put_configuration(2)
+    while world.rules.acknowledged.version < 2:
+        world.clock.run(world.clock.now + 0.001)
+    for process in list(world.processes.values()):
+        world.stop(process, 1.5, power_lost=True, disk_lost=process.machine == wiped)
+    world.clock.run(world.clock.now + 8.0)
+    assert {p.version for p in world.processes.values() if p.kind == "proxy"} == {2}
+    copies = [p for p in world.processes.values() if p.kind == "control" and p.service.node.state.items]
+    assert len(copies) >= TOLERANCE + 1  # a former replica may have one besides
+    world.rules.reset_counts()
+    world.clock.run(world.clock.now + 2.0)
+    assert world.rules.served_count > 0.9 * world.rules.answered_count > 60
+
+
 def test_a_region_that_is_cut_off_serves_on_by_its_shares():
     world = calm()
     FaultInjector(world).inject(FaultKind.REGION_CUT, 8.0)
