--- a/tests/simnet/test_system.py
+++ b/tests/simnet/test_system.py
@@ -67,7 +67,7 @@
 
 @pytest.mark.parametrize("wiped", sorted(CORES))
 def test_a_disk_is_lost_while_all_other_machines_lose_power_and_what_was_acknowledged_is_kept(wiped):
-    """Also proxies, which no tolerance counts: the configuration and the list come back from the disks that are left."""
+    """Proxies lose power too, which no tolerance counts: what they need comes back from the disks that are left."""
     world = calm()
     world.operator.put_configuration(2)
     while world.rules.acknowledged.version < 2:
