--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -99,7 +99,7 @@
 def without_report(play: Play, log: Path) -> Result:
     """Return the result of a run that gave no report: its last line tells why."""
     lines = log.read_text().splitlines() or ["no output"]
-    return Result(play, {}, "", 0.0, 0.0, lines[-1], skipped=lines[-1].endswith(NOT_OPEN))
+    return Result(play, {}, "", 0.0, 0.0, missing=lines[-1], skipped=lines[-1].endswith(NOT_OPEN))
 
 
 def play_day(bench: Path, play: Play, why: str, keep: Path) -> Result:
