Silence of a backend: an answer counts as owed to a client that left only once it was late

Cause: what cancelled attempts had waited for counted whole towards a backend's silence, so that clients which leave before the usual latency would have had healthy backends ejected.

Change: only the part beyond the usual latency of the class counts.

--- a/thistleusher/core/backend_record.py
+++ b/thistleusher/core/backend_record.py
@@ -30,7 +30,7 @@
         self.work = 0.0  # of those, all together
         self.silent = False  # what is outstanding there takes no slots from other attempts
         self.last_answered = now
-        self.unanswered = 0.0  # usual latencies for which attempts cancelled since then had waited
+        self.unanswered = 0.0  # usual latencies by which answers to attempts cancelled since then were late
         self.ratio = 1.0  # of its latency to its class's unloaded latency
         self.errors = 0.0  # moving share of faults
         self.fault_evidence = 0.0  # that it is faulty, by its faults and answers (cumulative sum, Page 1954)
@@ -55,15 +55,19 @@
     def overdue(self, now: float, latency: Mapping[str, float]) -> float:
         """Return the sum of the times for which it owes its answers, in usual latencies of their classes.
 
-        What it owed to attempts that were cancelled counts on: a client that leaves is no fault of its backend, but a
-        backend from which nobody gets an answer is not to be hidden by clients that do not wait for it.
+        What it owed to attempts that were cancelled counts on: a backend from which nobody gets an answer is not to be
+        hidden by clients that do not wait for it.
         """
         return self.unanswered + sum(self._waited(now, attempt, latency) for attempt in self.outstanding.values())
 
     def cancelled(self, now: float, attempt: OutstandingAttempt, latency: Mapping[str, float]) -> None:
-        """Keep what an attempt that was cancelled had waited for; nothing once the backend counts as silent."""
+        """Keep for how long an answer was overdue to an attempt that was cancelled.
+
+        A client that leaves before the usual latency says nothing of its backend. Nor does anybody, once it counts as
+        silent.
+        """
         if not self.silent:
-            self.unanswered += self._waited(now, attempt, latency)
+            self.unanswered += max(0.0, self._waited(now, attempt, latency) - 1.0)
 
     def _waited(self, now: float, attempt: OutstandingAttempt, latency: Mapping[str, float]) -> float:
         return (now - max(attempt.sent, self.last_answered)) / (latency[attempt.class_name] * attempt.work)
