Sight: which backend drains by which list, how old the list is, who lags behind it

Change: events 312 and 402 name each draining backend with the list's number at registry and proxies, 313 says the age of the last whole reading, 314 names a subscriber that does not acknowledge.

--- /dev/null
+++ b/tests/registry/test_delays.py
@@ -0,0 +1,74 @@
+"""Where the way of a change from the platform to the subscribers stands still: it is said, and does not last."""
+
+from tests.registry.test_backend_poller import entry, page
+from tests.registry.test_registry import holding_role
+from thistleusher.common.events import Event
+from thistleusher.registry.outputs import CallPlatform, LogEvent, SendToControl, SendToSubscriber
+from thistleusher.registry.subscriber_watch import LAG_S, LONGEST_WAIT_S, SubscriberWatch
+from thistleusher.transport.messages import LeaseGranted, LeaseRequest, StateUpdate, StateUpdateAck
+
+TICK_S = 0.06
+
+
+def run(registry, now, until, answer=None, acknowledges=True):
+    """Tick on while the lease is renewed; return what came out with its times.
+
+    `answer`: the body with which the platform answers each call, None: it never does. `acknowledges`: whether `d` does.
+    """
+    outputs = []
+    while now < until:
+        now += TICK_S
+        due = registry.tick(now)
+        for out in due:
+            if isinstance(out, CallPlatform) and answer is not None:
+                due = due + registry.platform_answered(now, 200, answer)
+            elif isinstance(out, SendToControl) and isinstance(out.message, LeaseRequest):
+                granted = LeaseGranted("registrar", out.message.term, out.message.sent)
+                for address in "123":
+                    registry.receive_from_control(now, address, granted)
+        for out in due:
+            if acknowledges and isinstance(out, SendToSubscriber) and isinstance(out.message, StateUpdate):
+                registry.receive_from_subscriber(now, out.name, StateUpdateAck(out.message.number))
+        outputs += [(now, out) for out in due]
+    assert registry.holds_role
+    return outputs
+
+
+def said(outputs, event):
+    return [out.fields for _, out in outputs if isinstance(out, LogEvent) and out.event is event]
+
+
+def updates(outputs):
+    return [out.message for _, out in outputs if isinstance(out, SendToSubscriber) and type(out.message) is StateUpdate]
+
+
+def test_a_calm_registry_says_of_no_delay_and_of_each_drain_once():
+    registry = holding_role()
+    calm = run(registry, 10.1, 14.0, page(entry(1), entry(2)))
+    drained = run(registry, 14.0, 18.0, page(entry(1), entry(2, "draining")))
+    for outputs in (calm, drained):
+        assert not said(outputs, Event.LIST_OVERDUE) and not said(outputs, Event.SUBSCRIBER_LAGS)
+    assert said(drained, Event.BACKEND_DRAINING) == [(registry.list.state.number, "i2")]
+
+
+def test_a_list_that_is_not_read_any_more_is_said_with_its_age():
+    registry = holding_role()
+    run(registry, 10.1, 12.0, page(entry(1)))
+    ages = [float(age) for (age,) in said(run(registry, 12.0, 17.0), Event.LIST_OVERDUE)]
+    assert len(ages) == 3 and 1.4 < ages[0] < 2.1 and ages == sorted(ages)
+
+
+def test_a_subscriber_that_does_not_acknowledge_is_named():
+    registry = holding_role()
+    outputs = run(registry, 10.1, 14.5, page(entry(1)), acknowledges=False)
+    ((name, has, number, for_s),) = said(outputs, Event.SUBSCRIBER_LAGS)
+    assert (name, number) == ("d", registry.list.state.number) and has < number and LAG_S <= for_s < LAG_S + 0.5
+
+
+def test_one_that_lags_is_reported_less_and_less_often_and_anew_after_progress():
+    watch = SubscriberWatch()
+    times = [n / 4 for n in range(200) if watch.check(n / 4, 7, {"a": 3, "b": 7})]
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert 1.5 < times[0] < 2.1 and gaps == sorted(gaps) and LONGEST_WAIT_S <= gaps[-1] < LONGEST_WAIT_S + 0.5
+    assert watch.check(50.0, 7, {"a": 4}) == watch.check(51.0, 7, {"a": 4}) == [] and watch.check(52.0, 7, {"a": 4})
+    assert watch.check(60.0, 7, {}) == watch.check(60.1, 7, {"a": 4}) == []  # one that came back
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -146,6 +146,23 @@
         "A call to the platform failed, or its answer could not be read; the last complete list stays in effect.",
         "If it persists, check the platform's API and the route to it: new backends are not seen meanwhile.",
     )
+    BACKEND_DRAINING = Entry(
+        312, "info", "list %d: %s drains", "The platform's list shows this backend as draining; published by this list."
+    )
+    LIST_OVERDUE = Entry(
+        313,
+        "warning",
+        "the platform's list was last read whole %s s ago",
+        "Changes at the platform, drains among them, have not been seen since; said again while it lasts.",
+        "Look for 311 and 120 before it; if the platform answers others, restart this registry.",
+    )
+    SUBSCRIBER_LAGS = Entry(
+        314,
+        "warning",
+        "%s has acknowledged list %d, not %d, for %s s",
+        "A subscriber whose connection is open makes no progress; said again, less and less often, while it lasts.",
+        "Compare 401 and 120 in that process's log; restart it if it does not catch up.",
+    )
     # Proxy.
     CONFIGURATION_APPLIED = Entry(
         400, "info", "configuration %s in effect, %d routes", "This proxy goes by a newer configuration."
@@ -153,6 +170,12 @@
     BACKENDS_APPLIED = Entry(
         401, "info", "list %s: %d backends, %d ingresses", "This proxy goes by a newer list of backends and ingresses."
     )
+    DRAINING_APPLIED = Entry(
+        402,
+        "info",
+        "list %d: %s drains",
+        "This proxy sends nothing more to this backend, as the list shows it as draining.",
+    )
     STATE_HANDED_OVER = Entry(
         430,
         "info",
--- a/thistleusher/proxy/cluster_view.py
+++ b/thistleusher/proxy/cluster_view.py
@@ -264,6 +264,8 @@
                 changes[name] = None
                 continue
             new = listed[name] = self._read_backend(now, name, item)
+            if new.draining and (old is None or not old.draining):
+                self.commands.append(LogEvent(Event.DRAINING_APPLIED, (self.registry.state.number, name)))
             if old is None or old.address != new.address:
                 changes[name] = BackendAddress(new.address, new.region == self.region)
         self.decisions.apply_backends(now, listed)
--- a/thistleusher/registry/backend_poller.py
+++ b/thistleusher/registry/backend_poller.py
@@ -58,6 +58,7 @@
         self.call_spacing_s = 1.0 / max(MIN_RATE_PER_S, RATE_PART * rate_per_s)
         self.next_call_at = now
         self.reading_began_at = now
+        self.read_at = now  # when a reading was last complete, and at first when this poller began
         self.in_flight = False
         self.page_token: str | None = None  # of the next page; None at the start of a reading
         self.pages = 0
@@ -112,6 +113,7 @@
                 return None
         self.empty_readings = 0
         self.has_list = True
+        self.read_at = now
         return self._replace_list(now)
 
     def _replace_list(self, now: float) -> dict[str, Backend | None]:
--- a/thistleusher/registry/published_list.py
+++ b/thistleusher/registry/published_list.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 from thistleusher.transport.messages import StateUpdate, StateUpdateAck, SubscribeRequest
@@ -77,6 +78,10 @@
         """Record that a subscriber has applied a number."""
         self._publisher.acknowledge(name, number)
 
+    def acknowledged(self) -> Mapping[str, int]:
+        """Return the number that each subscriber has acknowledged."""
+        return self._publisher.acknowledged
+
     def change(self, changes: dict[str, Any]) -> None:
         """Set items (None: remove) under the next number; nothing where there is no change."""
         if changes:
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -33,6 +33,7 @@
 )
 from thistleusher.registry.published_list import BACKEND, MEMBER, PublishedList
 from thistleusher.registry.quota_counter import QuotaCounter
+from thistleusher.registry.subscriber_watch import SubscriberWatch
 from thistleusher.transport.core_members import CoreMembers
 from thistleusher.transport.errors import UnexpectedMessageError
 from thistleusher.transport.messages import (
@@ -56,6 +57,9 @@
 REGISTRAR_ROLE = "registrar"
 PERSIST_SPACING_S = 1.0  # between requests to persist shares
 LEADER_MACHINE_DELAY_S = 0.3  # by which the registry on the control leader's machine attempts the lease later
+LIST_OVERDUE_S = 1.5  # without a complete reading of the platform's list, after which that is said
+WATCH_INTERVAL_S = 0.25  # between looks at which subscribers lag
+DRAINING_PHASE = "draining"
 OK = 200
 SHARE = "share:"  # prefix of the proxies' shares, which are items of the control state
 
@@ -87,6 +91,9 @@
         self.poller = BackendPoller(now, platform_rate_per_s)
         self.called_by: BackendPoller | None = None  # the poller whose call is in flight
         self.next_persist_at = now
+        self.next_overdue_report_at = now
+        self.subscriber_watch = SubscriberWatch()
+        self.next_watch_at = now
         self._outputs: list[Output] = []
 
     # Inputs.
@@ -237,6 +244,7 @@
         self.poller.backends = {name: {**backend, "cold": 0.0} for name, backend in known.items()}
         self.poller.warm_at = {name: now for name, backend in known.items() if backend["cold"] > 0}
         self.list.begin_term(self.lease.term)
+        self.subscriber_watch = SubscriberWatch()
 
     def _end_role(self, reason: str) -> None:
         if self.holds_role:
@@ -260,6 +268,20 @@
                 items = {f"{SHARE}{name}": share for name, share in shares.items()}
                 self._send_to_control("", PersistItems(self.name, items))
         self._publish_members(now)
+        self._report_delays(now)
+
+    def _report_delays(self, now: float) -> None:
+        """Say where the way of a change from the platform to the subscribers stands still."""
+        poller = self.poller
+        self.next_overdue_report_at = max(self.next_overdue_report_at, poller.read_at + LIST_OVERDUE_S)
+        if self.has_platform and now >= self.next_overdue_report_at:
+            self.next_overdue_report_at = now + LIST_OVERDUE_S
+            self._log(Event.LIST_OVERDUE, round(now - poller.read_at, 1))
+        if now >= self.next_watch_at and self._has_list():
+            self.next_watch_at = now + WATCH_INTERVAL_S
+            number = self.list.state.number
+            for lag in self.subscriber_watch.check(now, number, self.list.acknowledged()):
+                self._log(Event.SUBSCRIBER_LAGS, lag.subscriber, lag.acknowledged, number, round(lag.for_s, 1))
 
     # The list.
 
@@ -277,7 +299,11 @@
     def _publish_backends(self, changes: dict[str, dict[str, Any] | None]) -> None:
         if changes:
             draining = sum(1 for backend in self.poller.backends.values() if backend["p"] != "ready")
-            self._log(Event.BACKENDS_LISTED, self.list.state.number + 1, len(self.poller.backends), draining)
+            number = self.list.state.number + 1
+            self._log(Event.BACKENDS_LISTED, number, len(self.poller.backends), draining)
+            for name, backend in changes.items():
+                if backend is not None and backend["p"] == DRAINING_PHASE:
+                    self._log(Event.BACKEND_DRAINING, number, name)
         self._publish({f"{BACKEND}{name}": backend for name, backend in changes.items()})
 
     def _publish_members(self, now: float) -> None:
