DRAIN brought about: a call to the platform without an end stops the list (three tests, red)

A reset of the platform's connection between two calls makes uvloop's transport raise RuntimeError, which PlatformClient.get does not expect: the task ends, called_by stays set, and the registry never calls again while it holds the role; nothing is logged.

--- a/simnet/system/platform.py
+++ b/simnet/system/platform.py
@@ -23,6 +23,7 @@
 
     def __init__(self, clock: Clock, rng: random.Random, backends: Backends) -> None:
         self.down_until = 0.0
+        self.calls_to_lose = 0  # of the next calls, those whose end their caller never learns of
         self._clock = clock
         self._rng = rng
         self._backends = backends
@@ -31,6 +32,13 @@
         """Return whether calls are answered."""
         return self._clock.now >= self.down_until
 
+    def loses_call(self) -> bool:
+        """Return whether the call that begins now is one of those to lose."""
+        if self.calls_to_lose == 0:
+            return False
+        self.calls_to_lose -= 1
+        return True
+
     def respond(self, target: str) -> tuple[int, bytes]:
         """Return status and body for a path with its query; status 0 while the platform is down.
 
--- a/simnet/system/registry_process.py
+++ b/simnet/system/registry_process.py
@@ -94,5 +94,7 @@
             status, body = self._platform.respond(target)
             self._execute(self.registry.platform_answered(self._now(), status, body))
 
+        if self._platform.loses_call():
+            return
         delay_s = ANSWER_S if self._platform.is_up() else TIMEOUT_S
         self._environment.scheduler.later(self, delay_s, answered)
--- a/tests/registry/test_delays.py
+++ b/tests/registry/test_delays.py
@@ -72,3 +72,12 @@
     assert 1.5 < times[0] < 2.1 and gaps == sorted(gaps) and LONGEST_WAIT_S <= gaps[-1] < LONGEST_WAIT_S + 0.5
     assert watch.check(50.0, 7, {"a": 4}) == watch.check(51.0, 7, {"a": 4}) == [] and watch.check(52.0, 7, {"a": 4})
     assert watch.check(60.0, 7, {}) == watch.check(60.1, 7, {"a": 4}) == []  # one that came back
+
+
+def test_a_call_to_the_platform_that_never_ends_does_not_end_the_reading():
+    registry = holding_role()
+    run(registry, 10.1, 12.0, page(entry(1), entry(2)))
+    calls = [at for at, out in run(registry, 12.0, 17.0) if isinstance(out, CallPlatform)]
+    assert len(calls) >= 2
+    run(registry, 17.0, 20.0, page(entry(1), entry(2, "draining")))
+    assert registry.list.backends()["i2"]["p"] == "draining"
--- /dev/null
+++ b/tests/registry/test_platform_client.py
@@ -0,0 +1,63 @@
+"""Calls to the platform over real sockets: whatever becomes of its connection, a call ends and the next is made."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+import uvloop
+
+from standins.http import read_message
+from thistleusher.registry.platform_client import PlatformClient
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: the connection is reset as it is closed
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class RestingPlatform:
+    """Answers one call on each connection, and ends the connection when `end` is called."""
+
+    def __init__(self, resets):
+        self.resets = resets
+        self.writers = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        await read_message(reader)
+        writer.write(ANSWER)
+
+    def end(self):
+        for writer in self.writers:
+            if self.resets:
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort() if self.resets else writer.close()
+        self.writers.clear()
+
+
+async def calls_around_an_end(resets):
+    """Return the statuses of a call before its connection ends while nobody calls, and of two after it."""
+    platform = RestingPlatform(resets)
+    client = PlatformClient(await platform.start())
+    statuses = [(await client.get("/instances")).status]
+    reader, _ = client.streams
+    platform.end()
+    with contextlib.suppress(ConnectionResetError):
+        async with asyncio.timeout(5):
+            await reader.read()  # until the end has reached this side
+    for _ in range(2):
+        response = await client.get("/instances")
+        statuses.append(response.status if response is not None else 0)
+    client.disconnect()
+    platform.server.close()
+    return statuses
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+def test_a_connection_that_ends_between_two_calls_is_replaced(resets):
+    statuses = uvloop.run(calls_around_an_end(resets))
+    assert statuses[0] == statuses[2] == 200 and statuses[1] in (0, 200)
--- a/tests/simnet/test_system.py
+++ b/tests/simnet/test_system.py
@@ -9,6 +9,7 @@
 from simnet.errors import RuleViolationError
 from simnet.system.days import Day, PlannedWork, draw, play, run
 from simnet.system.faults import Fault, FaultInjector, FaultKind
+from simnet.system.rules import CONTACT_S
 from simnet.system.topology import CORES, TOLERANCE
 from simnet.system.world import World
 from thistleusher.configuration.records import Route
@@ -106,6 +107,17 @@
             assert process.cluster_view.control.state.items == kept.items
 
 
+def test_drains_are_seen_though_the_end_of_a_call_to_the_platform_is_never_learnt():
+    """No fault is in force, all processes run, and DRAIN is broken as the list stands still."""
+    for seed in range(3):
+        world = calm(seed)
+        world.platform.calls_to_lose = 1
+        world.clock.run(world.clock.now + CONTACT_S)
+        world.drain_backend()
+        world.clock.run(world.clock.now + 8.0)
+        assert sum(backend.draining_since is not None for backend in world.backends.by_name.values()) == 1
+
+
 def open_to_all(self, now, tenant):
     return True
 
