--- a/simnet/system/registry_process.py
+++ b/simnet/system/registry_process.py
@@ -87,12 +87,12 @@
                     if out.address in ("", address):
                         network.send(self, f"control@{address}", out.message)
             elif isinstance(out, CallPlatform):
-                self._call_platform(out.target)
+                self._call_platform(out)
 
-    def _call_platform(self, target: str) -> None:
+    def _call_platform(self, call: CallPlatform) -> None:
         def answered() -> None:
-            status, body = self._platform.respond(target)
-            self._execute(self.registry.platform_answered(self._now(), status, body))
+            status, body = self._platform.respond(call.target)
+            self._execute(self.registry.platform_answered(self._now(), call.number, status, body))
 
         if self._platform.loses_call():
             return
--- a/tests/registry/test_delays.py
+++ b/tests/registry/test_delays.py
@@ -21,7 +21,7 @@
         due = registry.tick(now)
         for out in due:
             if isinstance(out, CallPlatform) and answer is not None:
-                due = due + registry.platform_answered(now, 200, answer)
+                due = due + registry.platform_answered(now, out.number, 200, answer)
             elif isinstance(out, SendToControl) and isinstance(out.message, LeaseRequest):
                 granted = LeaseGranted("registrar", out.message.term, out.message.sent)
                 for address in "123":
--- a/tests/registry/test_platform_client.py
+++ b/tests/registry/test_platform_client.py
@@ -16,7 +16,7 @@
 
 
 class RestingPlatform:
-    """Answers one call on each connection, and ends the connection when `end` is called."""
+    """Answers calls, and ends their connections when `end` is called."""
 
     def __init__(self, resets):
         self.resets = resets
@@ -28,8 +28,10 @@
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
-        await read_message(reader)
-        writer.write(ANSWER)
+        with contextlib.suppress(EOFError, ConnectionError):
+            while True:
+                await read_message(reader)
+                writer.write(ANSWER)
 
     def end(self):
         for writer in self.writers:
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -70,7 +70,7 @@
 def test_a_registry_paused_beyond_its_lease_sends_no_list_to_a_new_subscriber():
     registry = holding_role()
     registry.tick(10.05)
-    registry.platform_answered(10.06, 200, page(entry(1)))
+    registry.platform_answered(10.06, 1, 200, page(entry(1)))
     assert sent_types(registry.receive_from_subscriber(10.1, "e", SubscribeRequest("e", 0))) == [StateUpdate]
     assert (
         sent_types(registry.receive_from_subscriber(12.0, "f", SubscribeRequest("f", 0))) == []
@@ -117,9 +117,9 @@
 def test_a_page_that_an_earlier_duty_asked_for_is_no_list_of_the_next():
     registry = holding_role()
     assert [o for o in registry.tick(10.05) if isinstance(o, CallPlatform)]
-    registry.platform_answered(10.06, 200, page(entry(1), token="p"))
+    registry.platform_answered(10.06, 1, 200, page(entry(1), token="p"))
     assert [o.target for o in registry.tick(10.2) if isinstance(o, CallPlatform)] == ["/instances?page_token=p"]
     registry._end_role("lost")
     registry._begin_role(10.3)  # again, while the second page is on its way
-    assert registry.platform_answered(10.31, 200, page(entry(2))) == [] and not registry.poller.has_list
+    assert registry.platform_answered(10.31, 2, 200, page(entry(2))) == [] and not registry.poller.has_list
     assert [o.target for o in registry.tick(10.4) if isinstance(o, CallPlatform)] == ["/instances"]
--- a/thistleusher/registry/outputs.py
+++ b/thistleusher/registry/outputs.py
@@ -23,8 +23,12 @@
 
 
 class CallPlatform(NamedTuple):
-    """Call the platform; give the answer to `Registry.platform_answered`."""
+    """Call the platform; give the answer to `Registry.platform_answered`, with the call's number.
 
+    The calls are made one at a time: one that is still in flight has been given up.
+    """
+
+    number: int
     target: str
 
 
--- a/thistleusher/registry/platform_client.py
+++ b/thistleusher/registry/platform_client.py
@@ -1,10 +1,15 @@
-"""Calls to the platform: one connection, one call at a time, each with a time limit."""
+"""Calls to the platform: one connection, one call at a time, each with a time limit.
+
+Guaranteed: a call ends within `CALL_TIMEOUT_S`, with a response or with None, whatever becomes of its connection. Its
+caller relies on that: it makes no other call before.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import socket
 
+from thistleusher.common.events import Event, log_event
 from thistleusher.net.socket_state import enable_dead_peer_detection
 from thistleusher.services.addresses import Address
 from thistleusher.services.http_responses import Response, ResponseReader
@@ -29,6 +34,10 @@
         except (OSError, TimeoutError, EOFError):
             self.disconnect()
             return None
+        except Exception as error:  # a fault here must not leave the caller without an answer
+            self.disconnect()
+            log_event(Event.FAULT, "a call to the platform", repr(error))
+            return None
         except asyncio.CancelledError:
             self.disconnect()  # the response would else be taken for the next call's
             raise
@@ -50,7 +59,9 @@
                 return responses[0]
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Return the open connection's streams, or those of a new one."""
+        """Return the open connection's streams, or those of a new one where it has ended since the last call."""
+        if self.streams is not None and self._has_ended(*self.streams):
+            self.disconnect()
         if self.streams is None:
             self.streams = await asyncio.open_connection(*self.address)
             sock = self.streams[1].get_extra_info("socket")
@@ -58,6 +69,11 @@
             enable_dead_peer_detection(sock, CALL_TIMEOUT_S)
         return self.streams
 
+    @staticmethod
+    def _has_ended(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Return whether the platform has closed or reset the connection; uvloop raises RuntimeError on its use."""
+        return writer.is_closing() or reader.at_eof()
+
     def disconnect(self) -> None:
         """Close the connection; the next call opens one."""
         if self.streams is not None:
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Iterable
 
+from thistleusher.common.background import start_background
 from thistleusher.common.events import log_event
 from thistleusher.common.node_settings import CONTROL, REGISTRY
 from thistleusher.common.process import SettingsFile, new_incarnation, serve
@@ -99,7 +100,7 @@
                 else:
                     self.control.broadcast(output.message)
             elif isinstance(output, CallPlatform):
-                self.platform_call = self.loop.create_task(self._call_platform(output.target))
+                self._start_call(output)
             elif isinstance(output, ConnectToCore):
                 self._connect_to(output.addresses)
             else:
@@ -111,11 +112,17 @@
         if link is not None and self.registry.can_answer(time.monotonic()):
             link.send(output.message)
 
-    async def _call_platform(self, target: str) -> None:
+    def _start_call(self, call: CallPlatform) -> None:
+        """Begin a call; one that is still in flight was given up, and ends first."""
+        if self.platform_call is not None:
+            self.platform_call.cancel()
+        self.platform_call = start_background(self.loop, self._call_platform(call), "a call to the platform")
+
+    async def _call_platform(self, call: CallPlatform) -> None:
         assert self.platform is not None
-        response = await self.platform.get(target)
+        response = await self.platform.get(call.target)
         status, body = (response.status, response.body) if response is not None else (0, b"")
-        self._carry_out(self.registry.platform_answered(time.monotonic(), status, body))
+        self._carry_out(self.registry.platform_answered(time.monotonic(), call.number, status, body))
 
     # Messages.
 
--- a/thistleusher/registry/published_list.py
+++ b/thistleusher/registry/published_list.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from thistleusher.transport.messages import StateUpdate, StateUpdateAck, SubscribeRequest
-from thistleusher.transport.state_updates import Publisher, State, Subscriber
+from thistleusher.transport.state_updates import NOTHING_KNOWN, Publisher, State, Subscriber
 
 TERM_BITS = 24  # a published number has the holder's term above these bits
 
@@ -62,8 +62,8 @@
         self._publisher = Publisher(self.state)
         for name in sorted(self.subscribers):
             # The number that it has is not known, so it gets the complete state.
-            self._publisher.sent[name] = -1
-            self._publisher.acknowledged[name] = -1
+            self._publisher.sent[name] = NOTHING_KNOWN
+            self._publisher.acknowledged[name] = NOTHING_KNOWN
 
     def subscribe(self, name: str, number: int) -> Updates:
         """Return what a subscriber lacks that has `number` of the list."""
@@ -82,6 +82,10 @@
         """Return the number that each subscriber has acknowledged."""
         return self._publisher.acknowledged
 
+    def resend(self, name: str) -> None:
+        """Have a subscriber sent with the next updates what it has not acknowledged."""
+        self._publisher.resend(name)
+
     def change(self, changes: dict[str, Any]) -> None:
         """Set items (None: remove) under the next number; nothing where there is no change."""
         if changes:
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 from thistleusher.common.events import Event
 from thistleusher.configuration.items import ConfigurationFollower
@@ -57,6 +57,9 @@
 REGISTRAR_ROLE = "registrar"
 PERSIST_SPACING_S = 1.0  # between requests to persist shares
 LEADER_MACHINE_DELAY_S = 0.3  # by which the registry on the control leader's machine attempts the lease later
+CALL_LIMIT_S = (
+    1.5  # of a call to the platform, after which it is given up; its process ends it before (platform_client)
+)
 LIST_OVERDUE_S = 1.5  # without a complete reading of the platform's list, after which that is said
 WATCH_INTERVAL_S = 0.25  # between looks at which subscribers lag
 DRAINING_PHASE = "draining"
@@ -64,6 +67,14 @@
 SHARE = "share:"  # prefix of the proxies' shares, which are items of the control state
 
 
+class CallInFlight(NamedTuple):
+    """The call to the platform that has no answer yet: its number, the poller that it is for, and since when."""
+
+    number: int
+    poller: BackendPoller
+    began_at: float
+
+
 class Registry:
     """One registry."""
 
@@ -89,7 +100,8 @@
         self.counter: QuotaCounter | None = None  # only while it holds the role
         self.charges: ChargeTable | None = None
         self.poller = BackendPoller(now, platform_rate_per_s)
-        self.called_by: BackendPoller | None = None  # the poller whose call is in flight
+        self.call_in_flight: CallInFlight | None = None
+        self.call_count = 0
         self.next_persist_at = now
         self.next_overdue_report_at = now
         self.subscriber_watch = SubscriberWatch()
@@ -168,15 +180,20 @@
         """Take note that a subscriber's connection has ended."""
         self.list.unsubscribe(name)
 
-    def platform_answered(self, now: float, status: int, body: bytes) -> list[Output]:
-        """Take in the platform's answer to the call in flight; `status` 0: none came."""
+    def platform_answered(self, now: float, number: int, status: int, body: bytes) -> list[Output]:
+        """Take in the platform's answer to the call of this number; `status` 0: none came.
+
+        The answer to a call that was given up is dropped.
+        """
         self._check_lease(now)
-        called_by, self.called_by = self.called_by, None
-        if called_by is not self.poller:
+        call = self.call_in_flight
+        if call is None or call.number != number:
+            return []
+        self.call_in_flight = None
+        if call.poller is not self.poller:
             return []  # of a reading that ended with an earlier term: a page of it is no complete list
         if status != OK:
-            self._log(Event.PLATFORM_FAILED, status or "no answer")
-            self.poller.call_failed(now, status)
+            self._call_failed(now, status)
             return self._flush()
         try:
             changes = self.poller.receive_page(now, body)
@@ -187,6 +204,10 @@
             self._publish_backends(changes)
         return self._flush()
 
+    def _call_failed(self, now: float, status: int = 0) -> None:
+        self._log(Event.PLATFORM_FAILED, status or "no answer")
+        self.poller.call_failed(now, status)
+
     def can_answer(self, now: float) -> bool:
         """Return whether an answer may leave now; ends the role first where its lease is over."""
         self._check_lease(now)
@@ -256,22 +277,34 @@
     def _work(self, now: float) -> None:
         """Do what is due for a holder of the role: call the platform, have shares persisted, publish members."""
         assert self.counter is not None
-        if self.has_platform and self.called_by is None:
-            target = self.poller.begin_call(now)
-            if target is not None:
-                self.called_by = self.poller
-                self._outputs.append(CallPlatform(target))
+        if self.has_platform:
+            self._call_platform(now)
         if now >= self.next_persist_at:
             shares = self.counter.missing_shares(now)
             if shares:
                 self.next_persist_at = now + PERSIST_SPACING_S
                 items = {f"{SHARE}{name}": share for name, share in shares.items()}
                 self._send_to_control("", PersistItems(self.name, items))
-        self._publish_members(now)
         self._report_delays(now)
+        self._publish_members(now)
+
+    def _call_platform(self, now: float) -> None:
+        """Begin the call that is due, one at a time; give up one whose end is not learnt, as no other would follow."""
+        call = self.call_in_flight
+        if call is not None and now - call.began_at > CALL_LIMIT_S:
+            self.call_in_flight = None
+            if call.poller is self.poller:
+                self._call_failed(now)
+        if self.call_in_flight is not None:
+            return
+        target = self.poller.begin_call(now)
+        if target is not None:
+            self.call_count += 1
+            self.call_in_flight = CallInFlight(self.call_count, self.poller, now)
+            self._outputs.append(CallPlatform(self.call_count, target))
 
     def _report_delays(self, now: float) -> None:
-        """Say where the way of a change from the platform to the subscribers stands still."""
+        """Say where the way of a change from the platform to the subscribers stands still; send again what lags."""
         poller = self.poller
         self.next_overdue_report_at = max(self.next_overdue_report_at, poller.read_at + LIST_OVERDUE_S)
         if self.has_platform and now >= self.next_overdue_report_at:
@@ -282,6 +315,7 @@
             number = self.list.state.number
             for lag in self.subscriber_watch.check(now, number, self.list.acknowledged()):
                 self._log(Event.SUBSCRIBER_LAGS, lag.subscriber, lag.acknowledged, number, round(lag.for_s, 1))
+                self.list.resend(lag.subscriber)
 
     # The list.
 
--- a/thistleusher/transport/state_updates.py
+++ b/thistleusher/transport/state_updates.py
@@ -16,6 +16,7 @@
 
 from thistleusher.transport.messages import Items, StateUpdate, StateUpdateAck, SubscribeRequest
 
+NOTHING_KNOWN = -1  # in place of a subscriber's number, where a publisher does not know which one it has
 MAX_REMOVED_ITEMS = 2000  # removed items that are remembered; a subscriber further behind gets the complete state
 
 
@@ -126,6 +127,11 @@
         if subscriber in self.acknowledged:
             self.acknowledged[subscriber] = max(self.acknowledged[subscriber], number)
 
+    def resend(self, subscriber: str) -> None:
+        """Count as not sent what a subscriber has not acknowledged, so that the next updates bring it again."""
+        if subscriber in self.sent:
+            self.sent[subscriber] = self.acknowledged.get(subscriber, NOTHING_KNOWN)
+
     def acknowledged_count(self) -> tuple[int, int]:
         """Return how many subscribers have the present number, and how many there are."""
         current = sum(1 for number in self.acknowledged.values() if number >= self.state.number)
