A fault as an update is put in force, or in a link or a tick, is not the last act of its part

Change: a copy that could not be put in force is discarded and asked for whole, once a number; links and ticks go on after any fault and log it.

--- a/tests/proxy/test_cluster_view.py
+++ b/tests/proxy/test_cluster_view.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from thistleusher.common.events import Event
 from thistleusher.common.node_settings import Bounds
 from thistleusher.proxy.cluster_view import ClusterView
-from thistleusher.proxy.commands import ConnectToCore, SendHandOver, SendHeartbeat
+from thistleusher.proxy.commands import ConnectToCore, LogEvent, SendHandOver, SendHeartbeat
 from thistleusher.proxy.decisions import Decisions
 from thistleusher.proxy.ring_socket import RingSocket
 from thistleusher.transport.codec import encode
@@ -105,3 +106,42 @@
     ):
         socket.datagram_received(data, ("ip-q", 7))
     assert received == [(RingHeartbeat("q", 1, 2), "ip-q")]
+
+
+@pytest.mark.parametrize("drained", ["i", "j"])
+def test_a_list_that_a_fault_kept_out_of_force_is_asked_for_again_and_put_in_force(monkeypatch, drained):
+    """Also where another backend has left the list meanwhile, of which the new copy says nothing."""
+    view, registry = proxy(), State()
+    registry.apply(1, {"b:i": backend_item("ready"), "b:j": backend_item("ready")})
+    view.from_registry(1.0, "c", registry.update_since(0))
+    registry.apply(2, {f"b:{drained}": backend_item("draining")})
+    monkeypatch.setattr(view.decisions, "apply_backends", lambda now, listed: 1 / 0)
+    with pytest.raises(ZeroDivisionError):
+        view.from_registry(2.0, "c", registry.update_since(1))
+    monkeypatch.undo()
+    assert view.subscribe_to_registry().number == 0
+    (left,) = {"i", "j"} - {drained}
+    present = State(3, {f"b:{drained}": (2, backend_item("draining"))}, floor=3)
+    view.from_registry(3.0, "c", present.update_since(0))
+    assert set(view.decisions.selector.listed) == {drained} and view.serving == set()
+    assert view.decisions.selector.listed[drained].draining and left not in view.serving
+
+
+def test_a_control_state_that_a_fault_kept_out_of_force_is_asked_for_again(monkeypatch):
+    view, (control, registry) = proxy(), states(9, "ready", True)
+    view.from_registry(1.0, "c", complete(registry))
+    monkeypatch.setattr(view.decisions, "apply_evacuations", lambda now, zones: 1 / 0)
+    with pytest.raises(ZeroDivisionError):
+        view.from_control(1.0, complete(control))
+    monkeypatch.undo()
+    assert view.subscribe_to_control().number == 0
+    view.from_control(2.0, complete(control))
+    assert view.decisions.selector.locality.evacuated_zones == {"z"} and view.serving == set()
+
+
+def test_each_drain_is_logged_once_with_the_list_that_brought_it():
+    view, (_, registry) = proxy(), states(9, "draining", True)
+    commands, _ = view.from_registry(1.0, "c", complete(registry))
+    again, _ = view.from_registry(2.0, "c", StateUpdate(10, 9, {"b:i": (10, backend_item("draining"))}))
+    drains = [c.fields for c in [*commands, *again] if isinstance(c, LogEvent) and c.event is Event.DRAINING_APPLIED]
+    assert drains == [(9, "i")]
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -120,3 +120,55 @@
         return faults
 
     assert asyncio.run(play()) == []
+
+
+async def reach(take, first_message):
+    """A link to a listener that takes messages by `take`; returns once `take` has had two, and the faults logged."""
+    loop = asyncio.get_running_loop()
+    came, both = [], loop.create_future()
+
+    def receive(link, message):
+        came.append(message)
+        if len(came) == 2:
+            both.set_result(None)
+        take(message)
+
+    listener = Listener(loop, receive, lambda link: None)
+    await listener.listen("127.0.0.1", 0)
+    port = listener.server.sockets[0].getsockname()[1]
+    link = ReconnectingLink(loop, "127.0.0.1", port, first_message, lambda link, message: None)
+    async with asyncio.timeout(5.0):
+        await both
+    link.close()
+    listener.close()
+    return came
+
+
+def test_a_fault_of_any_kind_in_a_message_ends_its_connection_and_not_the_link(monkeypatch):
+    """Whatever handling a message raises: it is logged, and a new connection subscribes again."""
+    logged = []
+    monkeypatch.setattr(links, "RECONNECT_S", 0.0)
+    monkeypatch.setattr(links, "log_event", lambda event, *fields: logged.append(event.name))
+
+    def fail(message):
+        raise ZeroDivisionError
+
+    assert asyncio.run(reach(fail, lambda: Hello("x"))) == [Hello("x")] * 2
+    assert "FAULT" in logged
+
+
+def test_a_fault_as_a_link_opens_is_not_its_last_act(monkeypatch):
+    logged, faults = [], iter([ZeroDivisionError()])
+    monkeypatch.setattr(links, "RECONNECT_S", 0.0)
+    monkeypatch.setattr(links, "log_event", lambda event, *fields: logged.append(event.name))
+
+    def first_message():
+        for fault in faults:
+            raise fault
+        return Hello("x")
+
+    def fail(message):
+        raise ValueError  # so that the link connects once more
+
+    assert asyncio.run(reach(fail, first_message)) == [Hello("x")] * 2
+    assert logged[0] == "FAULT"
--- a/tests/transport/test_state_updates.py
+++ b/tests/transport/test_state_updates.py
@@ -70,3 +70,29 @@
         for _, again in publisher.subscribe("f", subscriber.state.number):
             subscriber.apply(again)
         assert subscriber.state.values("") == publisher.state.values("")
+
+
+def test_a_discarded_copy_is_asked_for_whole_once_and_does_not_go_back():
+    publisher, subscriber = Publisher(State(4, {"a": (2, 1), "b": (4, 2)})), Subscriber("f")
+    ((_, message),) = publisher.subscribe("f", 0)
+    subscriber.apply(message)
+    subscriber.discard()
+    assert subscriber.subscribe_request() == SubscribeRequest("f", 0)
+    older = State(3, {"a": (2, 0)}).update_since(0)
+    assert subscriber.apply(older).changed is None and subscriber.state.number == 0
+    ((_, message),) = publisher.subscribe("f", 0)
+    assert subscriber.apply(message).changed == {"a": 1, "b": 2}
+    subscriber.discard()  # the same number fails again: it is kept, else it would be asked for without end
+    assert subscriber.state.number == 4
+
+
+def test_what_was_not_acknowledged_is_sent_again_with_the_next_updates():
+    publisher, subscriber = Publisher(State()), Subscriber("f")
+    publisher.subscribe("f", 0)
+    publisher.state.apply(1, {"a": 1})
+    publisher.updates_due()  # never arrives
+    assert publisher.updates_due() == []
+    publisher.resend("f")
+    publisher.resend("stranger")
+    ((name, message),) = publisher.updates_due()
+    assert name == "f" and subscriber.apply(message).changed == {"a": 1}
--- a/thistleusher/common/process.py
+++ b/thistleusher/common/process.py
@@ -79,11 +79,11 @@
             await asyncio.sleep(TICK_S)
             try:
                 tick()
-            except Exception as error:  # a fault in one tick does not end the program
+                if loop.time() >= next_check:
+                    next_check = loop.time() + SETTINGS_CHECK_S
+                    reload()
+            except Exception as error:  # a fault in one tick does not end the program, nor the ticks after it
                 log_event(Event.FAULT, f"{name}: tick", repr(error))
-            if loop.time() >= next_check:
-                next_check = loop.time() + SETTINGS_CHECK_S
-                reload()
 
     ticking = loop.create_task(run_ticks())
     reason = await stopped
--- a/thistleusher/proxy/cluster_view.py
+++ b/thistleusher/proxy/cluster_view.py
@@ -1,8 +1,9 @@
 """What a proxy knows of the cluster: control state, registry list, heartbeat ring, and its contact with the counter.
 
 Guarantees: what is in force here never goes back within an incarnation, whoever sends it; updates are acted on before
-they are acknowledged; a charge is answered once and refunded once at most. A watched proxy that has lacked updates for
-a while is handed them. `proxy.program` judges whether this proxy is ready.
+they are acknowledged, and those that a fault has kept out of force are asked for again; a charge is answered once and
+refunded once at most. A watched proxy that has lacked updates for a while is handed them. `proxy.program` judges
+whether this proxy is ready.
 
 Inputs are ticks and messages; results are commands (`proxy.commands`). Changes are put into the decision module before
 they are returned. Pure; seconds on the steady clock.
@@ -10,7 +11,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from thistleusher.common.events import Event
@@ -188,8 +190,12 @@
 
     def _control_update(self, now: float, update: StateUpdate) -> Reply:
         changed, reply = self.control.apply(update)
-        if not changed:
-            return reply
+        if changed:
+            with self._discarding_on_fault(self.control):
+                self._apply_control_changes(now, changed)
+        return reply
+
+    def _apply_control_changes(self, now: float, changed: dict[str, Any]) -> None:
         if self.configuration.update(self.control.state, changed):
             self._apply_configuration(now)
         if any(name.startswith(EVACUATIONS) for name in changed):
@@ -197,7 +203,18 @@
             zones = {zone for zone, evacuation in evacuations.items() if evacuation["on"]}
             self.decisions.apply_evacuations(now, zones)
             self._update_serving()
-        return reply
+
+    @contextmanager
+    def _discarding_on_fault(self, copy: Subscriber) -> Iterator[None]:
+        """Discard a copy whose newest changes a fault keeps out of force: its number would claim that they are in.
+
+        The fault goes on to the link, which logs it and ends; a new subscription then asks for everything.
+        """
+        try:
+            yield
+        except Exception:
+            copy.discard()
+            raise
 
     def _apply_configuration(self, now: float) -> None:
         index = self.configuration.index
@@ -242,17 +259,25 @@
         return [SendToRegistry(self.counter, charge)]
 
     def _registry_update(self, now: float, update: StateUpdate) -> Reply:
+        is_reload = self.registry.state.number == 0
         changed, reply = self.registry.apply(update)
-        if not changed:
-            return reply
+        if changed:
+            with self._discarding_on_fault(self.registry):
+                self._apply_list_changes(now, changed, is_reload)
+        return reply
+
+    def _apply_list_changes(self, now: float, changed: dict[str, Any], is_reload: bool) -> None:
+        """Put changed items of the list in force; `is_reload`: they are the whole list, what it lacks is gone."""
         if any(name.startswith(MEMBERS) for name in changed):
             members = self.members()
             self.ring.set_members(now, members)
             self.decisions.apply_ingresses(sorted(name for name, member in members.items() if member["up"]))
         backends = {name[len(BACKENDS) :]: item for name, item in changed.items() if name.startswith(BACKENDS)}
+        if is_reload:
+            gone = self.decisions.selector.listed.keys() - backends.keys()
+            backends.update(dict.fromkeys(gone))
         if backends:
             self._update_backends(now, backends)
-        return reply
 
     def _update_backends(self, now: float, items: dict[str, Any]) -> None:
         """Take in changed items of the list; None: the backend is gone."""
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from thistleusher.common.background import start_background
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import Event, log_event
 from thistleusher.common.node_settings import CONTROL, PROXY, REGISTRY, RING
@@ -119,6 +120,7 @@
             self._from_registry,
         )
         self.hand_over_listener = Listener(loop, self._on_hand_over, lambda link: None, max_links=MAX_WATCHERS)
+        self.hand_overs: set[asyncio.Task[None]] = set()
         self.shutting_down = False
         self.executors: dict[type, Callable[[Any], None]] = {
             SendToRegistry: self._send_to_registry,
@@ -201,7 +203,9 @@
         self.ring_socket.send(command.message, (command.ip, self.node_settings.port(RING)))
 
     def _start_hand_over(self, command: SendHandOver) -> None:
-        self.loop.create_task(self._hand_over(command))
+        task = start_background(self.loop, self._hand_over(command), f"a hand-over to {command.name}")
+        self.hand_overs.add(task)
+        task.add_done_callback(self.hand_overs.discard)
 
     def _connect_to_core(self, ips: Sequence[str]) -> None:
         self.control.connect_to(ips)
--- a/thistleusher/transport/links.py
+++ b/thistleusher/transport/links.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from thistleusher.common.background import start_background
 from thistleusher.common.events import Event, log_event
 from thistleusher.net.socket_state import enable_dead_peer_detection
 from thistleusher.transport.codec import Deframer, MalformedMessageError, frame
@@ -83,7 +84,7 @@
         except (MalformedMessageError, UnexpectedMessageError) as error:
             log_event(Event.MESSAGE_REJECTED, self.name or self.peer_address, error)
             self.close(str(error))
-        except (ValueError, KeyError, TypeError) as error:
+        except Exception as error:  # whoever handles messages repairs what it could not put in force on the next link
             log_event(Event.FAULT, f"a message of {self.name or self.peer_address}", repr(error))
             self.close(repr(error))
 
@@ -166,7 +167,7 @@
         self.closed = False
         self.opening: asyncio.Task[Link] | None = None
         self.peer_seen = asyncio.Event()  # the other side has shown that it is up
-        self.task = loop.create_task(self._run())
+        self.task = start_background(loop, self._run(), f"the link to {host}:{port}")
 
     @property
     def is_up(self) -> bool:
@@ -196,16 +197,22 @@
                 continue
             self.opening = None
             attempts = 0
-            await self._use(link, ended)
+            try:
+                await self._use(link, ended)
+            except Exception as error:  # a fault in a caller's part must not be the link's last act
+                log_event(Event.FAULT, f"the link to {self.host}:{self.port}", repr(error))
+                link.close()
             await self._pause()
 
     async def _use(self, link: Link, ended: asyncio.Future[str]) -> None:
         """Use an open link until it ends."""
         self.link = link
         link.name = f"{self.host}:{self.port}"
-        link.send(self.first_message())
-        await ended
-        self.link = None
+        try:
+            link.send(self.first_message())
+            await ended
+        finally:
+            self.link = None
         if self.on_end is not None and not self.closed:
             self.on_end(self)
 
--- a/thistleusher/transport/state_updates.py
+++ b/thistleusher/transport/state_updates.py
@@ -152,14 +152,25 @@
         """Create a subscriber; `name`: the one that it subscribes under."""
         self.name = name
         self.state = state or State()
+        self.least_number = 0  # of states that count: that of the copy that was discarded last
 
     def subscribe_request(self) -> SubscribeRequest:
         """Return the first message to a publisher, which is also the reply to a gap."""
         return SubscribeRequest(self.name, self.state.number)
 
+    def discard(self) -> None:
+        """Discard the copy, as what was applied last could not be put in force: everything is asked for again.
+
+        No state older than the discarded one counts, so whoever sends it, what is in force does not go back. A number
+        is discarded once: what cannot be put in force the second time either would be asked for without end.
+        """
+        if self.state.number > self.least_number:
+            self.least_number = self.state.number
+            self.state = State()
+
     def apply(self, update: StateUpdate) -> UpdateResult:
         """Apply an update. An older one is only acknowledged; one that leaves a gap is not applied."""
-        if update.number <= self.state.number:
+        if update.number <= self.state.number or update.number < self.least_number:
             return UpdateResult(None, StateUpdateAck(self.state.number))
         if update.base is None:
             changed = self._replace(update)
