Registry: the calls to the platform are a module of their own

Change: registry.platform_calls holds the poller, the call in flight and their times; no behaviour differs.

--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -15,22 +15,22 @@
 from __future__ import annotations
 
 import random
-from typing import Any, NamedTuple
+from typing import Any
 
 from thistleusher.common.events import Event
 from thistleusher.configuration.items import ConfigurationFollower
 from thistleusher.control.leases import LeaseHolder
-from thistleusher.registry.backend_poller import BackendPoller, UnreadableAnswerError
+from thistleusher.registry.backend_poller import BackendPoller
 from thistleusher.registry.charges import ChargeTable
 from thistleusher.registry.members import Members
 from thistleusher.registry.outputs import (
-    CallPlatform,
     ConnectToCore,
     LogEvent,
     Output,
     SendToControl,
     SendToSubscriber,
 )
+from thistleusher.registry.platform_calls import PlatformCalls
 from thistleusher.registry.published_list import BACKEND, MEMBER, PublishedList
 from thistleusher.registry.quota_counter import QuotaCounter
 from thistleusher.registry.subscriber_watch import SubscriberWatch
@@ -57,24 +57,11 @@
 REGISTRAR_ROLE = "registrar"
 PERSIST_SPACING_S = 1.0  # between requests to persist shares
 LEADER_MACHINE_DELAY_S = 0.3  # by which the registry on the control leader's machine attempts the lease later
-CALL_LIMIT_S = (
-    1.5  # of a call to the platform, after which it is given up; its process ends it before (platform_client)
-)
-LIST_OVERDUE_S = 1.5  # without a complete reading of the platform's list, after which that is said
 WATCH_INTERVAL_S = 0.25  # between looks at which subscribers lag
 DRAINING_PHASE = "draining"
-OK = 200
 SHARE = "share:"  # prefix of the proxies' shares, which are items of the control state
 
 
-class CallInFlight(NamedTuple):
-    """The call to the platform that has no answer yet: its number, the poller that it is for, and since when."""
-
-    number: int
-    poller: BackendPoller
-    began_at: float
-
-
 class Registry:
     """One registry."""
 
@@ -88,7 +75,6 @@
         """
         self.name = name
         self.address = address
-        self.platform_rate_per_s = platform_rate_per_s
         self.has_platform = has_platform
         self.core = CoreMembers()
         self.lease = LeaseHolder(REGISTRAR_ROLE, name, now, rng)
@@ -99,15 +85,17 @@
         self.members = Members()
         self.counter: QuotaCounter | None = None  # only while it holds the role
         self.charges: ChargeTable | None = None
-        self.poller = BackendPoller(now, platform_rate_per_s)
-        self.call_in_flight: CallInFlight | None = None
-        self.call_count = 0
+        self.platform_calls = PlatformCalls(now, platform_rate_per_s)
         self.next_persist_at = now
-        self.next_overdue_report_at = now
         self.subscriber_watch = SubscriberWatch()
         self.next_watch_at = now
         self._outputs: list[Output] = []
 
+    @property
+    def poller(self) -> BackendPoller:
+        """Return the poller of the present term."""
+        return self.platform_calls.poller
+
     # Inputs.
 
     def tick(self, now: float) -> list[Output]:
@@ -186,28 +174,14 @@
         The answer to a call that was given up is dropped.
         """
         self._check_lease(now)
-        call = self.call_in_flight
-        if call is None or call.number != number:
+        answered = self.platform_calls.answered(now, number, status, body)
+        if answered is None:
             return []
-        self.call_in_flight = None
-        if call.poller is not self.poller:
-            return []  # of a reading that ended with an earlier term: a page of it is no complete list
-        if status != OK:
-            self._call_failed(now, status)
-            return self._flush()
-        try:
-            changes = self.poller.receive_page(now, body)
-        except UnreadableAnswerError as error:
-            self._log(Event.PLATFORM_FAILED, error)
-            return self._flush()
-        if changes is not None and self.holds_role:
-            self._publish_backends(changes)
+        self._outputs += answered.outputs
+        if answered.changes is not None and self.holds_role:
+            self._publish_backends(answered.changes)
         return self._flush()
 
-    def _call_failed(self, now: float, status: int = 0) -> None:
-        self._log(Event.PLATFORM_FAILED, status or "no answer")
-        self.poller.call_failed(now, status)
-
     def can_answer(self, now: float) -> bool:
         """Return whether an answer may leave now; ends the role first where its lease is over."""
         self._check_lease(now)
@@ -259,11 +233,7 @@
         self._configure_counter()
         for proxy_name, entry in self.list.members().items():
             self.members.restore(now, proxy_name, entry)
-        self.poller = BackendPoller(now, self.platform_rate_per_s)
-        # How much of a warm-up is left is not known here, so the first reading publishes those backends anew.
-        known = self.list.backends()
-        self.poller.backends = {name: {**backend, "cold": 0.0} for name, backend in known.items()}
-        self.poller.warm_at = {name: now for name, backend in known.items() if backend["cold"] > 0}
+        self.platform_calls.begin_term(now, self.list.backends())
         self.list.begin_term(self.lease.term)
         self.subscriber_watch = SubscriberWatch()
 
@@ -278,44 +248,25 @@
         """Do what is due for a holder of the role: call the platform, have shares persisted, publish members."""
         assert self.counter is not None
         if self.has_platform:
-            self._call_platform(now)
+            self._outputs += self.platform_calls.tick(now)
         if now >= self.next_persist_at:
             shares = self.counter.missing_shares(now)
             if shares:
                 self.next_persist_at = now + PERSIST_SPACING_S
                 items = {f"{SHARE}{name}": share for name, share in shares.items()}
                 self._send_to_control("", PersistItems(self.name, items))
-        self._report_delays(now)
+        self._resend_to_lagging(now)
         self._publish_members(now)
 
-    def _call_platform(self, now: float) -> None:
-        """Begin the call that is due, one at a time; give up one whose end is not learnt, as no other would follow."""
-        call = self.call_in_flight
-        if call is not None and now - call.began_at > CALL_LIMIT_S:
-            self.call_in_flight = None
-            if call.poller is self.poller:
-                self._call_failed(now)
-        if self.call_in_flight is not None:
+    def _resend_to_lagging(self, now: float) -> None:
+        """Have what subscribers have not acknowledged for long sent to them again, and say so."""
+        if now < self.next_watch_at or not self._has_list():
             return
-        target = self.poller.begin_call(now)
-        if target is not None:
-            self.call_count += 1
-            self.call_in_flight = CallInFlight(self.call_count, self.poller, now)
-            self._outputs.append(CallPlatform(self.call_count, target))
-
-    def _report_delays(self, now: float) -> None:
-        """Say where the way of a change from the platform to the subscribers stands still; send again what lags."""
-        poller = self.poller
-        self.next_overdue_report_at = max(self.next_overdue_report_at, poller.read_at + LIST_OVERDUE_S)
-        if self.has_platform and now >= self.next_overdue_report_at:
-            self.next_overdue_report_at = now + LIST_OVERDUE_S
-            self._log(Event.LIST_OVERDUE, round(now - poller.read_at, 1))
-        if now >= self.next_watch_at and self._has_list():
-            self.next_watch_at = now + WATCH_INTERVAL_S
-            number = self.list.state.number
-            for lag in self.subscriber_watch.check(now, number, self.list.acknowledged()):
-                self._log(Event.SUBSCRIBER_LAGS, lag.subscriber, lag.acknowledged, number, round(lag.for_s, 1))
-                self.list.resend(lag.subscriber)
+        self.next_watch_at = now + WATCH_INTERVAL_S
+        number = self.list.state.number
+        for lag in self.subscriber_watch.check(now, number, self.list.acknowledged()):
+            self._log(Event.SUBSCRIBER_LAGS, lag.subscriber, lag.acknowledged, number, round(lag.for_s, 1))
+            self.list.resend(lag.subscriber)
 
     # The list.
 
