Storage: a write that cannot be packed fails alone, and the writer's thread goes on

Cause: the same class once more: a fault other than of the disk ended the thread that writes the control state, so that no later write came to an end and nothing was said. Measured: tests/control/test_storage.py fails on the code before (its queue stays empty for 5 s) and passes now.

--- a/thistleusher/control/storage.py
+++ b/thistleusher/control/storage.py
@@ -78,7 +78,7 @@
                 with self._environment.begin(write=True) as transaction:
                     _put(transaction, records)
                 ok = True
-            except (lmdb.Error, OSError) as error:
+            except Exception as error:  # whatever it was, the writes after it must come to their ends
                 log_event(Event.DISK_FAILED, repr(error))
                 ok = False
             self._completed(token, ok)
