--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -38,7 +38,10 @@
     for line in text.splitlines():
         if not line.strip():
             continue
-        test, _, rest = line.partition(", ")
+        end = line.find(", ")
+        if "[" in line[:end]:  # a test's parameters may have commas in them
+            end = line.find("], ") + 1
+        test, rest = line[:end], line[end:].removeprefix(", ")
         cause, _, issue = rest.rpartition(", ")
         if "::" not in test or not cause.strip() or not issue.strip():
             raise ListError(f"not of the form 'test, cause, issue': {line}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -13,6 +13,12 @@
 def test_one_more(): pass
 """
 
+NAMED_TEST = """
+import pytest
+@pytest.mark.parametrize("which", ["here, there"])
+def test_named(which): assert False
+"""
+
 
 def run(folder: Path, listed: str, *command: str) -> subprocess.CompletedProcess[str]:
     """Runs a command beside a file of tests and the list."""
@@ -32,6 +38,13 @@
     assert "KNOWN RED: test_sample.py::test_one: failed (slow, and late; issue 7)" in done.stdout
 
 
+def test_a_listed_tests_parameters_may_have_commas(tmp_path: Path) -> None:
+    (tmp_path / "test_named.py").write_text(NAMED_TEST)
+    done = script(tmp_path, "test_named.py::test_named[here, there], [slow], late, issue 7\n")
+    assert done.returncode == 0
+    assert "KNOWN RED: test_named.py::test_named[here, there]: failed ([slow], late; issue 7)" in done.stdout
+
+
 def test_a_listed_test_that_passes_is_said_loudly(tmp_path: Path) -> None:
     done = script(tmp_path, "test_sample.py::test_one_more, slow, issue 7\n")
     assert "test_sample.py::test_one_more PASSES NOW" in done.stdout
