Sight: what admitted a tenant's requests at each proxy, the count or its share

Cause: no line said by which way a request was admitted, so a share spent in whole requests and a charge sent late looked alike. Change: event 403, each 5 s for tenants not wholly admitted by the count.

--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -176,6 +176,13 @@
         "list %d: %s drains",
         "This proxy sends nothing more to this backend, as the list shows it as draining.",
     )
+    LIMIT_REACHED = Entry(
+        403,
+        "info",
+        "tenant %s: %d admitted by the count, %d by this proxy's share, %d rejected in %s s",
+        "Not every request of this tenant was admitted by the counter; said each 5 s, for twenty tenants at most.",
+        "For a tenant that got more or less than its limit, add these up over all proxies.",
+    )
     STATE_HANDED_OVER = Entry(
         430,
         "info",
--- a/thistleusher/proxy/admission.py
+++ b/thistleusher/proxy/admission.py
@@ -13,6 +13,7 @@
 from typing import Any, NamedTuple
 
 from thistleusher.common.quota_timing import DECIDE_LOCALLY, OVER_LIMIT, VERDICT_WAIT_S
+from thistleusher.proxy.admission_tally import AdmissionTally
 from thistleusher.proxy.quota import LocalQuota
 from thistleusher.proxy.requests import ChargeAnswered, ChargeTenant, RequestState
 
@@ -33,7 +34,8 @@
 class Admission:
     """Requests whose charge has no verdict yet, and the rulings on all."""
 
-    def __init__(self, quota: LocalQuota, rng: random.Random, actions: list[Any]) -> None:
+    def __init__(self, quota: LocalQuota, rng: random.Random, actions: list[Any], now: float = 0.0) -> None:
+        self.tally = AdmissionTally(now)
         self.quota = quota
         self.rng = rng
         self.actions = actions
@@ -70,6 +72,7 @@
             retry_after_s = event.left + RETRY_MARGIN_S + RETRY_SPREAD_S * self.rng.random()
             return self._rule_locally(now, request, request.tenant, retry_after_s)
         request.charge_settled = True
+        self.tally.of(request.tenant).counted += 1
         return ADMITTED
 
     def overdue(self, now: float, requests: Mapping[str, RequestState]) -> Iterator[tuple[RequestState, Ruling]]:
@@ -90,6 +93,7 @@
                 break  # the oldest come first
             elif self.quota.spend(now, request.tenant):
                 del self.awaiting_verdict[name]
+                self.tally.of(request.tenant).by_share += 1
                 self.refund(request)
                 request.charge_settled = True
                 yield request, ADMITTED
@@ -111,6 +115,8 @@
         """
         self.refund(request)
         if not self.quota.spend(now, tenant):
+            self.tally.of(tenant).rejected += 1
             return Ruling(False, retry_after_s)
+        self.tally.of(tenant).by_share += 1
         request.charge_settled = True
         return ADMITTED
--- a/thistleusher/proxy/cluster_view.py
+++ b/thistleusher/proxy/cluster_view.py
@@ -132,8 +132,14 @@
             members = self.members()
             heartbeat_out = self._ring_heartbeat()
             self.commands += [SendHeartbeat(members[peer]["ip"], heartbeat_out) for peer in due if peer in members]
+        self._log_tallies(now)
         return self._flush()
 
+    def _log_tallies(self, now: float) -> None:
+        for tenant, tally, for_s in self.decisions.admission.tally.reports_due(now):
+            counts = (tally.counted, tally.by_share, tally.rejected)
+            self.commands.append(LogEvent(Event.LIMIT_REACHED, (tenant, *counts, round(for_s, 1))))
+
     def report_status(self, now: float, ready: bool) -> list[Command]:
         """Send this proxy's full heartbeat to all registries now, as when it shuts down."""
         self._report_status(now, ready)
--- a/thistleusher/proxy/decisions.py
+++ b/thistleusher/proxy/decisions.py
@@ -69,7 +69,7 @@
         self.rng = rng
         self.pending_actions: list[Any] = []  # the parts append to this very list
         self.quota = LocalQuota(now, bounds.quota_slack, started_at)
-        self.admission = Admission(self.quota, rng, self.pending_actions)
+        self.admission = Admission(self.quota, rng, self.pending_actions, now)
         locality = Locality(zone, region)
         self.selector = BackendSelector(node, locality, bounds, SETTINGS, rng, self.pending_actions)
         self.retries = Retries(bounds)
