QUOTA mended: the count alone decides in contact; whole requests are laid on shares, and spans are counted

Cause: each proxy held one whole request of every tenant, whatever its share, and windows of burst over rate do not divide the rule's span; the sum was argued in parts of one. Change: while a proxy is in contact the count alone admits, all of the limit; what proxies may hold unspent is a number of points on the interval of shares, bounded at any number of proxies; a charge must find room in the span too, from which the shares of proxies out of contact leave second by second; a new counter grants at the rate for a span; a share is deducted also while no echo is known to have arrived; a changed limit binds the window under way. A rejected charge is not counted any more.

--- a/thistleusher/proxy/admission.py
+++ b/thistleusher/proxy/admission.py
@@ -1,7 +1,7 @@
 """Admission of requests by their tenants' rate limits: charges to the counter, its verdicts, and refunds.
 
-Invariants: a request of a limited tenant is admitted by its central charge or by this ingress's own share, by one of
-them alone; a charge whose request was never sent on by it is refunded once.
+Invariants: a request of a limited tenant is admitted by its central charge, or by this ingress's own share where the
+counter says nothing; by one of them alone; a charge whose request was never sent on by it is refunded once.
 
 Pure; seconds on the steady clock. A charge or refund is appended to the decision module's actions.
 """
@@ -12,7 +12,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
-from thistleusher.common.quota_timing import DECIDE_LOCALLY, OVER_LIMIT, VERDICT_WAIT_S
+from thistleusher.common.quota_timing import ALLOWED, VERDICT_WAIT_S
 from thistleusher.proxy.admission_tally import AdmissionTally
 from thistleusher.proxy.quota import LocalQuota
 from thistleusher.proxy.requests import ChargeAnswered, ChargeTenant, RequestState
@@ -63,14 +63,11 @@
         if request is None or request.charge_settled or request.tenant is None:
             return None
         request.charge_window = event.window
-        if event.verdict == DECIDE_LOCALLY:
-            self.quota.not_counted_centrally(now, request.tenant, event.left)
-            return self._rule_locally(now, request, request.tenant)
-        self.quota.counted_centrally(request.tenant)
-        if event.verdict == OVER_LIMIT:
-            # Drawn whether it is used or not: a simulated run depends on the number of draws.
-            retry_after_s = event.left + RETRY_MARGIN_S + RETRY_SPREAD_S * self.rng.random()
-            return self._rule_locally(now, request, request.tenant, retry_after_s)
+        if event.verdict != ALLOWED:
+            # Shares beside a spent count would add up to more than the limit: each of many ingresses has a part of one.
+            self.refund(request)
+            self.tally.of(request.tenant).rejected += 1
+            return Ruling(False, event.left + RETRY_MARGIN_S + RETRY_SPREAD_S * self.rng.random())
         request.charge_settled = True
         self.tally.of(request.tenant).counted += 1
         return ADMITTED
@@ -108,15 +105,15 @@
             request.charge_open = False
             self.actions.append(ChargeTenant(request.event.id, request.tenant, -1, request.charge_window))
 
-    def _rule_locally(self, now: float, request: RequestState, tenant: str, retry_after_s: float = 0.0) -> Ruling:
-        """Refund the request's charge, as the central count does not admit it, and rule by this ingress's own share.
+    def _rule_locally(self, now: float, request: RequestState, tenant: str) -> Ruling:
+        """Refund the request's charge, as no verdict is to be had, and rule by this ingress's own share.
 
-        Without `retry_after_s` a rejection leaves as one for lack of capacity (503), not as one by quota (429).
+        A rejection leaves as one for lack of capacity (503), not as one by quota (429).
         """
         self.refund(request)
         if not self.quota.spend(now, tenant):
             self.tally.of(tenant).rejected += 1
-            return Ruling(False, retry_after_s)
+            return Ruling(False)
         self.tally.of(tenant).by_share += 1
         request.charge_settled = True
         return ADMITTED
--- a/thistleusher/proxy/cluster_view.py
+++ b/thistleusher/proxy/cluster_view.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from thistleusher.common.events import Event
+from thistleusher.common.quota_shares import SHARE_ITEM, share_interval
 from thistleusher.configuration.index import Index
 from thistleusher.configuration.items import ConfigurationFollower
 from thistleusher.proxy.commands import (
@@ -204,6 +205,9 @@
     def _apply_control_changes(self, now: float, changed: dict[str, Any]) -> None:
         if self.configuration.update(self.control.state, changed):
             self._apply_configuration(now)
+        if any(name.startswith(SHARE_ITEM) for name in changed):
+            shares = self.control.state.values(SHARE_ITEM)
+            self.decisions.quota.interval = share_interval(shares, self.name)
         if any(name.startswith(EVACUATIONS) for name in changed):
             evacuations = self.control.state.values(EVACUATIONS)
             zones = {zone for zone, evacuation in evacuations.items() if evacuation["on"]}
--- a/thistleusher/proxy/decisions.py
+++ b/thistleusher/proxy/decisions.py
@@ -68,7 +68,7 @@
         self.settings = SETTINGS
         self.rng = rng
         self.pending_actions: list[Any] = []  # the parts append to this very list
-        self.quota = LocalQuota(now, bounds.quota_slack, started_at)
+        self.quota = LocalQuota(now, bounds, started_at)
         self.admission = Admission(self.quota, rng, self.pending_actions, now)
         locality = Locality(zone, region)
         self.selector = BackendSelector(node, locality, bounds, SETTINGS, rng, self.pending_actions)
--- a/thistleusher/proxy/quota.py
+++ b/thistleusher/proxy/quota.py
@@ -1,17 +1,14 @@
 """This ingress's side of the tenants' rate limits: when to contact the counter, and what holds while it is silent.
 
-Each request is charged against its tenant's central count before it is sent on. While the counter answers, its verdict
-decides; what the count no longer grants, this ingress's standing share may. Without a verdict for `VERDICT_WAIT_S` the
-standing share may admit the request; what it does not admit waits on. Without an echo for `LOCAL_QUOTA_FROM_S`, or
-where the counter says that it does not count here (`DECIDE_LOCALLY`), this ingress may also spend its share of the
-counted part: a token bucket that refills at its part of the rate, and is empty at first, as the window before may have
-been spent.
+Each request is charged against its tenant's central count before it is sent on, and the count's verdict decides.
+Without a verdict for `VERDICT_WAIT_S` this ingress's reserve may admit the request; what it does not admit waits on.
+Without an echo for `LOCAL_QUOTA_FROM_S` this ingress goes by its share: a token bucket for each tenant that refills at
+the share of the rate, as the counter deducts that share meanwhile.
 
-It never fails open: without a share, or `LOCAL_QUOTA_UNTIL_S` after the last echo, nothing is admitted.
+A bucket holds whole requests: `common.quota_shares` says how many, so that the sum over all ingresses holds at any
+number of them. Many ingresses hold nothing of a small tenant's limit, and reject its requests out of contact.
 
-The standing bucket of a new incarnation fills from the start of its process on. It begins with this ingress's part of
-half of the rule's slack: all incarnations that start at once have half of the slack together, and few tenants ask so
-little that this is more than their previous incarnations left unspent while they were down.
+It never fails open: without a share, or `LOCAL_QUOTA_UNTIL_S` after the last echo, nothing is admitted.
 
 Pure; seconds on the steady clock.
 """
@@ -23,14 +20,14 @@
 from enum import Enum
 from typing import NamedTuple
 
+from thistleusher.common.node_settings import Bounds
+from thistleusher.common.quota_shares import NOTHING_HELD, Holding, ShareInterval, holding
 from thistleusher.common.quota_timing import (
-    COUNTED_PART,
     ECHO_MISSED_S,
     HEARTBEAT_S,
     LOCAL_QUOTA_FROM_S,
     LOCAL_QUOTA_UNTIL_S,
-    STANDING_PART,
-    STARTUP_SLACK_PART,
+    RESERVE_FILLED_S,
     STATUS_REPORT_S,
 )
 
@@ -75,33 +72,32 @@
 class LocalQuota:
     """The counter's echoes, this ingress's share, and the tenants' token buckets.
 
-    Invariant: what the buckets admit stays within this ingress's share of each tenant's limit, whatever the counter
-    and the network do. The counter takes the share of a silent ingress off its count before that ingress spends it.
+    Invariant: out of contact a bucket gains what this ingress's share accrues, in contact its part of the reserve in
+    `RESERVE_FILLED_S`, and it holds no more than `Holding` says. The counter takes the share of a silent ingress off
+    its count before that ingress spends it.
     """
 
-    def __init__(self, now: float, slack: float = 0.0, started_at: float | None = None) -> None:
-        """`slack`: requests that the rule allows beyond its sum; `started_at`: start of this process, if not `now`.
+    def __init__(self, now: float, bounds: Bounds, started_at: float | None = None) -> None:
+        """`started_at`: start of this process, if not `now`.
 
-        Standing buckets refill from that start on, not earlier: what the previous incarnation on this machine has spent
-        of its share is not known.
+        Buckets are empty then: what the previous incarnation on this machine has spent is not known.
         """
         self.limits: dict[str, RateLimit] = {}
+        self.bounds = bounds
         self.share = 0.0  # this ingress's part of all limits
-        self.slack = slack
+        self.interval: ShareInterval | None = None  # where that part lies among those of all ingresses
         self.started_at = now if started_at is None else started_at
         self.echo: Echo | None = None
         self.echoed_sent_at = float("-inf")  # when the newest heartbeat that was echoed was sent
         self.next_heartbeat_at = now
         self.next_report_at = now  # of the full heartbeat, to all registries
-        self.standing_buckets: dict[str, TokenBucket] = {}
-        self.isolated_buckets: dict[str, TokenBucket] = {}  # of the counted part, while not counted centrally
+        self.buckets: dict[str, TokenBucket] = {}
 
     def set_limits(self, limits: Mapping[str, RateLimit]) -> None:
         """Replace all tenants' limits."""
         self.limits = dict(limits)
-        for buckets in (self.standing_buckets, self.isolated_buckets):
-            for name in buckets.keys() - limits.keys():
-                del buckets[name]
+        for name in self.buckets.keys() - limits.keys():
+            del self.buckets[name]
 
     def is_limited(self, tenant: str) -> bool:
         """Return whether a tenant has a limit at all."""
@@ -139,46 +135,30 @@
         """Return whether the counter has been silent so long that this ingress spends its share of the counted part."""
         return now - self.echoed_sent_at >= LOCAL_QUOTA_FROM_S
 
-    def counted_centrally(self, tenant: str) -> None:
-        """Stop spending the counted part from here on: the tenant's requests here are counted centrally again."""
-        self.isolated_buckets.pop(tenant, None)
-
-    def not_counted_centrally(self, now: float, tenant: str, since_s: float) -> None:
-        """From here on also spend this ingress's share of the counted part, as it has accrued for `since_s` seconds.
-
-        For so long the counter has neither counted this ingress's requests nor let others have that share.
-        """
-        self.isolated_buckets.setdefault(tenant, TokenBucket(0.0, now - since_s))
-
     def spend(self, now: float, tenant: str) -> bool:
-        """Admit one request from this ingress's own share; return False where less than one is left of it."""
-        rate_per_s, burst = self.limits.get(tenant, NO_LIMIT)
-        if rate_per_s <= 0:
+        """Admit one request from this ingress's own bucket; return False where less than one is in it."""
+        limit = self.limits.get(tenant, NO_LIMIT)
+        if limit.rate_per_s <= 0:
             return True
         if self.share <= 0 or now > self.echoed_sent_at + LOCAL_QUOTA_UNTIL_S:
             return False
-        if self.is_isolated(now):
-            self.isolated_buckets.setdefault(tenant, TokenBucket(0.0, self.echoed_sent_at + LOCAL_QUOTA_FROM_S))
-        buckets = []
-        for bucket, part in (
-            (self.isolated_buckets.get(tenant), COUNTED_PART),
-            (self._standing_bucket(tenant), STANDING_PART),
-        ):
-            if bucket is not None:
-                bucket.refill(now, part * self.share * rate_per_s, max(1.0, part * self.share * burst))
-                buckets.append(bucket)
-        if sum(bucket.level for bucket in buckets) < 1.0:
+        held = self._holding(tenant, limit)
+        if held.isolated < 1:
+            return False
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            bucket = self.buckets[tenant] = TokenBucket(0.0, self.started_at)
+        isolated_at = self.echoed_sent_at + LOCAL_QUOTA_FROM_S
+        if bucket.updated_at < isolated_at:
+            bucket.refill(min(now, isolated_at), held.reserve / RESERVE_FILLED_S, held.reserve)
+        if now >= isolated_at:
+            bucket.refill(now, self.share * limit.rate_per_s, held.isolated)
+        if bucket.level < 1.0:
             return False
-        remaining = 1.0
-        for bucket in buckets:
-            taken = min(remaining, bucket.level)
-            bucket.level -= taken
-            remaining -= taken
+        bucket.level -= 1.0
         return True
 
-    def _standing_bucket(self, tenant: str) -> TokenBucket:
-        bucket = self.standing_buckets.get(tenant)
-        if bucket is None:
-            level = min(1.0, self.share * self.slack * STARTUP_SLACK_PART)
-            bucket = self.standing_buckets[tenant] = TokenBucket(level, self.started_at)
-        return bucket
+    def _holding(self, tenant: str, limit: RateLimit) -> Holding:
+        if self.interval is None:
+            return NOTHING_HELD
+        return holding(self.interval, tenant, limit.rate_per_s, limit.burst, self.bounds)
--- a/thistleusher/proxy/requests.py
+++ b/thistleusher/proxy/requests.py
@@ -26,10 +26,9 @@
 
 
 class ChargeAnswered(NamedTuple):
-    """Event: the counter's verdict (`ALLOWED`, `OVER_LIMIT` or `DECIDE_LOCALLY` of `common.quota_timing`) on a charge.
+    """Event: the counter's verdict (`ALLOWED` or `OVER_LIMIT` of `common.quota_timing`) on a charge.
 
-    `left`: seconds until the tenant's next window; with `DECIDE_LOCALLY` for how many seconds the counter has been in
-    contact with this ingress without counting its requests. `window`: the number of the present one.
+    `left`: seconds until the tenant's next window. `window`: the number of the present one.
     """
 
     request: str
--- a/thistleusher/registry/charges.py
+++ b/thistleusher/registry/charges.py
@@ -13,7 +13,7 @@
 
 import math
 
-from thistleusher.common.quota_timing import DECIDE_LOCALLY
+from thistleusher.common.quota_timing import ALLOWED
 from thistleusher.registry.quota_counter import NO_WINDOW, CountResult, QuotaCounter
 from thistleusher.transport.errors import UnexpectedMessageError
 from thistleusher.transport.messages import Charge, ChargeResult
@@ -37,8 +37,8 @@
 
     def repeated(self, now: float) -> CountResult | None:
         """Return the answer to a repetition, None where there is none; the time until the next window has shrunk."""
-        if self.result is None or self.result.verdict == DECIDE_LOCALLY:
-            return self.result
+        if self.result is None:
+            return None
         return self.result._replace(seconds=max(0.0, self.result.seconds - (now - self.at)))
 
 
@@ -79,7 +79,7 @@
         if charge.amount < 0:
             self._refund(now, charges, charge)
             return None
-        result = self._count(now, sender, charges, charge)
+        result = self._count(now, charges, charge)
         if result is None:
             return None
         return ChargeResult(charge.incarnation, charge.number, result.verdict, result.seconds, result.window)
@@ -94,13 +94,13 @@
             charges = self.senders[sender] = SenderCharges(incarnation)
         return charges
 
-    def _count(self, now: float, sender: str, charges: SenderCharges, charge: Charge) -> CountResult | None:
+    def _count(self, now: float, charges: SenderCharges, charge: Charge) -> CountResult | None:
         known = charges.charges.get(charge.number)
         if known is not None:
             return known.repeated(now)
         if charge.number <= charges.highest_forgotten:
             return None
-        result = self.counter.charge(now, sender, charge.tenant, charge.amount)
+        result = self.counter.charge(now, charge.tenant, charge.amount)
         charges.remember(charge.number, RememberedCharge(charge.tenant, charge.amount, now, result))
         return result
 
@@ -113,5 +113,5 @@
         if known.refunded or known.result is None:
             return
         known.refunded = True
-        if known.result.window != NO_WINDOW:
-            self.counter.refund(now, known.tenant, known.amount, known.result.window)
+        if known.result.verdict == ALLOWED and known.result.window != NO_WINDOW:
+            self.counter.refund(now, known.tenant, known.amount, known.result.window, known.at)
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -43,6 +43,7 @@
             random.Random(),
             platform.rate_per_s,
             self.platform is not None,
+            self.boot.bounds.quota_window_s,
         )
         self.platform_call: asyncio.Task[None] | None = None
         self.control = CoreLinks(
--- a/thistleusher/registry/quota_counter.py
+++ b/thistleusher/registry/quota_counter.py
@@ -2,15 +2,15 @@
 
 Where that is longer than `MAX_WINDOW_S`, the window is that long and what it allows is the rate times that.
 
-Guaranteed, over all proxies and their incarnations: in one window about one burst is admitted, by the
-count and by local shares together (`COUNTED_PART` and `STANDING_PART` of one, see `thistleusher.common.quota_timing`).
-How: a proxy has a share of all tenants' limits, which is persisted in the control state before it is handed out.
-While a proxy is not known to hear the counter, its share is deducted from what the count may admit, so that the
-proxy may decide alone. Once it is back, that goes on until the tenant's next window begins; from then on it is
-counted here. A new counter begins no window for as long as one lasts: the counter before it may have spent the present
-one.
-
-Pure; seconds on the steady clock. Cost: one message and one answer a request; a few additions.
+Guaranteed, over all proxies and their incarnations: in any span of `span_s` seconds (the length over which the users'
+rule is judged) the count and what the proxies' shares accrue there come to the rate times the span plus one burst at
+most. How: beside its window, a charge must find room in the span that ends now. There the shares of proxies that may
+decide alone are deducted, second by second, for as long as they might. A share is persisted in the control state before
+it is handed out. Of a counter's time before its start the worst is assumed: the counter before it, and the proxies
+without one, have spent the rate, and a burst just before.
+
+Pure; seconds on the steady clock. Cost: one message and one answer a request; a few additions. The sum over all proxies
+is made once in `DEDUCTION_REFRESH_S`.
 """
 
 from __future__ import annotations
@@ -22,9 +22,10 @@
 
 from thistleusher.common.quota_timing import (
     ALLOWED,
-    COUNTED_PART,
-    DECIDE_LOCALLY,
+    CARRIED_S,
+    DEDUCTION_REFRESH_S,
     FIRST_SHARES_PART,
+    LATER_SHARE_OF_SMALLEST,
     LATER_SHARE_PART,
     OVER_LIMIT,
     SHARE_DEDUCTED_S,
@@ -33,16 +34,27 @@
 )
 
 MAX_WINDOW_S = 60.0
+SLOTS_PER_SPAN = 20  # into which a span is divided; a count leaves the span one slot late at most
 FORMER_INCARNATIONS = 4  # of each proxy that are remembered, so that a late message of one does not bring it back
 NO_WINDOW = -1  # the number of no window
 NEVER = float("-inf")
+ROUNDING = 1e-9  # of sums that are compared with a limit
+
+
+@dataclass(slots=True)
+class Slot:
+    """What was admitted of a tenant in one slot of time, by its number."""
+
+    number: int
+    count: float = 0.0
 
 
 @dataclass(slots=True)
 class Window:
-    """One tenant's present window: when it began, its length in seconds, what it allows and what was charged.
+    """One tenant's present window: when it began, its length in seconds, what it allows and what it has admitted.
 
-    `allowance` is the tenant's burst (at least 1), or its rate times `MAX_WINDOW_S` where that is less.
+    `allowance` is the tenant's burst (at least 1), or its rate times `MAX_WINDOW_S` where that is less. `slots` hold
+    what was admitted in the present span, also in earlier windows, and `span_count` is their sum.
     """
 
     start: float
@@ -50,29 +62,35 @@
     allowance: float
     number: int = 0
     count: float = 0.0
+    slots: deque[Slot] = field(default_factory=deque)
+    span_count: float = 0.0
 
 
 @dataclass(slots=True)
 class ProxyState:
     """What the counter knows of one proxy.
 
-    `confirmed_at`: when the newest echo was sent that the proxy is known to have received. `in_contact_since`: since
-    when there has been no gap between such echoes; infinity where this incarnation has confirmed none to this counter.
+    `confirmed_at`: when the newest echo was sent that the proxy is known to have received. `echoed_at`: when it was
+    sent the newest echo of all.
     """
 
     incarnation: str = ""
     share: float = 0.0
     confirmed_at: float = NEVER
-    in_contact_since: float = float("inf")
+    echoed_at: float = NEVER
     former_incarnations: deque[str] = field(default_factory=lambda: deque(maxlen=FORMER_INCARNATIONS))
 
 
-class CountResult(NamedTuple):
-    """What became of a charge: the verdict, seconds, and the number of the window that it counts in.
+class Deduction(NamedTuple):
+    """The part of all limits that proxies could accrue alone, from one time to another."""
 
-    Seconds: until the tenant's next window. With DECIDE_LOCALLY: for how long the proxy has been in contact with
-    this counter without being counted; 0 for an unknown one, -inf for one whose contact is not confirmed yet.
-    """
+    start: float
+    end: float
+    part: float
+
+
+class CountResult(NamedTuple):
+    """What became of a charge: the verdict, seconds until the tenant's next window, and the window's number."""
 
     verdict: int
     seconds: float
@@ -82,12 +100,19 @@
 class QuotaCounter:
     """All counts of one holder of the singleton role; the next holder begins with new ones."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, span_s: float = 5.0) -> None:
+        """`span_s`: the length of the spans over which the users' rule is judged (`quota_window_s`)."""
         self.started_at = now
+        self.span_s = span_s
+        self.slot_s = span_s / SLOTS_PER_SPAN
         self.limits: dict[str, tuple[float, float]] = {}  # tenant -> (rate, burst)
         self.windows: dict[str, Window] = {}
         self.proxies: dict[str, ProxyState] = {}
         self.first_share_wanted_at: float | None = None
+        self.deductions: deque[Deduction] = deque()
+        self.deducted_part = 1.0  # at the last refresh
+        self.deducted_s = span_s  # the sum of the parts over the present span, each for its time
+        self.refreshed_at = now
 
     def configure(self, limits: Mapping[str, tuple[float, float]], shares: Mapping[str, float]) -> None:
         """Set the tenants' (rate, burst), and the proxies' shares that are persisted."""
@@ -96,29 +121,30 @@
             self.proxies.setdefault(proxy_name, ProxyState()).share = share
 
     def record_heartbeat(self, now: float, proxy_name: str, incarnation: str, echoed: float | None) -> bool:
-        """Record a heartbeat; return whether it counts, as it is not of a former incarnation.
+        """Record a heartbeat, which is echoed now; return whether it counts, as it is not of a former incarnation.
 
         `echoed`: when, on this counter's clock, the newest echo was sent that the heartbeat's sender has received.
         """
+        self._refresh(now)
         proxy = self.proxies.setdefault(proxy_name, ProxyState())
         if incarnation in proxy.former_incarnations:
             return False
         if proxy.incarnation != incarnation:
             proxy.former_incarnations.append(proxy.incarnation)
             proxy.incarnation = incarnation
-            proxy.in_contact_since = float("inf")
             proxy.confirmed_at = NEVER
+        proxy.echoed_at = now
         if echoed is not None and now - echoed < SHARE_DEDUCTED_S:
-            if now - proxy.confirmed_at >= SHARE_DEDUCTED_S:
-                proxy.in_contact_since = now
             proxy.confirmed_at = max(proxy.confirmed_at, echoed)
         return True
 
+    # Shares.
+
     def missing_shares(self, now: float) -> dict[str, float]:
         """Return shares to persist for proxies that have none; they hold once `configure` brings them back.
 
-        The first proxies share `FIRST_SHARES_PART` evenly; a later one gets as much as the smallest share, at most
-        `LATER_SHARE_PART` of what is left.
+        The first proxies share `FIRST_SHARES_PART` evenly; a later one gets a little less than the smallest share, and
+        at most `LATER_SHARE_PART` of what is left.
         """
         lacking = [
             proxy_name
@@ -137,45 +163,70 @@
         smallest = min(proxy.share for proxy in self.proxies.values() if proxy.share > 0)
         shares: dict[str, float] = {}
         for proxy_name in lacking:
-            shares[proxy_name] = min(smallest, max(0.0, 1.0 - assigned) * LATER_SHARE_PART)
-            assigned += shares[proxy_name]
+            smallest = min(smallest * LATER_SHARE_OF_SMALLEST, max(0.0, 1.0 - assigned) * LATER_SHARE_PART)
+            shares[proxy_name] = smallest
+            assigned += smallest
         return shares
 
-    def countable_part(self, now: float, start: float) -> float:
-        """Return the part of the allowance that the count may admit in a window that began at `start`.
+    def part_out_of_contact(self, now: float) -> float:
+        """Return the part of all limits that proxies might accrue now by their shares.
 
-        The shares of proxies that may decide alone in this window are deducted. A share that nobody can still be
-        spending, `SHARE_FORGOTTEN_S` after the last contact, is not.
+        A share that nobody can still be spending, `SHARE_FORGOTTEN_S` after the last echo, is not in it.
         """
-        deducted = 0.0
+        part = 0.0
         for proxy in self.proxies.values():
-            quiet = now - max(proxy.confirmed_at, self.started_at)
-            out_of_contact = quiet >= SHARE_DEDUCTED_S
-            counted_later = proxy.in_contact_since > start
-            unheard = proxy.confirmed_at < self.started_at
-            if (out_of_contact or counted_later or unheard) and quiet < SHARE_FORGOTTEN_S:
-                deducted += proxy.share
-        return max(0.0, 1.0 - deducted)
-
-    def charge(self, now: float, proxy_name: str, tenant: str, amount: float) -> CountResult:
-        """Charge a tenant's count. What is over the allowance is charged too, until it is refunded."""
+            in_contact = proxy.confirmed_at >= self.started_at and now - proxy.confirmed_at < SHARE_DEDUCTED_S
+            # An echo that is not known to have arrived counts too: its proxy may go by its share from then on.
+            if not in_contact and now - max(proxy.echoed_at, self.started_at) < SHARE_FORGOTTEN_S:
+                part += proxy.share
+        return min(1.0, part)
+
+    def _refresh(self, now: float) -> None:
+        """Bring the deductions up to date, unless they are new."""
+        since = now - self.refreshed_at
+        if since < DEDUCTION_REFRESH_S:
+            return
+        before, self.deducted_part = self.deducted_part, self.part_out_of_contact(now)
+        part = max(before, self.deducted_part)
+        if since >= SHARE_DEDUCTED_S:  # nothing was heard: all may have been out of contact meanwhile
+            part = min(1.0, sum(proxy.share for proxy in self.proxies.values()))
+        self._deduct(Deduction(self.refreshed_at, now, part))
+        self.refreshed_at = now
+        horizon = now - self.span_s - CARRIED_S
+        while self.deductions and self.deductions[0].end <= horizon:
+            self.deductions.popleft()
+        accrued_s = sum((each.end - max(each.start, horizon)) * each.part for each in self.deductions)
+        self.deducted_s = accrued_s + max(0.0, self.span_s - (now - self.started_at))
+
+    def _deduct(self, deduction: Deduction) -> None:
+        """Add a deduction, to the one before it where that is of the same part."""
+        last = self.deductions[-1] if self.deductions else None
+        if last is not None and last.part == deduction.part:
+            self.deductions[-1] = last._replace(end=deduction.end)
+        else:
+            self.deductions.append(deduction)
+
+    # Charges.
+
+    def charge(self, now: float, tenant: str, amount: float) -> CountResult:
+        """Charge a tenant's count. What is over the limit is not counted."""
         limit = self.limits.get(tenant)
         if limit is None or limit[0] <= 0:
             return CountResult(ALLOWED, 0.0, NO_WINDOW)
+        self._refresh(now)
         window = self._window(now, tenant, *limit)
-        remaining = window.start + window.length - now
-        proxy = self.proxies.get(proxy_name)
-        if proxy is None or proxy.in_contact_since > window.start or window.start > now:
-            uncounted = now - max(self.started_at, proxy.in_contact_since if proxy is not None else now)
-            return CountResult(DECIDE_LOCALLY, uncounted, NO_WINDOW)
+        if window.count + amount > window.allowance * (1.0 - self.deducted_part) + ROUNDING:
+            return CountResult(OVER_LIMIT, window.start + window.length - now, window.number)
+        if window.span_count + amount > self._span_limit(now, *limit) + ROUNDING:
+            return CountResult(OVER_LIMIT, self.slot_s, window.number)
         window.count += amount
-        within = window.count <= window.allowance * COUNTED_PART * self.countable_part(now, window.start)
-        return CountResult(ALLOWED if within else OVER_LIMIT, remaining, window.number)
+        self._count_in_span(now, window, amount)
+        return CountResult(ALLOWED, window.start + window.length - now, window.number)
 
-    def refund(self, now: float, tenant: str, amount: float, number: int) -> None:
-        """Take back a charge that counts in the window of a number.
+    def refund(self, now: float, tenant: str, amount: float, number: int, charged_at: float) -> None:
+        """Take back a charge that was counted at a time, in the window of a number.
 
-        Does nothing where that window is over: it would free capacity in the present one that nobody gave up.
+        Frees nothing in a window or span that the charge does not count in any more.
         """
         limit = self.limits.get(tenant)
         if limit is None or limit[0] <= 0:
@@ -183,21 +234,38 @@
         window = self._window(now, tenant, *limit)
         if window.number == number:
             window.count = max(0.0, window.count - amount)
+        slot_number = int(charged_at // self.slot_s)
+        for slot in window.slots:
+            if slot.number == slot_number:
+                returned = min(amount, slot.count)
+                slot.count -= returned
+                window.span_count -= returned
+
+    def _span_limit(self, now: float, rate: float, burst: float) -> float:
+        """Return what the count may have admitted in the span that ends now."""
+        begins_anew = now - self.started_at < self.span_s  # the counter before this one may have admitted the burst
+        return rate * (self.span_s - self.deducted_s) + (0.0 if begins_anew else max(burst, 1.0))
+
+    def _count_in_span(self, now: float, window: Window, amount: float) -> None:
+        number = int(now // self.slot_s)
+        if not window.slots or window.slots[-1].number != number:
+            window.slots.append(Slot(number))
+        window.slots[-1].count += amount
+        window.span_count += amount
 
     def _window(self, now: float, tenant: str, rate: float, burst: float) -> Window:
-        """Return a tenant's present window. A new counter's first one begins a whole length after the counter."""
+        """Return a tenant's present window, by its present limit; one that is under way keeps its count."""
         length = min(MAX_WINDOW_S, max(burst, 1.0) / rate)
-        allowance = length * rate
         window = self.windows.get(tenant)
         if window is None:
-            window = self.windows[tenant] = Window(self.started_at + length, length, allowance)
-        if now >= window.start + window.length:
-            steps = (now - window.start) // window.length
+            window = self.windows[tenant] = Window(self.started_at, length, length * rate)
+        window.length = length
+        window.allowance = length * rate
+        if now >= window.start + length:
+            window.start += (now - window.start) // length * length
             window.number += 1
-            window.start += steps * window.length
-            window.length = length
-            window.allowance = allowance
             window.count = 0.0
-            if now >= window.start + length:  # the new one is shorter
-                window.start = now
+        oldest = int(now // self.slot_s) - SLOTS_PER_SPAN
+        while window.slots and window.slots[0].number < oldest:
+            window.span_count -= window.slots.popleft().count
         return window
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from thistleusher.common.events import Event
+from thistleusher.common.quota_shares import SHARE_ITEM
 from thistleusher.configuration.items import ConfigurationFollower
 from thistleusher.control.leases import LeaseHolder
 from thistleusher.registry.backend_poller import BackendPoller
@@ -59,23 +60,30 @@
 LEADER_MACHINE_DELAY_S = 0.3  # by which the registry on the control leader's machine attempts the lease later
 WATCH_INTERVAL_S = 0.25  # between looks at which subscribers lag
 DRAINING_PHASE = "draining"
-SHARE = "share:"  # prefix of the proxies' shares, which are items of the control state
 
 
 class Registry:
     """One registry."""
 
     def __init__(
-        self, name: str, address: str, now: float, rng: random.Random, platform_rate_per_s: float, has_platform: bool
+        self,
+        name: str,
+        address: str,
+        now: float,
+        rng: random.Random,
+        platform_rate_per_s: float,
+        has_platform: bool,
+        quota_window_s: float = 5.0,
     ) -> None:
         """Create a registry without the role.
 
         `name` names the machine and this incarnation; `platform_rate_per_s` is the rate limit of the platform, if
-        there is one (`has_platform`).
+        there is one (`has_platform`). `quota_window_s` is the length over which the users' quota rule is judged.
         """
         self.name = name
         self.address = address
         self.has_platform = has_platform
+        self.quota_window_s = quota_window_s
         self.core = CoreMembers()
         self.lease = LeaseHolder(REGISTRAR_ROLE, name, now, rng)
         self.holds_role = False
@@ -228,7 +236,7 @@
     def _begin_role(self, now: float) -> None:
         self.holds_role = True
         self._log(Event.ROLE_ACQUIRED, self.lease.term)
-        self.counter = QuotaCounter(now)
+        self.counter = QuotaCounter(now, self.quota_window_s)
         self.charges = ChargeTable(self.counter)
         self._configure_counter()
         for proxy_name, entry in self.list.members().items():
@@ -253,7 +261,7 @@
             shares = self.counter.missing_shares(now)
             if shares:
                 self.next_persist_at = now + PERSIST_SPACING_S
-                items = {f"{SHARE}{name}": share for name, share in shares.items()}
+                items = {f"{SHARE_ITEM}{name}": share for name, share in shares.items()}
                 self._send_to_control("", PersistItems(self.name, items))
         self._resend_to_lagging(now)
         self._publish_members(now)
@@ -313,7 +321,7 @@
             return
         tenants = self.configuration.tenants
         limits = {name: (tenant.rate_per_s, tenant.burst) for name, tenant in tenants.items()}
-        self.counter.configure(limits, self.control_state.state.values(SHARE))
+        self.counter.configure(limits, self.control_state.state.values(SHARE_ITEM))
 
     def _receive_charge(self, now: float, name: str, charge: Charge) -> None:
         if self.charges is None:
