Counter: what was deducted for a restarted proxy is given back from its start on

Change: an incarnation's name tells when its process started; one without any echo has spent nothing since then.

--- a/simnet/system/proxy_process.py
+++ b/simnet/system/proxy_process.py
@@ -10,6 +10,7 @@
 from simnet.system.environment import Environment
 from simnet.system.process import Process
 from simnet.system.topology import BOUNDS, CORES, MACHINES, REGIONS
+from thistleusher.common.incarnations import incarnation_name
 from thistleusher.configuration.index import RouteMatch
 from thistleusher.core import events
 from thistleusher.core.driver import Driver
@@ -52,7 +53,7 @@
         self.decisions = Decisions(self.machine, zone, region, BOUNDS, rng, now, now)
         self.cluster_view = ClusterView(
             self.machine,
-            f"{self.machine}/{self.incarnation}",
+            incarnation_name(f"{self.machine}/{self.incarnation}", now),
             region,
             REGIONS.__getitem__,
             {"front": f"{self.machine}:80", "ip": self.machine, "zone": zone, "region": region},
--- a/tests/proxy/quota_fleet.py
+++ b/tests/proxy/quota_fleet.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 from simnet.clock import Clock
+from thistleusher.common.incarnations import incarnation_name, running_for
 from thistleusher.common.node_settings import Bounds
 from thistleusher.proxy.cluster_view import ClusterView
 from thistleusher.proxy.commands import DeliverChargeAnswer, SendToRegistry
@@ -124,7 +125,7 @@
         self.rejected = {name: [] for name in limits}
         self.proxies = {}
         for n in range(proxy_count):
-            self.start(f"p{n:03d}")
+            self.start(f"p{n:03d}", 100.0)
         self.replace_counter()
         self.persist_shares()
         self.clock.run(103.0)
@@ -133,9 +134,10 @@
         self.numbers += 1
         return self.numbers
 
-    def start(self, name):
+    def start(self, name, started_at=None):
         """Start a proxy, or restart it; what it had in memory is gone."""
-        proxy = self.proxies[name] = Proxy(self, name, f"{name} {self.next_number()}")
+        started_at = self.clock.now if started_at is None else started_at
+        proxy = self.proxies[name] = Proxy(self, name, incarnation_name(f"{name} {self.next_number()}", started_at))
         self.publish_shares(proxy)
         self.clock.later(TICK_S * self.rng.random(), proxy.tick)
 
@@ -189,7 +191,8 @@
                 self.deliver(proxy.name, lambda: proxy.receive(result))
             return
         echoed = message.echo[1] if message.echo is not None and message.echo[0] == registry else None
-        if self.counter.record_heartbeat(now, proxy.name, message.incarnation, echoed):
+        never_echoed_for = running_for(message.incarnation, message.sent) if message.echo is None else None
+        if self.counter.record_heartbeat(now, proxy.name, message.incarnation, echoed, never_echoed_for):
             share = self.counter.proxies[proxy.name].share
             echo = HeartbeatEcho(registry, message.sent, now, share)
             self.deliver(proxy.name, lambda: proxy.receive(echo))
--- a/tests/proxy/test_quota.py
+++ b/tests/proxy/test_quota.py
@@ -329,3 +329,23 @@
     counts.record_heartbeat(now, "i", "new", None)
     assert counts.part_out_of_contact(now + LOCAL_QUOTA_UNTIL_S) == pytest.approx(0.3)
     assert counts.part_out_of_contact(now + SHARE_FORGOTTEN_S + 0.1) == 0.0
+
+
+def test_what_was_deducted_for_a_restarted_ingress_is_given_back_from_its_start_on():
+    """It has had no echo since, so it has spent nothing; what its former incarnation spent before stays deducted."""
+    counts = QuotaCounter(100.0)
+    counts.configure({"t": (10.0, 10.0)}, {"i": 0.8})
+    counts.record_heartbeat(101.0, "j", "x", None)
+    counts.record_heartbeat(103.0, "i", "new", None, never_echoed_for=2.0)
+    counts.record_heartbeat(103.1, "j", "x", None)
+    assert counts.deducted_s == pytest.approx(0.8 * 1.0 + 1.9, abs=0.1)
+    assert counts.part_out_of_contact(103.1) == 0.0
+
+
+def test_an_incarnation_that_was_echoed_by_another_counter_gives_nothing_back():
+    counts = QuotaCounter(100.0)
+    counts.configure({"t": (10.0, 10.0)}, {"i": 0.8})
+    counts.record_heartbeat(101.0, "j", "x", None)
+    counts.record_heartbeat(103.0, "i", "old", None)
+    counts.record_heartbeat(103.1, "j", "x", None)
+    assert counts.deducted_s == pytest.approx(0.8 * 3.1 + 1.9, abs=0.1)
--- a/thistleusher/common/process.py
+++ b/thistleusher/common/process.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import gc
-import os
 import signal
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -91,8 +89,3 @@
     await shut_down()
     ticking.cancel()
     log_event(Event.STOPPED, settings.node_settings.node_name)
-
-
-def new_incarnation() -> str:
-    """Return a name for this incarnation of a process, which no other one has."""
-    return f"{time.time_ns():x}{os.urandom(4).hex()}"
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -16,8 +16,9 @@
 from thistleusher.common.background import start_background
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import Event, log_event
+from thistleusher.common.incarnations import new_incarnation
 from thistleusher.common.node_settings import CONTROL, PROXY, REGISTRY, RING
-from thistleusher.common.process import SettingsFile, new_incarnation, serve
+from thistleusher.common.process import SettingsFile, serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
 from thistleusher.net.backend_connection import UpstreamOptions
 from thistleusher.net.connection_pool import Endpoint
@@ -102,7 +103,7 @@
         # Zones are looked up in the settings as they are by then: these are read anew while the process runs.
         self.cluster_view = ClusterView(
             node_settings.node_name,
-            new_incarnation(),
+            new_incarnation(PROCESS_STARTED_AT),
             node_settings.region,
             lambda zone: self.node_settings.region_of(zone),
             attributes,
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -13,8 +13,10 @@
 
 from thistleusher.common.background import start_background
 from thistleusher.common.events import log_event
+from thistleusher.common.incarnations import new_incarnation
 from thistleusher.common.node_settings import CONTROL, REGISTRY
-from thistleusher.common.process import SettingsFile, new_incarnation, serve
+from thistleusher.common.process import SettingsFile, serve
+from thistleusher.common.process_start import PROCESS_STARTED_AT
 from thistleusher.registry.outputs import CallPlatform, ConnectToCore, Output, SendToControl, SendToSubscriber
 from thistleusher.registry.platform_client import PlatformClient
 from thistleusher.registry.registry import Registry
@@ -37,7 +39,7 @@
         platform = self.boot.cloud_api
         self.platform = PlatformClient(read_address(platform.address)) if platform.address else None
         self.registry = Registry(
-            f"{self.boot.node_name}/{new_incarnation()}",
+            f"{self.boot.node_name}/{new_incarnation(PROCESS_STARTED_AT)}",
             self.boot.ip,
             time.monotonic(),
             random.Random(),
--- a/thistleusher/registry/quota_counter.py
+++ b/thistleusher/registry/quota_counter.py
@@ -120,10 +120,18 @@
         for proxy_name, share in shares.items():
             self.proxies.setdefault(proxy_name, ProxyState()).share = share
 
-    def record_heartbeat(self, now: float, proxy_name: str, incarnation: str, echoed: float | None) -> bool:
+    def record_heartbeat(
+        self,
+        now: float,
+        proxy_name: str,
+        incarnation: str,
+        echoed: float | None,
+        never_echoed_for: float | None = None,
+    ) -> bool:
         """Record a heartbeat, which is echoed now; return whether it counts, as it is not of a former incarnation.
 
         `echoed`: when, on this counter's clock, the newest echo was sent that the heartbeat's sender has received.
+        `never_echoed_for`: for how many seconds the sender has run, where it has had no echo of any counter.
         """
         self._refresh(now)
         proxy = self.proxies.setdefault(proxy_name, ProxyState())
@@ -132,7 +140,11 @@
         if proxy.incarnation != incarnation:
             proxy.former_incarnations.append(proxy.incarnation)
             proxy.incarnation = incarnation
-            proxy.confirmed_at = NEVER
+            if never_echoed_for is not None:
+                self._return_unspent(now, proxy, now - never_echoed_for)
+                proxy.confirmed_at = now  # without an echo it spends nothing; the one that follows is confirmed soon
+            else:
+                proxy.confirmed_at = NEVER
         proxy.echoed_at = now
         if echoed is not None and now - echoed < SHARE_DEDUCTED_S:
             proxy.confirmed_at = max(proxy.confirmed_at, echoed)
@@ -198,6 +210,15 @@
         accrued_s = sum((each.end - max(each.start, horizon)) * each.part for each in self.deductions)
         self.deducted_s = accrued_s + max(0.0, self.span_s - (now - self.started_at))
 
+    def _return_unspent(self, now: float, proxy: ProxyState, since: float) -> None:
+        """Take back what was deducted for a proxy since its new incarnation started: that one had no share to spend."""
+        if now - max(proxy.echoed_at, self.started_at) >= SHARE_FORGOTTEN_S:
+            return
+        deducted_from = max(self.started_at, proxy.confirmed_at + SHARE_DEDUCTED_S) + DEDUCTION_REFRESH_S
+        start = max(since, deducted_from)
+        if start < self.refreshed_at:
+            self.deductions.append(Deduction(start, self.refreshed_at, -proxy.share))
+
     def _deduct(self, deduction: Deduction) -> None:
         """Add a deduction, to the one before it where that is of the same part."""
         last = self.deductions[-1] if self.deductions else None
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from thistleusher.common.events import Event
+from thistleusher.common.incarnations import running_for
 from thistleusher.common.quota_shares import SHARE_ITEM
 from thistleusher.configuration.items import ConfigurationFollower
 from thistleusher.control.leases import LeaseHolder
@@ -339,6 +340,7 @@
         if self.counter is None:
             return
         echoed = heartbeat.echo[1] if heartbeat.echo is not None and heartbeat.echo[0] == self.name else None
-        if self.counter.record_heartbeat(now, name, heartbeat.incarnation, echoed):
+        never_echoed_for = running_for(heartbeat.incarnation, heartbeat.sent) if heartbeat.echo is None else None
+        if self.counter.record_heartbeat(now, name, heartbeat.incarnation, echoed, never_echoed_for):
             share = self.counter.proxies[name].share
             self._send_to_subscriber(name, HeartbeatEcho(self.name, heartbeat.sent, now, share))
