Quota: a part of the burst is in reserve at the proxies, for the time between two counters

Change: 0.4 s of the rate is held in reserve, and half a second of it left out of the span that the counter fills.

--- a/thistleusher/common/quota_shares.py
+++ b/thistleusher/common/quota_shares.py
@@ -17,7 +17,13 @@
 from typing import NamedTuple
 
 from thistleusher.common.node_settings import Bounds
-from thistleusher.common.quota_timing import CARRIED_S, RESERVE_OF_EXCESS, RESERVE_OF_SLACK
+from thistleusher.common.quota_timing import (
+    CARRIED_S,
+    RESERVE_OF_BURST_S,
+    RESERVE_OF_EXCESS,
+    RESERVE_OF_SLACK,
+    SLOTS_PER_SPAN,
+)
 
 SHARE_ITEM = "share:"  # prefix of the shares, which are items of the control state, by ingress
 HASH_VALUES = 2**32
@@ -33,8 +39,8 @@
 class Holding(NamedTuple):
     """The whole requests of one tenant that an ingress may hold unspent.
 
-    `reserve`: while in contact with the counter, out of what the guarantee allows beyond the limit. `isolated`: out of
-    contact, where the counter deducts what the share accrues, for `CARRIED_S` longer than it may.
+    `reserve`: while in contact with the counter, out of the burst and of what the guarantee allows beyond the limit.
+    `isolated`: out of contact, where the counter deducts what the share accrues, for `CARRIED_S` longer than it may.
     """
 
     reserve: int
@@ -55,11 +61,20 @@
     return None
 
 
+def burst_in_reserve(rate_per_s: float, burst: float, span_s: float) -> float:
+    """Return how much of a tenant's burst all ingresses together hold in reserve, in requests.
+
+    A burst that the rate needs, as a count leaves its span a slot late, is not touched.
+    """
+    return min(RESERVE_OF_BURST_S * rate_per_s, max(0.0, burst - rate_per_s * span_s / SLOTS_PER_SPAN))
+
+
 def holding(interval: ShareInterval, tenant: str, rate_per_s: float, burst: float, bounds: Bounds) -> Holding:
     """Return what an ingress may hold of a tenant's limit."""
     excess = bounds.quota_excess * (rate_per_s * bounds.quota_window_s + burst)
     offset = zlib.crc32(tenant.encode()) / HASH_VALUES
-    in_reserve = math.floor(RESERVE_OF_EXCESS * excess + RESERVE_OF_SLACK * bounds.quota_slack)
+    of_burst = burst_in_reserve(rate_per_s, burst, bounds.quota_window_s)
+    in_reserve = math.floor(RESERVE_OF_EXCESS * excess + RESERVE_OF_SLACK * bounds.quota_slack + of_burst)
     reserve = _points_within(interval, in_reserve, offset)
     carried = _points_within(interval, math.floor(CARRIED_S * rate_per_s), (offset + 0.5) % 1.0)
     return Holding(reserve, reserve + carried)
--- a/thistleusher/common/quota_timing.py
+++ b/thistleusher/common/quota_timing.py
@@ -28,7 +28,9 @@
 # What all ingresses together may hold of a limit in whole requests: see `thistleusher.common.quota_shares`.
 RESERVE_OF_EXCESS = 0.25  # of the excess that the guarantee allows
 RESERVE_OF_SLACK = 0.5  # of the requests that it allows besides
+RESERVE_OF_BURST_S = 0.4  # of the rate, as far as the burst leaves it
 RESERVE_FILLED_S = 20.0  # in contact, in which an empty reserve becomes full
+SLOTS_PER_SPAN = 20  # in which the counter sums up a span; a count leaves the span one slot late at most
 CARRIED_S = 1.0  # of a share's accrual that an ingress out of contact may hold unspent
 
 # Verdicts of the counter. Release 0.2 also had 2, "decide by your own share"; an ingress takes it as `OVER_LIMIT`.
--- a/thistleusher/registry/quota_counter.py
+++ b/thistleusher/registry/quota_counter.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from thistleusher.common.quota_shares import burst_in_reserve
 from thistleusher.common.quota_timing import (
     ALLOWED,
     CARRIED_S,
@@ -31,13 +32,14 @@
     SHARE_DEDUCTED_S,
     SHARE_FORGOTTEN_S,
     SHARE_GATHERING_S,
+    SLOTS_PER_SPAN,
 )
 
 MAX_WINDOW_S = 60.0
-SLOTS_PER_SPAN = 20  # into which a span is divided; a count leaves the span one slot late at most
 FORMER_INCARNATIONS = 4  # of each proxy that are remembered, so that a late message of one does not bring it back
 NO_WINDOW = -1  # the number of no window
 NEVER = float("-inf")
+RESERVE_REFILLED = 1.25  # times the reserve, that proxies spend of it in a span: it fills a quarter in one
 ROUNDING = 1e-9  # of sums that are compared with a limit
 
 
@@ -264,8 +266,11 @@
 
     def _span_limit(self, now: float, rate: float, burst: float) -> float:
         """Return what the count may have admitted in the span that ends now."""
-        begins_anew = now - self.started_at < self.span_s  # the counter before this one may have admitted the burst
-        return rate * (self.span_s - self.deducted_s) + (0.0 if begins_anew else max(burst, 1.0))
+        accrued = rate * (self.span_s - self.deducted_s)
+        if now - self.started_at < self.span_s:  # the counter before this one may have admitted the burst
+            return accrued
+        in_reserve = RESERVE_REFILLED * burst_in_reserve(rate, burst, self.span_s)
+        return accrued + max(1.0, burst - in_reserve)
 
     def _count_in_span(self, now: float, window: Window, amount: float) -> None:
         number = int(now // self.slot_s)
