--- a/tests/proxy/quota_fleet.py
+++ b/tests/proxy/quota_fleet.py
@@ -22,6 +22,7 @@
 
 BOUNDS = Bounds()
 TICK_S = 0.05
+IDLE_S = 24.0  # in which what was unspent may gather
 PERSIST_S = 0.1
 MAX_DELAY_S = 0.06  # of a message
 
--- a/tests/proxy/test_quota_drawn.py
+++ b/tests/proxy/test_quota_drawn.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from tests.proxy.quota_fleet import QuotaFleet
-
-IDLE_S = 24.0  # in which what was unspent may gather
+from tests.proxy.quota_fleet import IDLE_S, QuotaFleet
 
 
 def draw_limits(rng, count):
--- a/tests/proxy/test_quota_fleets.py
+++ b/tests/proxy/test_quota_fleets.py
@@ -12,9 +12,8 @@
 
 import pytest
 
-from tests.proxy.quota_fleet import QuotaFleet
+from tests.proxy.quota_fleet import IDLE_S, QuotaFleet
 
-IDLE_S = 24.0  # in which what was unspent may gather
 PRESS_S = 6.0
 
 
--- a/thistleusher/proxy/admission.py
+++ b/thistleusher/proxy/admission.py
@@ -34,7 +34,7 @@
 class Admission:
     """Requests whose charge has no verdict yet, and the rulings on all."""
 
-    def __init__(self, quota: LocalQuota, rng: random.Random, actions: list[Any], now: float = 0.0) -> None:
+    def __init__(self, quota: LocalQuota, rng: random.Random, actions: list[Any], now: float) -> None:
         self.tally = AdmissionTally(now)
         self.quota = quota
         self.rng = rng
--- a/thistleusher/proxy/admission_tally.py
+++ b/thistleusher/proxy/admission_tally.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -42,14 +43,11 @@
 
     def __init__(self, now: float) -> None:
         self.since = now
-        self.tenants: dict[str, TenantTally] = {}
+        self.tenants: defaultdict[str, TenantTally] = defaultdict(TenantTally)
 
     def of(self, tenant: str) -> TenantTally:
         """Return a tenant's tally, to add to."""
-        tally = self.tenants.get(tenant)
-        if tally is None:
-            tally = self.tenants[tenant] = TenantTally()
-        return tally
+        return self.tenants[tenant]
 
     def reports_due(self, now: float) -> list[TallyReport]:
         """Return the tallies of tenants of which not every request was admitted by the count, and begin anew.
@@ -63,5 +61,5 @@
         most = sorted(tallies, reverse=True)[:MAX_REPORTED]
         reports = [TallyReport(name, self.tenants[name], for_s) for _, name in most]
         self.since = now
-        self.tenants = {}
+        self.tenants.clear()
         return reports
--- a/thistleusher/registry/quota_counter.py
+++ b/thistleusher/registry/quota_counter.py
@@ -29,6 +29,7 @@
     LATER_SHARE_OF_SMALLEST,
     LATER_SHARE_PART,
     OVER_LIMIT,
+    RESERVE_FILLED_S,
     SHARE_DEDUCTED_S,
     SHARE_FORGOTTEN_S,
     SHARE_GATHERING_S,
@@ -39,7 +40,6 @@
 FORMER_INCARNATIONS = 4  # of each proxy that are remembered, so that a late message of one does not bring it back
 NO_WINDOW = -1  # the number of no window
 NEVER = float("-inf")
-RESERVE_REFILLED = 1.25  # times the reserve, that proxies spend of it in a span: it fills a quarter in one
 ROUNDING = 1e-9  # of sums that are compared with a limit
 
 
@@ -269,8 +269,9 @@
         accrued = rate * (self.span_s - self.deducted_s)
         if now - self.started_at < self.span_s:  # the counter before this one may have admitted the burst
             return accrued
-        in_reserve = RESERVE_REFILLED * burst_in_reserve(rate, burst, self.span_s)
-        return accrued + max(1.0, burst - in_reserve)
+        # Proxies can spend a full reserve in a span, and what fills it again meanwhile.
+        from_reserve = (1.0 + self.span_s / RESERVE_FILLED_S) * burst_in_reserve(rate, burst, self.span_s)
+        return accrued + max(1.0, burst - from_reserve)
 
     def _count_in_span(self, now: float, window: Window, amount: float) -> None:
         number = int(now // self.slot_s)
