Stand-ins: what is read before a killed ingress is seen to end is the dead one's

Records are made by one event loop. Where it stands still after a kill, a request that the ingress had sent on is read over 50 ms after the signal and withdrawn before the second record of the kill; only records before it were looked at. Change: a kill's first record says that the ingress is dying; until the second one what ends there is not held against it. Requests after the seen end are judged as before. A test holds both.

--- a/standins/auditor.py
+++ b/standins/auditor.py
@@ -78,14 +78,18 @@
     """Yield requests that an ingress had taken, and whose connection it ended without having crashed."""
     begun: dict[str, float] = {}
     crashes: dict[str, list[float]] = defaultdict(list)
+    dying: set[str] = set()
     for record in ordered:
         if isinstance(record, Crashed):
             crashes[record.ingress].append(record.at)
+            (dying.add if record.dying else dying.discard)(record.ingress)
         elif isinstance(record, Began):
             begun.setdefault(record.id, record.at)
         elif isinstance(record, Withdrawn) and begun.get(record.id, record.at) < record.at:
             since = begun.pop(record.id)  # what it began, it began for the ingress that it is withdrawn from first
-            if not any(since - rules.late <= at for at in crashes[record.ingress]):
+            # What a process sent before its kill is read late where the reader waits for the processor.
+            has_died = record.ingress in dying or any(since - rules.late <= at for at in crashes[record.ingress])
+            if not has_died:
                 yield Breach("lost", record.at, f"{record.id} at {record.ingress}: taken, and its connection ended")
 
 
@@ -98,14 +102,16 @@
         self._sent: Tally[str] = Tally()
         self._orphans: Tally[str] = Tally()  # attempts that ran, or may yet, for an ingress that was killed
         self._crashed: dict[str, float] = {}
+        self._dying: set[str] = set()
         self._begun: dict[str, float] = {}
 
     def crashed(self, record: Crashed) -> None:
         """Take in that an ingress was killed."""
         self._crashed[record.ingress] = record.at
+        (self._dying.add if record.dying else self._dying.discard)(record.ingress)
 
     def _killed_since(self, ingress: str, begun: float) -> bool:
-        return self._crashed.get(ingress, -1.0) >= begun - self._rules.late
+        return ingress in self._dying or self._crashed.get(ingress, -1.0) >= begun - self._rules.late
 
     def withdrawn(self, record: Withdrawn, request: Asked) -> None:
         """Take in that a request was withdrawn from an ingress that is gone."""
--- a/standins/fleet_faults.py
+++ b/standins/fleet_faults.py
@@ -146,12 +146,12 @@
     async def _lose_hall(self, hall: int) -> None:
         """End all that stands in a hall at once: servers, ingresses, and in the first one what the counter knew."""
         ingresses = self._ingresses[hall::HALLS]
-        self._record_crashes(ingresses)
+        self._record_crashes(ingresses, dying=True)
         await asyncio.gather(
             *(ingress.end(signal.SIGKILL) for ingress in ingresses),
             *(server.stop() for server in self._servers[hall::HALLS]),
         )
-        self._record_crashes(ingresses)
+        self._record_crashes(ingresses, dying=False)
         if hall == 0:
             self._counter.restart_from_zero()
 
@@ -163,17 +163,17 @@
             if ingress.process is None or ingress.process.returncode is not None:
                 await ingress.start()
 
-    def _record_crashes(self, ingresses: Sequence[IngressProcess]) -> None:
+    def _record_crashes(self, ingresses: Sequence[IngressProcess], dying: bool) -> None:
         for ingress in ingresses:
-            self._records.add(Crashed(time.time(), str(ingress.number)))
+            self._records.add(Crashed(time.time(), str(ingress.number), dying))
 
     async def _end_ingress(self, what: str, number: int) -> None:
         """Kill an ingress and start it again, or restart it in order while the script goes on."""
         ingress = self._ingresses[number]
         if what == "kill":
-            self._record_crashes([ingress])  # before and after: its requests may end at either time
+            self._record_crashes([ingress], dying=True)  # its requests may end before its end is seen, or after
             await ingress.end(signal.SIGKILL)
-            self._record_crashes([ingress])
+            self._record_crashes([ingress], dying=False)
             await ingress.start()
         else:
             self.tasks.add(asyncio.create_task(self._restart(ingress)))
--- a/standins/records.py
+++ b/standins/records.py
@@ -91,10 +91,14 @@
 
 
 class Crashed(NamedTuple):
-    """A fault script ended an ingress: `ingress` may lose what it held."""
+    """A fault script ended an ingress: `ingress` may lose what it held.
+
+    `dying`: it was signalled, and its end was not seen yet; a second record follows as soon as it is.
+    """
 
     at: float
     ingress: str
+    dying: bool = False
 
 
 Record = Union[Asked, Answered, Withdrawn, Began, Ran, Up, Told, Added, Crashed]
--- a/tests/standins/test_auditor.py
+++ b/tests/standins/test_auditor.py
@@ -167,6 +167,25 @@
     assert "twice" in {b.rule for b in audit(more, RULES).breaches}
 
 
+@pytest.mark.parametrize("dying,kept", [(True, True), (False, False)])
+def test_what_is_read_between_a_kill_and_the_seen_end_of_the_process_is_the_dead_ones(dying, kept):
+    """A request was read 51 ms after its ingress was signalled and 330 ms before the end of the process was seen.
+
+    The reader had stood still for 300 ms: "Crashed 738.874, Began 738.925, Withdrawn 738.944, Crashed 739.255" (s).
+    """
+    first = [asked(20.0, "x", "once"), Crashed(20.05, "0", dying), Began(20.101, "x", "s2", "", 0.1)]
+    first += [Withdrawn(20.12, "x", "0"), Crashed(20.43, "0")]
+    again = [asked(20.5, "x", "once", ingress="2"), Began(20.6, "x", "s3", "", 0.1), Ran(20.7, "x", "s3", "")]
+    verdict = audit([*first, *again, answered(20.8, "x")], RULES)
+    assert ("lost" not in {b.rule for b in verdict.breaches}) is kept, verdict.breaches
+    later = [
+        asked(21.0, "y", "once"),
+        Began(21.1, "y", "s2", "", 0.1),
+        Withdrawn(21.2, "y", "0"),
+    ]  # of the next process
+    assert "lost" in {b.rule for b in audit([*first, *again, answered(20.8, "x"), *later], RULES).breaches}
+
+
 def test_a_calm_run_has_no_failures_and_starves_nobody():
     calm = replace(RULES, calm=True)
     assert audit([asked(20.0, "x"), answered(20.1, "x", 502)], RULES).kept
