Counter: the proxies' shares are a module of their own

Change: registry.proxy_shares has what concerns proxies (heartbeats, shares, deductions, reports); registry.quota_counter counts. No logic differs. In tests only the way to an attribute does.

--- a/benchmarks/scale/state.py
+++ b/benchmarks/scale/state.py
@@ -186,7 +186,7 @@
     charges = ChargeTable(counts)
     names = [f"proxy-{n}" for n in range(senders)]
     for name in names:
-        counts.record_heartbeat(0.0, name, "life", None)
+        counts.shares.record_heartbeat(0.0, name, "life", None)
     before = resident_mb()
 
     def charge_all() -> None:
--- a/tests/common/test_quota_shares.py
+++ b/tests/common/test_quota_shares.py
@@ -35,9 +35,9 @@
     before = {name: share_interval(shares, name) for name in shares}
     for n in range(40):
         counts.configure({}, shares)
-        counts.record_heartbeat(1.0, f"a{n}", "x", 1.0)
-        counts.record_heartbeat(1.0, f"z{n}", "x", 1.0)
-        shares.update(counts.missing_shares(1.0))
+        counts.shares.record_heartbeat(1.0, f"a{n}", "x", 1.0)
+        counts.shares.record_heartbeat(1.0, f"z{n}", "x", 1.0)
+        shares.update(counts.shares.missing_shares(1.0))
         now = {name: share_interval(shares, name) for name in shares}
         assert {name: now[name] for name in before} == before
         before = now
--- a/tests/proxy/quota_fleet.py
+++ b/tests/proxy/quota_fleet.py
@@ -153,7 +153,7 @@
 
     def persist_shares(self):
         if self.counter is not None:
-            missing = self.counter.missing_shares(self.clock.now)
+            missing = self.counter.shares.missing_shares(self.clock.now)
             if missing:
                 self.shares.update(missing)
                 self.share_number += 1
@@ -198,8 +198,8 @@
             return
         echoed = message.echo[1] if message.echo is not None and message.echo[0] == registry else None
         never_echoed_for = running_for(message.incarnation, message.sent) if message.echo is None else None
-        if self.counter.record_heartbeat(now, proxy.name, message.incarnation, echoed, never_echoed_for):
-            share = self.counter.proxies[proxy.name].share
+        if self.counter.shares.record_heartbeat(now, proxy.name, message.incarnation, echoed, never_echoed_for):
+            share = self.counter.shares.proxies[proxy.name].share
             echo = HeartbeatEcho(registry, message.sent, now, share)
             self.deliver(proxy.name, lambda: proxy.receive(echo))
 
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -53,7 +53,7 @@
     program, old, new = RegistryProgram.__new__(RegistryProgram), RecordedLink(), RecordedLink()
     program.registry, program.subscribers = holding_role(), {"d": new}
     program._from_subscriber(old, PRESENCE)
-    assert old.messages == new.messages == [] and program.registry.counter.proxies["d"].incarnation == ""
+    assert old.messages == new.messages == [] and program.registry.counter.shares.proxies["d"].incarnation == ""
 
 
 def test_a_proxy_that_stood_still_handles_messages_by_the_present_clock(monkeypatch):
--- a/tests/proxy/test_quota.py
+++ b/tests/proxy/test_quota.py
@@ -71,7 +71,7 @@
 
     def persist_shares(self):
         if self.counter is not None:
-            self.shares.update(self.counter.missing_shares(self.clock.now))
+            self.shares.update(self.counter.shares.missing_shares(self.clock.now))
             self.counter.configure({"t": (RATE, BURST)}, self.shares)
             for name, ingress in self.ingresses.items():
                 ingress.quota.interval = share_interval(self.shares, name)
@@ -94,8 +94,8 @@
         if counter is None:
             return
         own_echo = echo[1] if echo is not None and echo[0] == str(self.term) else None
-        counter.record_heartbeat(self.clock.now, ingress.name, ingress.incarnation, own_echo)
-        share, new_echo = counter.proxies[ingress.name].share, Echo(str(self.term), self.clock.now)
+        counter.shares.record_heartbeat(self.clock.now, ingress.name, ingress.incarnation, own_echo)
+        share, new_echo = counter.shares.proxies[ingress.name].share, Echo(str(self.term), self.clock.now)
         self.deliver("c", ingress.name, lambda: ingress.quota.record_echo(self.clock.now, new_echo, sent_at, share))
 
     def request(self, name):
@@ -247,8 +247,8 @@
 
 def keep_contact(counts, now, until):
     while now < until:
-        for name in counts.proxies:
-            counts.record_heartbeat(now, name, "x", now)
+        for name in counts.shares.proxies:
+            counts.shares.record_heartbeat(now, name, "x", now)
         now += 0.125
     return now
 
@@ -280,7 +280,7 @@
     counts.configure({"t": (100.0, 100.0)}, {"i": 0.1})
     now, admitted = 100.0, 0
     while now < 104.9:
-        counts.record_heartbeat(now, "i", "x", now)
+        counts.shares.record_heartbeat(now, "i", "x", now)
         admitted += charges_allowed(counts, now, 20)
         assert admitted <= 100.0 * (now - 100.0) + 1
         now += 0.1
@@ -297,25 +297,25 @@
 def test_a_share_is_deducted_from_the_count_before_it_may_be_spent_locally():
     assert SHARE_DEDUCTED_S + DEDUCTION_REFRESH_S + 0.15 <= LOCAL_QUOTA_FROM_S
     counts, now = counter_in_contact(shares={"i": 0.3, "j": 0.3})
-    assert counts.part_out_of_contact(now) == 0.0
+    assert counts.shares.part_out_of_contact(now) == 0.0
     last_of_i = now
-    counts.record_heartbeat(last_of_i, "i", "x", last_of_i)
+    counts.shares.record_heartbeat(last_of_i, "i", "x", last_of_i)
     while now < last_of_i + SHARE_DEDUCTED_S + DEDUCTION_REFRESH_S:
         now += 0.05
-        counts.record_heartbeat(now, "j", "x", now)
-    assert counts.part_out_of_contact(now) == pytest.approx(0.3)
+        counts.shares.record_heartbeat(now, "j", "x", now)
+    assert counts.shares.part_out_of_contact(now) == pytest.approx(0.3)
     assert charges_allowed(counts, now, 20) == 7  # 0.7 of ten
 
 
 def test_what_a_share_may_have_accrued_out_of_contact_leaves_the_span_of_the_count():
     counts, now = counter_in_contact(shares={"i": 0.8}, limit=(10.0, 10.0))
     back = now + 3.0
-    counts.record_heartbeat(back, "i", "y", None)
-    counts.record_heartbeat(back + 0.1, "i", "y", back)
+    counts.shares.record_heartbeat(back, "i", "y", None)
+    counts.shares.record_heartbeat(back + 0.1, "i", "y", back)
     admitted = 0
     later = back + 0.2
     while later < back + 2.0:
-        counts.record_heartbeat(later, "i", "y", later)
+        counts.shares.record_heartbeat(later, "i", "y", later)
         admitted += charges_allowed(counts, later, 20)
         later += 0.1
     assert admitted <= 60 - 0.8 * 10.0 * 2.4  # of rate times span plus burst
@@ -326,26 +326,26 @@
     counts = QuotaCounter(100.0)
     counts.configure({"t": (10.0, 10.0)}, {"i": 0.3})
     now = 100.0 + SHARE_FORGOTTEN_S + 5.0
-    counts.record_heartbeat(now, "i", "new", None)
-    assert counts.part_out_of_contact(now + LOCAL_QUOTA_UNTIL_S) == pytest.approx(0.3)
-    assert counts.part_out_of_contact(now + SHARE_FORGOTTEN_S + 0.1) == 0.0
+    counts.shares.record_heartbeat(now, "i", "new", None)
+    assert counts.shares.part_out_of_contact(now + LOCAL_QUOTA_UNTIL_S) == pytest.approx(0.3)
+    assert counts.shares.part_out_of_contact(now + SHARE_FORGOTTEN_S + 0.1) == 0.0
 
 
 def test_what_was_deducted_for_a_restarted_ingress_is_given_back_from_its_start_on():
     """It has had no echo since, so it has spent nothing; what its former incarnation spent before stays deducted."""
     counts = QuotaCounter(100.0)
     counts.configure({"t": (10.0, 10.0)}, {"i": 0.8})
-    counts.record_heartbeat(101.0, "j", "x", None)
-    counts.record_heartbeat(103.0, "i", "new", None, never_echoed_for=2.0)
-    counts.record_heartbeat(103.1, "j", "x", None)
-    assert counts.deducted_s == pytest.approx(0.8 * 1.0 + 1.9, abs=0.1)
-    assert counts.part_out_of_contact(103.1) == 0.0
+    counts.shares.record_heartbeat(101.0, "j", "x", None)
+    counts.shares.record_heartbeat(103.0, "i", "new", None, never_echoed_for=2.0)
+    counts.shares.record_heartbeat(103.1, "j", "x", None)
+    assert counts.shares.deducted_s == pytest.approx(0.8 * 1.0 + 1.9, abs=0.1)
+    assert counts.shares.part_out_of_contact(103.1) == 0.0
 
 
 def test_an_incarnation_that_was_echoed_by_another_counter_gives_nothing_back():
     counts = QuotaCounter(100.0)
     counts.configure({"t": (10.0, 10.0)}, {"i": 0.8})
-    counts.record_heartbeat(101.0, "j", "x", None)
-    counts.record_heartbeat(103.0, "i", "old", None)
-    counts.record_heartbeat(103.1, "j", "x", None)
-    assert counts.deducted_s == pytest.approx(0.8 * 3.1 + 1.9, abs=0.1)
+    counts.shares.record_heartbeat(101.0, "j", "x", None)
+    counts.shares.record_heartbeat(103.0, "i", "old", None)
+    counts.shares.record_heartbeat(103.1, "j", "x", None)
+    assert counts.shares.deducted_s == pytest.approx(0.8 * 3.1 + 1.9, abs=0.1)
--- a/tests/registry/test_charges.py
+++ b/tests/registry/test_charges.py
@@ -112,12 +112,12 @@
 
     def at_counter(self, name, message):
         if isinstance(message, ProxyHeartbeat):
-            self.table.counter.record_heartbeat(self.now, name, message.incarnation, self.now)
+            self.table.counter.shares.record_heartbeat(self.now, name, message.incarnation, self.now)
             return
         result = self.table.receive(self.now, name, message)
         key = message.incarnation, message.number
         if message.amount < 0:
-            if self.table.counter.proxies[name].incarnation == message.incarnation:
+            if self.table.counter.shares.proxies[name].incarnation == message.incarnation:
                 self.given_back.add(key)
         elif result is not None:
             first = self.answers.setdefault(key, result)
@@ -180,9 +180,9 @@
     """A proxy that is counted, by a counter that has been in contact with it for longer than a span."""
     at = now - 7.0
     while at < now:
-        table.counter.record_heartbeat(at, name, incarnation, at)
+        table.counter.shares.record_heartbeat(at, name, incarnation, at)
         at += 0.125
-    table.counter.record_heartbeat(now, name, incarnation, now)
+    table.counter.shares.record_heartbeat(now, name, incarnation, now)
     return table
 
 
@@ -220,7 +220,7 @@
 def test_a_message_of_a_former_incarnation_neither_counts_nor_brings_it_back():
     table = known(known(counter_of(-10.0), incarnation="old"), incarnation="new")
     assert table.receive(2.0, "p", Charge("old", 1, "t", 1, -1)) is None
-    assert not table.counter.record_heartbeat(2.1, "p", "old", 2.1)
+    assert not table.counter.shares.record_heartbeat(2.1, "p", "old", 2.1)
     assert table.receive(2.1, "p", Charge("new", 1, "t", 1, -1)).verdict == ALLOWED
 
 
--- a/tests/registry/test_quota_recovery.py
+++ b/tests/registry/test_quota_recovery.py
@@ -19,8 +19,8 @@
 def heartbeats(counter, now, names=("p1", "p2")):
     """Let proxies hear the counter and confirm it, so that nothing is deducted for them."""
     for name in names:
-        counter.record_heartbeat(now, name, f"{name}@0.000", None)
-        counter.record_heartbeat(now + 0.05, name, f"{name}@0.000", now)
+        counter.shares.record_heartbeat(now, name, f"{name}@0.000", None)
+        counter.shares.record_heartbeat(now + 0.05, name, f"{name}@0.000", now)
 
 
 def admitted_at_once(counter, now):
@@ -56,7 +56,7 @@
 
 def test_a_listed_proxy_without_a_share_is_waited_for_too():
     counter = new_counter()
-    counter.expect_reports(["p3"])
+    counter.shares.expect_reports(["p3"])
     heartbeats(counter, STARTED_AT, ("p1", "p2", "p3"))
     for name in SHARES:
         counter.record_admissions(STARTED_AT + 0.1, name, f"{name}@0.000", 10.0, {})
@@ -78,7 +78,7 @@
     heartbeats(counter, STARTED_AT)
     for name in SHARES:
         counter.record_admissions(STARTED_AT + 0.1, name, f"{name}@0.000", 10.0, {})
-    counter.record_heartbeat(STARTED_AT + 0.2, "p1", "p1@1000.150", None, 0.05)
+    counter.shares.record_heartbeat(STARTED_AT + 0.2, "p1", "p1@1000.150", None, 0.05)
     assert counter.record_admissions(STARTED_AT + 0.2, "p1", "p1@1000.150", 0.05, {})
     assert admitted_at_once(counter, STARTED_AT + 0.25) > 50
 
@@ -90,7 +90,7 @@
     for _ in range(3):
         assert counter.record_admissions(STARTED_AT + 0.1, "p1", "p1@0.000", 10.0, entries)
     assert counter.windows["t"].in_span.total == 200
-    counter.record_heartbeat(STARTED_AT + 0.2, "p2", "p2@999.000", None)
+    counter.shares.record_heartbeat(STARTED_AT + 0.2, "p2", "p2@999.000", None)
     assert not counter.record_admissions(STARTED_AT + 0.2, "p2", "p2@0.000", 10.0, entries)
     assert not counter.record_admissions(STARTED_AT + 0.2, "unknown", "x@0.000", 10.0, entries)
     assert counter.windows["t"].in_span.total == 200
--- a/thistleusher/registry/charges.py
+++ b/thistleusher/registry/charges.py
@@ -86,7 +86,7 @@
 
     def _charges_of(self, sender: str, incarnation: str) -> SenderCharges | None:
         """Return the charges of a sender's present incarnation; None for a message of another one."""
-        proxy = self.counter.proxies.get(sender)
+        proxy = self.counter.shares.proxies.get(sender)
         if proxy is None or proxy.incarnation != incarnation:
             return None
         charges = self.senders.get(sender)
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -244,7 +244,7 @@
         self.counter = QuotaCounter(now, self.quota_window_s)
         self.charges = ChargeTable(self.counter)
         self._configure_counter()
-        self.counter.expect_reports(self.list.members())
+        self.counter.shares.expect_reports(self.list.members())
         for proxy_name, entry in self.list.members().items():
             self.members.restore(now, proxy_name, entry)
         self.platform_calls.begin_term(now, self.list.backends())
@@ -264,7 +264,7 @@
         if self.has_platform:
             self._outputs += self.platform_calls.tick(now)
         if now >= self.next_persist_at:
-            shares = self.counter.missing_shares(now)
+            shares = self.counter.shares.missing_shares(now)
             if shares:
                 self.next_persist_at = now + PERSIST_SPACING_S
                 items = {f"{SHARE_ITEM}{name}": share for name, share in shares.items()}
@@ -347,8 +347,8 @@
         counter = counter_name(self.name, self.lease.term)
         echoed = heartbeat.echo[1] if heartbeat.echo is not None and heartbeat.echo[0] == counter else None
         never_echoed_for = running_for(heartbeat.incarnation, heartbeat.sent) if heartbeat.echo is None else None
-        if self.counter.record_heartbeat(now, name, heartbeat.incarnation, echoed, never_echoed_for):
-            share = self.counter.proxies[name].share
+        if self.counter.shares.record_heartbeat(now, name, heartbeat.incarnation, echoed, never_echoed_for):
+            share = self.counter.shares.proxies[name].share
             self._send_to_subscriber(name, HeartbeatEcho(counter, heartbeat.sent, now, share))
 
     def _receive_admissions(self, now: float, name: str, report: AdmissionReport) -> None:
