--- a/tests/proxy/test_admitted_requests.py
+++ b/tests/proxy/test_admitted_requests.py
@@ -34,10 +34,11 @@
     admitted.add(10.6, "a")
     assert reporter.due(10.6) is None
     assert reporter.due(11.0) == AdmissionReport("p@0.000", "c#2", 10.5, {"a": [(0.75, 1)]})
+    assert reporter.due(15.5) == AdmissionReport("p@0.000", "c#2", 15.0, {})  # of no span that is still to be judged
     reporter.acknowledged("c#1")
-    assert reporter.due(12.0) is not None
+    assert reporter.due(16.0) is not None
     reporter.acknowledged("c#2")
-    assert reporter.due(13.0) is None
+    assert reporter.due(17.0) is None
 
 
 def test_a_counter_whose_name_has_no_term_takes_no_reports():
--- a/thistleusher/proxy/admitted_requests.py
+++ b/thistleusher/proxy/admitted_requests.py
@@ -26,6 +26,7 @@
     def __init__(self, started_at: float, span_s: float) -> None:
         """`started_at`: of this process, before which nothing is known here; `span_s`: length of the rule's spans."""
         self.started_at = started_at
+        self.span_s = span_s
         self.remembered_s = REMEMBERED_SPANS * span_s
         self.slot_s = span_s / SLOTS_PER_SPAN
         self.slots: deque[tuple[int, defaultdict[str, int]]] = deque()
@@ -78,10 +79,12 @@
         if self.next_at is None or now < self.next_at:
             return None
         self.next_at = now + REPEAT_S
-        ages = {
-            tenant: [(max(0.0, now - at), count) for at, count in entries] for tenant, entries in self.by_tenant.items()
-        }
-        return AdmissionReport(self.incarnation, self.counter, now - self.since, ages)
+        ages = {tenant: self._ages_within_span(now, entries) for tenant, entries in self.by_tenant.items()}
+        admitted = {tenant: entries for tenant, entries in ages.items() if entries}
+        return AdmissionReport(self.incarnation, self.counter, now - self.since, admitted)
+
+    def _ages_within_span(self, now: float, entries: list[tuple[float, int]]) -> list[tuple[float, int]]:
+        return [(max(0.0, now - at), count) for at, count in entries if now - at <= self.admitted.span_s]
 
     def acknowledged(self, counter: str) -> None:
         """Stop reporting to the counter that has the report."""
