--- a/tests/proxy/test_quota_fleets.py
+++ b/tests/proxy/test_quota_fleets.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.proxy.quota_fleet import IDLE_S, QuotaFleet
+from tests.proxy.quota_fleet import BOUNDS, IDLE_S, QuotaFleet
 
 PRESS_S = 6.0
 
@@ -78,3 +78,21 @@
         admitted += taken
         offered += taken + sum(from_s <= at < from_s + 1.0 for at in fleet.rejected["t"])
     assert admitted >= least * offered, (admitted, offered)
+
+
+@pytest.mark.parametrize("away_s", [0.05, 3.0])
+def test_a_new_counter_knows_all_that_was_admitted_by_the_one_before_it_and_by_shares(away_s):
+    fleet = QuotaFleet(3, 9, {"t": (100.0, 100.0)})
+    fleet.clock.run(130.0)
+    fleet.press("t", 90.0, 15.0)
+    fleet.clock.run(145.0)
+    fleet.lose_counter()
+    fleet.press("t", 90.0, away_s)
+    fleet.clock.later(away_s, fleet.replace_counter)
+    now = 145.5 + away_s
+    fleet.clock.run(now)
+    admitted = sum(now - BOUNDS.quota_window_s < at for at in fleet.admitted["t"])
+    assert fleet.counter.shares.known_since < now - BOUNDS.quota_window_s
+    assert (
+        admitted <= fleet.counter.windows["t"].in_span.total <= admitted + 2 * 0.25 * 100.0
+    )  # a slot late, and rounded to slots
--- a/tests/registry/test_charges.py
+++ b/tests/registry/test_charges.py
@@ -18,7 +18,15 @@
 from thistleusher.registry.charges import ChargeTable
 from thistleusher.registry.quota_counter import QuotaCounter
 from thistleusher.transport.errors import UnexpectedMessageError
-from thistleusher.transport.messages import Charge, ChargeResult, HeartbeatEcho, ProxyHeartbeat, ProxyStatusReport
+from thistleusher.transport.messages import (
+    AdmissionReport,
+    AdmissionReportAck,
+    Charge,
+    ChargeResult,
+    HeartbeatEcho,
+    ProxyHeartbeat,
+    ProxyStatusReport,
+)
 
 RATE = BURST = 10.0
 LIMITS = {"t": (RATE, BURST)}
@@ -262,3 +270,32 @@
     assert proxy.counter == "new" and proxy.decisions.quota.share == 0.1
     proxy.from_registry(9.0, "old", HeartbeatEcho("old/1", 5.1, 1.0, 0.2))
     assert proxy.counter == "new" and proxy.decisions.quota.echo == ("new/1", 1.0)
+
+
+def reports_of(commands):
+    return [c.message for c in commands if isinstance(c, SendToRegistry) and isinstance(c.message, AdmissionReport)]
+
+
+def test_a_report_goes_to_a_new_counter_with_its_first_echo_and_again_until_it_is_acknowledged():
+    proxy = proxy_of("p", "x", 5.0)
+    commands, _ = proxy.from_registry(5.2, "c", HeartbeatEcho("c/1#7", 5.1, 1.0, 0.1))
+    assert [report.counter for report in reports_of(commands)] == ["c/1#7"]
+    assert not reports_of(proxy.tick(5.3, True)) and len(reports_of(proxy.tick(5.6, True))) == 1
+    proxy.from_registry(5.7, "c", AdmissionReportAck("c/1#7"))
+    assert not reports_of(proxy.tick(6.5, True))
+    commands, _ = proxy.from_registry(6.6, "c", HeartbeatEcho("c/1#7", 6.5, 1.0, 0.1))
+    assert not reports_of(commands)
+    commands, _ = proxy.from_registry(6.7, "c", HeartbeatEcho("c/1#8", 6.6, 1.0, 0.1))  # the same registry, once more
+    assert [report.counter for report in reports_of(commands)] == ["c/1#8"]
+
+
+def test_a_charge_without_an_answer_is_sent_to_the_new_counter_under_another_number():
+    proxy = proxy_of("p", "x", 5.0)
+    proxy.counter = "c"
+    proxy.charge(5.0, ChargeTenant("r", "t", 1))
+    commands, _ = proxy.from_registry(5.2, "d", HeartbeatEcho("d/1#2", 5.1, 1.0, 0.1))
+    charges = [(c.ip, c.message.number) for c in commands if isinstance(getattr(c, "message", None), Charge)]
+    assert charges == [("d", 2)]
+    assert proxy.from_registry(5.3, "c", ChargeResult("x", 1, ALLOWED, 0.5, 3)) == ([], None)  # of the former counter
+    (verdict,), _ = proxy.from_registry(5.3, "d", ChargeResult("x", 2, ALLOWED, 0.5, 3))
+    assert verdict.answer.verdict == ALLOWED
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -9,6 +9,8 @@
 from thistleusher.registry.registry import Registry
 from thistleusher.transport.errors import UnexpectedMessageError
 from thistleusher.transport.messages import (
+    AdmissionReport,
+    AdmissionReportAck,
     Charge,
     CoreInfo,
     HeartbeatEcho,
@@ -16,6 +18,7 @@
     LeaseGranted,
     LeaseRequest,
     ProxyHeartbeat,
+    ProxyStatusReport,
     StateUpdate,
     SubscribeRequest,
 )
@@ -123,3 +126,33 @@
     registry._begin_role(10.3)  # again, while the second page is on its way
     assert registry.platform_answered(10.31, 2, 200, page(entry(2))) == [] and not registry.poller.has_list
     assert [o.target for o in registry.tick(10.4) if isinstance(o, CallPlatform)] == ["/instances"]
+
+
+def test_a_counter_is_named_by_its_term_and_takes_reports_and_echoes_of_that_term_only():
+    registry = holding_role()
+    (echo,) = registry.receive_from_subscriber(10.1, "d", PRESENCE)
+    name, term = echo.message.registry, registry.lease.term
+    assert name == f"{registry.name}#{term}"
+    later = ProxyHeartbeat("x", 1.1, (f"{registry.name}#{term - 1}", 10.1))
+    registry.receive_from_subscriber(10.15, "d", later)  # it has heard the counter of an earlier term, not this one
+    assert registry.counter.shares.proxies["d"].confirmed_at < 0
+    registry.receive_from_subscriber(10.2, "d", ProxyHeartbeat("x", 1.2, (name, 10.1)))
+    assert registry.counter.shares.proxies["d"].confirmed_at == 10.1
+    report = AdmissionReport("x", name, 9.0, {})
+    stale = AdmissionReport("x", f"{registry.name}#{term - 1}", 9.0, {})
+    assert registry.receive_from_subscriber(10.2, "d", stale) == []
+    assert registry.counter.shares.known_since == registry.counter.started_at
+    assert [out.message for out in registry.receive_from_subscriber(10.2, "d", report)] == [AdmissionReportAck(name)]
+    assert registry.counter.shares.known_since == pytest.approx(1.2)
+
+
+def test_a_listed_proxy_without_a_share_is_waited_for_by_the_next_counter():
+    registry = holding_role()
+    registry.receive_from_subscriber(10.1, "d", PRESENCE)
+    attributes = {"front": "f", "ip": "i", "zone": "z", "region": "r"}
+    registry.receive_from_subscriber(10.1, "e", ProxyStatusReport("y", 1.0, None, True, (), attributes))
+    registry.tick(10.2)
+    assert "e" in registry.list.members()
+    registry._end_role("lost")
+    registry._begin_role(10.3)
+    assert registry.counter.shares.proxies["e"].may_have_admitted
