Auditor: what is known of kills stands once

Cause: the lost-request rule and the repeats rule each kept when an ingress was killed last and whether it is dying, and compared alike. Change: _Kills keeps it for both. No judgement differs: the latest of a list of times is at or after a time if any is.

--- a/standins/auditor.py
+++ b/standins/auditor.py
@@ -77,22 +77,37 @@
 def _lost_with_connection(ordered: list[Record], rules: Rules) -> Iterator[Breach]:
     """Yield requests that an ingress had taken, and whose connection it ended without having crashed."""
     begun: dict[str, float] = {}
-    crashes: dict[str, list[float]] = defaultdict(list)
-    dying: set[str] = set()
+    kills = _Kills(rules)
     for record in ordered:
         if isinstance(record, Crashed):
-            crashes[record.ingress].append(record.at)
-            (dying.add if record.dying else dying.discard)(record.ingress)
+            kills.crashed(record)
         elif isinstance(record, Began):
             begun.setdefault(record.id, record.at)
         elif isinstance(record, Withdrawn) and begun.get(record.id, record.at) < record.at:
             since = begun.pop(record.id)  # what it began, it began for the ingress that it is withdrawn from first
-            # What a process sent before its kill is read late where the reader waits for the processor.
-            has_died = record.ingress in dying or any(since - rules.late <= at for at in crashes[record.ingress])
-            if not has_died:
+            if not kills.killed_since(record.ingress, since):
                 yield Breach("lost", record.at, f"{record.id} at {record.ingress}: taken, and its connection ended")
 
 
+class _Kills:
+    """Ingresses that were killed, by what is recorded so far."""
+
+    def __init__(self, rules: Rules) -> None:
+        self._rules = rules
+        self._crashed: dict[str, float] = {}  # when last
+        self._dying: set[str] = set()  # signalled, and the end not seen yet
+
+    def crashed(self, record: Crashed) -> None:
+        """Take in that an ingress was signalled, or that its end was seen."""
+        self._crashed[record.ingress] = record.at
+        (self._dying.add if record.dying else self._dying.discard)(record.ingress)
+
+    def killed_since(self, ingress: str, begun: float) -> bool:
+        """Return whether an ingress was killed after something began for it."""
+        # What a process sent before its kill is read late where the reader waits for the processor.
+        return ingress in self._dying or self._crashed.get(ingress, -1.0) >= begun - self._rules.late
+
+
 class _Repeats:
     """Effects and attempts of each operation, and those that a killed ingress has orphaned."""
 
@@ -101,22 +116,17 @@
         self._effects: Tally[str] = Tally()
         self._sent: Tally[str] = Tally()
         self._orphans: Tally[str] = Tally()  # attempts that ran, or may yet, for an ingress that was killed
-        self._crashed: dict[str, float] = {}
-        self._dying: set[str] = set()
+        self._kills = _Kills(rules)
         self._begun: dict[str, float] = {}
 
     def crashed(self, record: Crashed) -> None:
         """Take in that an ingress was killed."""
-        self._crashed[record.ingress] = record.at
-        (self._dying.add if record.dying else self._dying.discard)(record.ingress)
-
-    def _killed_since(self, ingress: str, begun: float) -> bool:
-        return ingress in self._dying or self._crashed.get(ingress, -1.0) >= begun - self._rules.late
+        self._kills.crashed(record)
 
     def withdrawn(self, record: Withdrawn, request: Asked) -> None:
         """Take in that a request was withdrawn from an ingress that is gone."""
         if record.id in self._begun:
-            self._orphans[request.op] += self._killed_since(record.ingress, self._begun.pop(record.id))
+            self._orphans[request.op] += self._kills.killed_since(record.ingress, self._begun.pop(record.id))
 
     def ran(self, record: Ran, request: Asked) -> Iterator[Breach]:
         """Take in that an effect came; yield it where it came too often."""
@@ -129,7 +139,7 @@
 
     def began(self, record: Began, request: Asked) -> Iterator[Breach]:
         """Take in that a server began an attempt; yield it where that may not be sent again."""
-        if record.id in self._begun and self._killed_since(request.ingress, self._begun[record.id]):
+        if record.id in self._begun and self._kills.killed_since(request.ingress, self._begun[record.id]):
             self._orphans[request.op] += 1  # sent again to the same ingress, which was up again by then
         self._begun[record.id] = record.at
         if self._rules.effects[request.cls] != "unsafe" or record.turned_away:
