Counter: awaited reports are a set; a counter's name is made once

The counter's name was put together for each heartbeat. The counter dropped old entries of reports that proxies do not send and that leave the span by themselves. Change: ProxyShares.awaited and reported_since in place of the fields; Registry.counter_name; the check is gone, the pages say so. One corner is stricter: a share that appears for a proxy never heard of has the worst assumed from then on, not from the next report. In a test one assertion reads the set in place of the field.

--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -155,4 +155,4 @@
     assert "e" in registry.list.members()
     registry._end_role("lost")
     registry._begin_role(10.3)
-    assert registry.counter.shares.proxies["e"].may_have_admitted
+    assert "e" in registry.counter.shares.awaited
--- a/thistleusher/registry/proxy_shares.py
+++ b/thistleusher/registry/proxy_shares.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -36,16 +35,13 @@
     """What the counter knows of one proxy.
 
     `confirmed_at`: when the newest echo was sent that the proxy is known to have received. `echoed_at`: when it was
-    sent the newest echo of all. `known_since`: from when on it is known what the proxy admitted before this counter, if
-    that `may_have_admitted` anything.
+    sent the newest echo of all.
     """
 
     incarnation: str = ""
     share: float = 0.0
     confirmed_at: float = NEVER
     echoed_at: float = NEVER
-    may_have_admitted: bool = False
-    known_since: float = math.inf
     reported_incarnation: str | None = None  # whose report is taken in
     former_incarnations: deque[str] = field(default_factory=lambda: deque(maxlen=FORMER_INCARNATIONS))
 
@@ -75,6 +71,8 @@
         self.known_since = now  # from when on it is known what all proxies admitted
         self.span_s = span_s
         self.proxies: dict[str, ProxyState] = {}
+        self.awaited: set[str] = set()  # that may have admitted something before and have not reported
+        self.reported_since = NEVER  # from when on all that were awaited and have reported know it
         self.first_share_wanted_at: float | None = None
         self.deductions: deque[Deduction] = deque()
         self.deducted_part = 1.0  # at the last refresh
@@ -83,8 +81,9 @@
 
     def set_shares(self, shares: Mapping[str, float]) -> None:
         """Set the shares that are persisted."""
+        self.expect_reports(shares)
         for proxy_name, share in shares.items():
-            self.proxies.setdefault(proxy_name, ProxyState(may_have_admitted=True)).share = share
+            self.proxies[proxy_name].share = share
 
     def record_heartbeat(
         self,
@@ -119,9 +118,12 @@
     # What was admitted before the start.
 
     def expect_reports(self, proxy_names: Iterable[str]) -> None:
-        """Wait for the reports of these proxies too: they are listed, and may have none of the persisted shares."""
+        """Wait for the reports of proxies that have a share or are listed, but for those that were heard of before."""
         for proxy_name in proxy_names:
-            self.proxies.setdefault(proxy_name, ProxyState(may_have_admitted=True))
+            if proxy_name not in self.proxies:
+                self.proxies[proxy_name] = ProxyState()
+                self.awaited.add(proxy_name)
+                self.known_since = self.started_at
 
     def record_report(self, now: float, proxy_name: str, incarnation: str, covered_s: float) -> ReportKind:
         """Record that a proxy has reported what it admitted in the last `covered_s` seconds; return which report."""
@@ -132,9 +134,11 @@
         if proxy.reported_incarnation == incarnation:
             return ReportKind.REPEATED
         proxy.reported_incarnation = incarnation
-        proxy.known_since = min(proxy.known_since, now - covered_s)
-        known = [each.known_since for each in self.proxies.values() if each.may_have_admitted]
-        self.known_since = min(self.started_at, max(known, default=self.started_at))
+        if proxy_name in self.awaited:  # a later incarnation's report cannot know more than this one
+            self.awaited.remove(proxy_name)
+            self.reported_since = max(self.reported_since, now - covered_s)
+            if not self.awaited:
+                self.known_since = min(self.started_at, self.reported_since)
         return ReportKind.FIRST
 
     # Shares.
--- a/thistleusher/registry/quota_counter.py
+++ b/thistleusher/registry/quota_counter.py
@@ -77,8 +77,9 @@
     ) -> bool:
         """Take in what a proxy admitted before this counter's first echo reached it; return whether it is known now.
 
-        Complete for the last `covered_s` seconds; `admitted` holds for each tenant how many seconds ago, and how many
-        requests. Each incarnation's report counts once. False: another incarnation is the present one.
+        Complete for the last `covered_s` seconds, but for what is older than a span; `admitted` holds for each tenant
+        how many seconds ago, and how many requests. Each incarnation's report counts once. False: another incarnation
+        is the present one.
         """
         kind = self.shares.record_report(now, proxy_name, incarnation, covered_s)
         if kind is ReportKind.FIRST:
@@ -92,8 +93,7 @@
             return
         window = self._window(now, tenant, *limit)
         for age_s, count in entries:
-            if age_s <= self.span_s + self.slot_s:
-                window.in_span.add(now - age_s, count)
+            window.in_span.add(now - age_s, count)
 
     # Charges.
 
--- a/thistleusher/registry/registry.py
+++ b/thistleusher/registry/registry.py
@@ -95,6 +95,7 @@
         self.list = PublishedList(name)
         self.members = Members()
         self.counter: QuotaCounter | None = None  # only while it holds the role
+        self.counter_name = ""  # of the present counter, or the last one
         self.charges: ChargeTable | None = None
         self.platform_calls = PlatformCalls(now, platform_rate_per_s)
         self.next_persist_at = now
@@ -242,6 +243,7 @@
         self.holds_role = True
         self._log(Event.ROLE_ACQUIRED, self.lease.term)
         self.counter = QuotaCounter(now, self.quota_window_s)
+        self.counter_name = counter_name(self.name, self.lease.term)
         self.charges = ChargeTable(self.counter)
         self._configure_counter()
         self.counter.shares.expect_reports(self.list.members())
@@ -344,15 +346,14 @@
             self.members.record_heartbeat(now, name, heartbeat.incarnation)
         if self.counter is None:
             return
-        counter = counter_name(self.name, self.lease.term)
-        echoed = heartbeat.echo[1] if heartbeat.echo is not None and heartbeat.echo[0] == counter else None
+        echoed = heartbeat.echo[1] if heartbeat.echo is not None and heartbeat.echo[0] == self.counter_name else None
         never_echoed_for = running_for(heartbeat.incarnation, heartbeat.sent) if heartbeat.echo is None else None
         if self.counter.shares.record_heartbeat(now, name, heartbeat.incarnation, echoed, never_echoed_for):
             share = self.counter.shares.proxies[name].share
-            self._send_to_subscriber(name, HeartbeatEcho(counter, heartbeat.sent, now, share))
+            self._send_to_subscriber(name, HeartbeatEcho(self.counter_name, heartbeat.sent, now, share))
 
     def _receive_admissions(self, now: float, name: str, report: AdmissionReport) -> None:
-        if self.counter is None or report.counter != counter_name(self.name, self.lease.term):
+        if self.counter is None or report.counter != self.counter_name:
             return
         if self.counter.record_admissions(now, name, report.incarnation, report.covered_s, report.admitted):
             self._send_to_subscriber(name, AdmissionReportAck(report.counter))
--- a/thistleusher/transport/messages/usage.py
+++ b/thistleusher/transport/messages/usage.py
@@ -72,8 +72,8 @@
 class AdmissionReport(Message, tag="admission-report", frozen=True):
     """What a proxy admitted before the first echo of a new counter reached it.
 
-    Complete for the last `covered_s` seconds. `admitted` holds for each tenant how many seconds ago, at least, and how
-    many requests.
+    Complete for the last `covered_s` seconds, but for what is older than a span of the users' rule. `admitted` holds
+    for each tenant how many seconds ago, at least, and how many requests.
     """
 
     incarnation: str
