--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,7 +1,8 @@
 """Handle the tests that are known to fail and listed in KNOWN-RED.txt.
 
 The file has one line for each test, "test, cause, issue". As a script, this module runs the listed tests and prints the
-outcome of each. As a pytest plugin (`-p known_red`), it deselects exactly these tests.
+outcome of each. As a pytest plugin (`-p known_red`), it deselects exactly these tests. Lines that begin with `review/`
+list cases of a review, which are no pytest tests and are not run in CI: they are printed and passed over.
 
     python .ci/known_red.py KNOWN-RED.txt
 """
@@ -16,6 +17,7 @@
 import pytest
 
 FILE = Path("KNOWN-RED.txt")
+REVIEW_CASE = "review/"  # Prefix of the lines that list cases of a review.
 COLLECTED_NOTHING = {pytest.ExitCode.USAGE_ERROR, pytest.ExitCode.NO_TESTS_COLLECTED}
 
 
@@ -36,7 +38,7 @@
     """Return the entries of the list. Raises ListError if a line is malformed or a test is listed more than once."""
     entries = []
     for line in text.splitlines():
-        if not line.strip():
+        if not line.strip() or line.startswith(REVIEW_CASE):
             continue
         end = line.find(", ")
         if "[" in line[:end]:  # The parameters of a test may contain commas.
@@ -88,7 +90,8 @@
 def main(path: Path) -> int:
     """Run the listed tests and print their outcomes; return exit code 1 if the list itself is invalid, else 0."""
     try:
-        entries = read_list(path.read_text())
+        text = path.read_text()
+        entries = read_list(text)
         outcomes = run_listed(entries) if entries else {}
     except ListError as error:
         print(f"{path}: {error}", file=sys.stderr)
@@ -97,6 +100,9 @@
     if unlisted:
         print(f"{path}: an entry matches more than one test: {sorted(unlisted)}", file=sys.stderr)
         return 1
+    for line in text.splitlines():
+        if line.startswith(REVIEW_CASE):
+            print(f"KNOWN RED: {line} (case of a review, not run here)")
     for entry in entries:
         outcome = outcomes.get(entry.test, "not run")
         print(f"KNOWN RED: {entry.test}: {outcome} ({entry.cause}; {entry.issue})")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -57,6 +57,24 @@
     assert "test_sample.py::test_one_more PASSES NOW" in completed.stdout
 
 
+def test_a_case_of_a_review_is_printed_and_passed_over(tmp_path: Path) -> None:
+    list_text = "review/1/run.sh, runs twice, issue 9\ntest_sample.py::test_one, slow, issue 7\n"
+    completed = run_script(tmp_path, list_text)
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    assert "KNOWN RED: review/1/run.sh, runs twice, issue 9" in completed.stdout
+    assert "KNOWN RED: test_sample.py::test_one: failed (slow; issue 7)" in completed.stdout
+    full = run(tmp_path, list_text, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "known_red")
+    assert full.returncode == 0
+    assert "1 passed, 1 deselected" in full.stdout
+
+
+def test_a_list_of_cases_of_a_review_alone_is_passed_over(tmp_path: Path) -> None:
+    completed = run_script(tmp_path, "review/1/run.sh, runs twice, issue 9\n")
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    assert "KNOWN RED: review/1/run.sh" in completed.stdout
+    assert run_script(tmp_path, "reviews/1/run.sh, runs twice, issue 9\n").returncode == 1
+
+
 def test_a_wrong_list_fails(tmp_path: Path) -> None:
     line = "test_sample.py::test_one, slow, issue 7\n"
     assert run_script(tmp_path, line * 4).returncode == 1
