Payments: a request may have run from the end of its head on

Cause: while connections break, a request that may not be repeated was written but for its last byte, and counted as never run until that byte followed. That rests on the protocol of the ingress in service ("a backend begins a request when its last byte has come"); the system's backends may run and answer a request before they have read its body. An early answer, a reset, noise, a deadline or a pause in between therefore counted as "never run".

Change: the blank line that ends the head is held back, with the body behind it, and `may_have_run` (was `written`) is set right before it is sent. No backend can begin without the head, so what breaks before has not run, and everything after goes by the backend's own answer. One rule for both programs. `last_byte_guard` is now `head_guard`.

In tests/net/test_head_guard.py only names differ.

--- a/simnet/system/backends.py
+++ b/simnet/system/backends.py
@@ -96,7 +96,7 @@
         serves: Callable[[str], bool],
         on_end: Callable[[AttemptResult], None],
     ) -> None:
-        self.written = False
+        self.may_have_run = False
         self._backends = backends
         self._proxy = proxy
         self._incarnation = proxy.incarnation
@@ -116,7 +116,7 @@
         elif backend.crashed or self._backends.rng.random() < REFUSED_SHARE:
             self._end_later(2 * delay, Outcome.CONNECT_FAILED)
         else:
-            self.written = True
+            self.may_have_run = True
             clock.later(delay, lambda: self._arrive(delay))
         clock.later(timeout, self._time_out)
 
@@ -150,11 +150,11 @@
 
     def expire(self) -> None:
         """End the attempt because of a time-out."""
-        self._close(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
+        self._close(Outcome.TIMEOUT if self.may_have_run else Outcome.CONNECT_FAILED)
 
     def cancel(self) -> None:
         """End the attempt because the backend does not answer."""
-        self._close(Outcome.CANCELLED if self.written else Outcome.MOOT)
+        self._close(Outcome.CANCELLED if self.may_have_run else Outcome.MOOT)
 
     def abandon(self) -> None:
         """End the attempt because its answer is no longer needed."""
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -17,10 +17,10 @@
     """An attempt whose end the test controls."""
 
     def __init__(self, on_end, writes):
-        self.on_end, self.written, self.writes, self.cancelled = on_end, False, writes, 0
+        self.on_end, self.may_have_run, self.writes, self.cancelled = on_end, False, writes, 0
 
     def start(self, timeout):
-        self.timeout, self.written = timeout, self.writes
+        self.timeout, self.may_have_run = timeout, self.writes
 
     def expire(self):
         self.on_end(AttemptResult(Outcome.TIMEOUT))
@@ -30,7 +30,7 @@
 
     def abandon(self):
         self.cancelled += 1
-        self.on_end(AttemptResult(Outcome.CANCELLED if self.written else Outcome.MOOT))
+        self.on_end(AttemptResult(Outcome.CANCELLED if self.may_have_run else Outcome.MOOT))
 
 
 class Rig:
@@ -190,4 +190,4 @@
 def test_what_is_out_and_written_may_have_run():
     rig = Rig(on_request(Attempt("r1", "b0")))
     in_flight = rig.accept(cls="once")
-    assert rig.attempts[0].written and not in_flight.may_refuse()
+    assert rig.attempts[0].may_have_run and not in_flight.may_refuse()
--- a/tests/net/test_last_byte_guard.py
+++ b/tests/net/test_head_guard.py
@@ -1,4 +1,4 @@
-"""Tests of the last-byte guard: outcomes of requests whose connection breaks before or after their last byte."""
+"""Tests of the head guard: outcomes of requests whose connection breaks before or after the end of their head."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from standins.http import read_message
 from tests.net.sockets import HOST, Peer, Rig, call, in_turn, ok, run, until
 from thistleusher.core.events import Outcome
-from thistleusher.net.last_byte_guard import EARLY_CLOSE_FRACTION, GUARD_DURATION_S, LastByteGuard
+from thistleusher.net.head_guard import EARLY_CLOSE_FRACTION, GUARD_DURATION_S, HeadGuard
 
 IDLE = 15.0
 
 
 def test_guard_is_active_for_a_limited_time_after_a_broken_connection():
-    guard = LastByteGuard(IDLE)
+    guard = HeadGuard(IDLE)
     assert not guard.is_active(0.0)
     guard.record_broken_connection(100.0)
     assert (
@@ -32,7 +32,7 @@
     "idle,guarded", [(0.0, True), (EARLY_CLOSE_FRACTION * IDLE * 0.9, True), (EARLY_CLOSE_FRACTION * IDLE * 1.1, False)]
 )
 def test_an_idle_connection_that_was_closed_sooner_than_agreed_is_a_sign(idle, guarded):
-    guard = LastByteGuard(IDLE)
+    guard = HeadGuard(IDLE)
     guard.record_closed_while_idle(100.0 + idle, 100.0)
     assert guard.is_active(100.0 + idle) is guarded
 
@@ -111,7 +111,7 @@
     run(main())
 
 
-def test_a_new_connection_that_breaks_before_the_last_byte_could_not_be_reached():
+def test_a_new_connection_that_breaks_before_the_end_of_the_head_could_not_be_reached():
     """The request has not run, which CONNECT_FAILED states. The upstream does not resend it on another connection."""
 
     async def act(peer, number, reader, writer):
@@ -130,7 +130,7 @@
     run(main())
 
 
-def test_request_may_have_run_if_the_connection_breaks_after_the_last_byte():
+def test_request_may_have_run_if_the_connection_breaks_after_its_head():
     async def act(peer, number, reader, writer):
         await read_message(reader)
         peer.complete += 1
@@ -148,7 +148,7 @@
     run(main())
 
 
-def test_an_answer_before_the_last_byte_belongs_to_no_request():
+def test_an_answer_before_the_end_of_the_head_belongs_to_no_request():
     async def act(peer, number, reader, writer):
         await reader.read(1)
         writer.write(ok(b"too early"))
@@ -165,7 +165,7 @@
     run(main())
 
 
-def test_last_byte_is_not_sent_to_a_backend_that_starts_draining():
+def test_the_end_of_the_head_is_not_sent_to_a_backend_that_starts_draining():
     async def act(peer, number, reader, writer):
         await reader.read(1)
         peer.rig.ingress.serving.discard("b0")
@@ -176,14 +176,14 @@
         rig = backend.rig = Rig(in_turn("b0", "b1"))
         client = await rig.start(b0=backend.port, b1=good.port)
         activate_guard(rig)
-        rig.upstream.guard.last_byte_delay = lambda: 0.05
+        rig.upstream.guard.head_end_delay = lambda: 0.05
         assert (await client.ask(call("r1", cls="once")))[2] == b"good"
         assert rig.script.ends()[0].outcome is Outcome.MOOT and backend.complete == 0
 
     run(main())
 
 
-def test_request_is_not_run_if_the_client_disconnects_before_the_last_byte_is_sent():
+def test_request_is_not_run_if_the_client_disconnects_before_the_end_of_its_head_is_sent():
     async def act(peer, number, reader, writer):
         await peer.answer(reader, writer)
 
@@ -192,7 +192,7 @@
         rig = Rig(in_turn("b0"))
         client = await rig.start(b0=backend.port)
         activate_guard(rig)
-        rig.upstream.guard.last_byte_delay = lambda: 5.0
+        rig.upstream.guard.head_end_delay = lambda: 5.0
         client.writer.write(call("r1", cls="once"))
         await until(lambda: backend.connections and rig.ingress.in_flight)
         client.writer.close()
--- a/tests/proxy/caller_world.py
+++ b/tests/proxy/caller_world.py
@@ -51,8 +51,12 @@
 class World:
     """One proxy between simulated clients and backends with random behaviour."""
 
-    def __init__(self, loop: ScriptedLoop, seed: int, backends: int = 3) -> None:
+    def __init__(
+        self, loop: ScriptedLoop, seed: int, backends: int = 3, *, backends_begin_at_head: bool = False
+    ) -> None:
+        """`backends_begin_at_head`: whether backends begin, and may answer, a request before they have its body."""
         self.loop, self.rng = loop, random.Random(seed)
+        self.backends_begin_at_head = backends_begin_at_head
         self.fault_rate = self.rng.random()
         self.frozen = False
         self.thawed = float("-inf")
@@ -141,7 +145,7 @@
         return connection
 
     def record_run(self, name: bytes, wire: Wire) -> Run:
-        """Record that a backend has received a complete request."""
+        """Record that a backend has begun a request."""
         self.record_if_unwanted(name)
         runs = self.runs.setdefault(name, [])
         if name.startswith(b"e") and not all(run.proven_not_run for run in runs):
@@ -273,13 +277,16 @@
             assert not any(run.ran for run in self.runs.get(name, [])), f"{name!r}: status {status}, but it has run"
 
 
-def play(scenario: Callable[[World], Any], seed: int = 1, backends: int = 3) -> World:
-    """Run a scenario on a scripted loop, and check the assertions that apply to every run."""
+def play(scenario: Callable[[World], Any], seed: int = 1, backends: int = 3, **more: Any) -> World:
+    """Run a scenario on a scripted loop, and check the assertions that apply to every run.
+
+    `more`: further keyword arguments of `World`.
+    """
     loop = ScriptedLoop()
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
 
         async def main() -> World:
-            world = World(loop, seed, backends)
+            world = World(loop, seed, backends, **more)
             await scenario(world)
             return world
 
--- a/tests/proxy/loopback_rig.py
+++ b/tests/proxy/loopback_rig.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+import re
 
-from standins.http import read_message
+from standins.http import Message, read_message
 from thistleusher.common.node_settings import Bounds
 from thistleusher.common.record_reader import read_record
 from thistleusher.configuration.index import Index
@@ -17,6 +18,8 @@
 from thistleusher.proxy.listener import ProxyServer
 from thistleusher.proxy.placement import ListedBackend
 
+LENGTH_LINE = re.compile(rb"\r\nContent-Length: (\d+)\r\n", re.IGNORECASE)
+ATTEMPT_LINE = re.compile(rb"\r\nX-Attempt-Id: (\S+)\r\n", re.IGNORECASE)
 ROUTE = {"hostname": "h.example", "deadline_ms": 2000, "target_ms": 500, "target": "s", "tries": 3}
 
 
@@ -53,6 +56,7 @@
 
     def __init__(self, name):
         self.name, self.script, self.got, self.connections = name, [], [], 0
+        self.began = []  # ids of requests begun by the step "early", which stays in the script
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -67,6 +71,9 @@
                     await reader.read(20)
                     writer.transport.abort()
                     return
+                if self.script and self.script[0] == "early":
+                    await self.answer_early(reader, writer)
+                    continue
                 message = await read_message(reader)
                 attempt = message.headers["x-attempt-id"]
                 self.got.append(message)
@@ -87,6 +94,16 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
+    async def answer_early(self, reader, writer):
+        """Run a request once its head is there, answer it at once, and read its body after that."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        attempt = ATTEMPT_LINE.search(head)[1].decode()
+        self.began.append(attempt)
+        writer.write(answer(attempt))
+        await writer.drain()
+        body = await reader.readexactly(int(LENGTH_LINE.search(head)[1]))
+        self.got.append(Message(head.split(b"\r\n")[0].decode(), {}, body))
+
 
 class Rig:
     """A proxy's listener with two backends of one service."""
--- a/tests/proxy/simulated_peers.py
+++ b/tests/proxy/simulated_peers.py
@@ -32,7 +32,7 @@
 
 
 class Run:
-    """A request that a backend has received completely."""
+    """A request that a backend has begun: received completely, or its head, if backends begin at the head."""
 
     def __init__(self, name: bytes, wire: Wire | None = None) -> None:
         self.name = name
@@ -53,6 +53,7 @@
         self.world, self.name = world, name
         self.wire = Wire(world, connection, self.heard)
         self.buffer = b""
+        self.body_due = 0  # bytes of a body that are still to come after its request has begun
         self.sending: list[tuple[bytes | None, Run | None]] = []  # (piece, request if the piece is its last one)
         self.previous_answer = b""  # sent again by the step "late surplus"
         self.steps = world.steps or world.draw_steps()
@@ -64,13 +65,17 @@
 
     def heard(self, data: bytes) -> None:
         self.buffer += data
+        skipped = min(self.body_due, len(self.buffer))
+        self.body_due -= skipped
+        self.buffer = self.buffer[skipped:]
         head, found, rest = self.buffer.partition(b"\r\n\r\n")
         if not found:
             return
         length = LENGTH.search(head + b"\r\n")
         size = int(length[1]) if length else 0
-        if len(rest) < size:
+        if len(rest) < size and not self.world.backends_begin_at_head:
             return
+        self.body_due = max(0, size - len(rest))
         self.buffer = rest[size:]
         marked = REQUEST.search(head + b"\r\n")
         assert marked is not None
@@ -162,8 +167,10 @@
         self.got += data
         self.times.append(self.world.loop.time())
 
-    def ask(self, name: bytes, path: bytes) -> None:
-        body = b"b" * self.world.rng.choice((0, 5))
+    def ask(self, name: bytes, path: bytes, body: bytes | None = None) -> None:
+        """Send a request, with a body of random length if it is None."""
+        if body is None:
+            body = b"b" * self.world.rng.choice((0, 5))
         data = (
             b"POST /%s/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1400\r\n"
             b"Content-Length: %d\r\n\r\n%s" % (path, name, len(body), body)
--- a/tests/proxy/test_callers.py
+++ b/tests/proxy/test_callers.py
@@ -22,6 +22,42 @@
     play(World.play, seed)
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_nothing_unproven_is_sent_again_where_backends_begin_before_the_body(seed: int) -> None:
+    """Guards against review/1: a payment that a backend ran before its last byte was sent to further backends."""
+    play(World.play, seed, backends_begin_at_head=True)
+
+
+@pytest.mark.parametrize(
+    "step, status",
+    [
+        ("answers", 200),
+        ("fails", 500),
+        ("full", 503),  # each backend proves that it has not run the payment
+        ("claims", 502),  # a 503 without proof
+        ("noise", 502),
+        ("cut", 502),
+        ("reset", 502),
+        ("silent", 502),
+    ],
+)
+def test_a_payment_that_a_backend_begins_at_its_head_gets_that_backend_s_end(step: str, status: int) -> None:
+    """Guards against review/1: while connections break, an end before the last byte counted as never begun."""
+
+    async def scenario(world: World) -> None:
+        world.steps = [step]
+        world.upstream.guard.record_broken_connection(world.loop.time())
+        client = world.client()
+        client.ask(b"e1", b"e", body=b"b" * 1000)
+        await asyncio.sleep(4.0)
+        ((answered, _, _),) = client.answers()
+        runs = world.runs[b"e1"]
+        assert (answered, sum(run.ran for run in runs)) == (status, step != "full")
+        assert len(runs) == (1 if step != "full" else 3)
+
+    play(scenario, backends_begin_at_head=True)
+
+
 def test_a_client_that_reads_nothing_is_disconnected_and_one_that_reads_on_is_not() -> None:
     async def scenario(world: World) -> None:
         clients = [world.client() for _ in range(2)]
@@ -37,7 +73,7 @@
 
 
 def test_no_byte_goes_out_once_a_request_is_overdue() -> None:
-    """The last byte of the request to the backend was still held back when the process was paused."""
+    """The end of the head was still held back from the backend when the process was paused."""
 
     async def scenario(world: World) -> None:
         client = world.client()
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -7,6 +7,8 @@
 from tests.proxy.loopback_rig import answer, config, play, until
 from thistleusher.proxy.shutdown import ProxyGracefulShutdown
 
+LONG_BYTES = 1024 * 1024
+
 
 def test_a_request_and_its_answer_are_forwarded_unchanged():
     async def scenario(rig):
@@ -67,6 +69,23 @@
     play(scenario)
 
 
+def test_a_payment_answered_before_its_long_body_is_read_runs_once():
+    """Guards against review/1: after one broken connection such an answer counted as a connection broken again."""
+
+    async def scenario(rig):
+        for backend in rig.backends:
+            backend.script.append("early")
+        rig.upstream.guard.record_broken_connection(rig.upstream.loop.time())
+        for number in range(5):
+            got = await rig.ask("/e/", body=b"p" * LONG_BYTES, attempt=f"pay-{number}")
+            assert got.status == 200 and got.headers["x-server-seal"] == "s.1"
+        await until(lambda: len(rig.runs()) == 5)  # the bodies have arrived whole, too
+        assert all(run.body == b"p" * LONG_BYTES for run in rig.runs())
+        assert sorted(name for b in rig.backends for name in b.began) == [f"pay-{n}" for n in range(5)]
+
+    play(scenario)
+
+
 def test_a_surplus_answer_that_comes_late_belongs_to_no_request():
     async def scenario(rig):
         (backend,) = rig.backends
--- a/thistleusher/core/driver.py
+++ b/thistleusher/core/driver.py
@@ -287,7 +287,7 @@
     ) -> None:
         """Handle an attempt's outcome: OK answers the request, the module decides on any other outcome."""
         in_flight.attempt = None
-        in_flight.may_have_run |= attempt.written and ended.outcome is not Outcome.FULL
+        in_flight.may_have_run |= attempt.may_have_run and ended.outcome is not Outcome.FULL
         units = 0.0
         if ended.outcome is Outcome.OK:
             # Ignore a reported cost above the maximum of one request as invalid.
--- a/thistleusher/core/in_flight_request.py
+++ b/thistleusher/core/in_flight_request.py
@@ -49,7 +49,7 @@
 
     def may_refuse(self) -> bool:
         """Return whether the request may be refused, i.e. a retry is harmless: nothing ran, or it is idempotent."""
-        if not self.may_have_run and (self.attempt is None or not self.attempt.written):
+        if not self.may_have_run and (self.attempt is None or not self.attempt.may_have_run):
             return True
         effect = self.request_class.effect
         return effect is Effect.SAFE or (effect is Effect.KEYED and self.request_class.group is Group.ALL)
@@ -63,5 +63,5 @@
         """
         if self.attempt is None:
             return
-        if not self.attempt.written or (cancel_stops_work and self.request_class.effect is Effect.SAFE):
+        if not self.attempt.may_have_run or (cancel_stops_work and self.request_class.effect is Effect.SAFE):
             self.attempt.abandon()
--- a/thistleusher/core/ports.py
+++ b/thistleusher/core/ports.py
@@ -103,8 +103,8 @@
     """One attempt at a backend. It reports its end exactly once, possibly before `start` returns."""
 
     @property
-    def written(self) -> bool:
-        """Whether the last byte was handed over; from then on the request may have run."""
+    def may_have_run(self) -> bool:
+        """Whether so much of the request was handed over that its backend may have begun to run it."""
 
     def start(self, timeout: float) -> None:
         """Send the request and wait at most `timeout` seconds for the answer."""
@@ -113,7 +113,7 @@
         """End as timed out, at the request's deadline."""
 
     def cancel(self) -> None:
-        """End as CANCELLED, or as MOOT if nothing was written, because the backend does not answer."""
+        """End as CANCELLED, or as MOOT if it cannot have run, because the backend does not answer."""
 
     def abandon(self) -> None:
         """End like `cancel`, but because no client waits. Nothing is inferred about the backend."""
--- a/thistleusher/embed/admission.py
+++ b/thistleusher/embed/admission.py
@@ -48,9 +48,9 @@
     Entering raises `NotServed` if the request is refused. Leaving raises it if the request's deadline passed before the
     body ended.
 
-    `written`: the host's code may have run. `begun`: the host's answer has begun. `over`: the outcome has been reported
-    to the driver. `left`: the client has disconnected. `interrupted`: the ingress ended the attempt while the host's
-    code ran.
+    `may_have_run`: the host's code may have run. `begun`: the host's answer has begun. `over`: the outcome has been
+    reported to the driver. `left`: the client has disconnected. `interrupted`: the ingress ended the attempt while the
+    host's code ran.
     """
 
     def __init__(self, ingress: AdmittingIngress, request: events.Request) -> None:
@@ -60,7 +60,7 @@
         self.max_units = ingress.settings.max_units
         self.final: Final | None = None
         self.on_interrupt: Callable[[Final], None] | None = None
-        self.written = False
+        self.may_have_run = False
         self.begun = False
         self.over = False
         self.left = False
@@ -190,7 +190,7 @@
         if self._decision.done():  # the host's task was cancelled, but has not run since to report that
             self._end(AttemptResult(Outcome.MOOT))
             return
-        self.written = True
+        self.may_have_run = True
         self._started_at = self.driver.scheduler.time()
         self._decision.set_result(None)
 
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -10,13 +10,15 @@
 
 from thistleusher.core.events import Outcome
 from thistleusher.net.exchange import BackendExchange
-from thistleusher.net.last_byte_guard import LastByteGuard
+from thistleusher.net.head_guard import HeadGuard
 from thistleusher.services.http_responses import MAX_BODY_BYTES, Response, ResponseReader
 
 log = logging.getLogger(__name__)
 
 # A connection is not reused after it has been idle for this fraction of the backend's idle time-out.
 MAX_IDLE_FRACTION = 0.5
+HEAD_END = b"\r\n\r\n"
+LINE_END = b"\r\n"
 REJECTED_STATUSES = (503, 504)  # with the header X-Rejected: 1, the backend states that it has not run the request
 
 
@@ -37,7 +39,7 @@
 
     backend: str
     loop: asyncio.AbstractEventLoop
-    guard: LastByteGuard
+    guard: HeadGuard
     options: UpstreamOptions
     read_count: int
 
@@ -67,7 +69,7 @@
         self.has_carried_request = False
         self.has_received_stray_response = False  # a response that matches no request on this connection
         self.stall_timer: asyncio.TimerHandle | None = None
-        self.last_byte_timer: asyncio.TimerHandle | None = None
+        self.head_end_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -90,32 +92,39 @@
         return now - self.idle_since < MAX_IDLE_FRACTION * self.idle_timeout_s
 
     def send(self, exchange: BackendExchange) -> None:
-        """Write the request. Once its last byte is written the request may run, so a break then counts as a reset."""
+        """Write the request. Once its head is complete the request may run, so a break then counts as a reset.
+
+        A backend may run and answer a request before it has read the body, so a body that is not sent completely
+        proves nothing. Of a guarded request, the blank line that ends the head is written later, with the body.
+        """
         assert self.transport is not None
         self.exchange = exchange
         exchange.connection = self
         message = exchange.message()
         if exchange.guarded:
-            self.transport.write(message[:-1])
-            last_byte_delay = self.pool.guard.last_byte_delay()
-            self.last_byte_timer = self.pool.loop.call_later(last_byte_delay, self._send_last_byte, message[-1:])
+            held_from = message.index(HEAD_END) + len(LINE_END)
+            self.transport.write(message[:held_from])
+            held_back = memoryview(message)[held_from:]
+            self.head_end_timer = self.pool.loop.call_later(
+                self.pool.guard.head_end_delay(), self._complete_head, held_back
+            )
         else:
-            exchange.written = True
+            exchange.may_have_run = True
             self.transport.write(message)
 
-    def _send_last_byte(self, last_byte: bytes) -> None:
-        """Write a guarded request's last byte, unless the connection has ended or the request is no longer needed."""
+    def _complete_head(self, held_back: memoryview) -> None:
+        """Write the rest of a guarded request, unless the connection has ended or the request is no longer needed."""
         exchange = self.exchange
         assert self.transport is not None
         assert exchange is not None
         if self.is_stale():
-            self._fail("connection closed before the request's last byte was written")
+            self._fail("connection closed before the request's head was complete")
         elif not exchange.can_send():
             self.drop()
             exchange.end(Outcome.MOOT)
         else:
-            exchange.written = True
-            self.transport.write(last_byte)
+            exchange.may_have_run = True
+            self.transport.write(held_back)
 
     def data_received(self, data: bytes) -> None:
         """Parse a read; only its first response can be the response to the exchange.
@@ -129,8 +138,9 @@
         if self.exchange is None:
             self.drop()
             return
-        if not self.exchange.written:
-            self._fail("response received before the request's last byte was written")
+        if not self.exchange.may_have_run:
+            # No backend can answer a request whose head is not complete, so these bytes belong to no request.
+            self._fail("response received before the request's head was complete")
             return
         responses = self.reader.feed(data)
         id_header = self.pool.options.request_id_header
@@ -178,11 +188,11 @@
             return
         log.debug("backend %s: %s", self.pool.backend, reason)
         self.pool.guard.record_broken_connection(self.pool.loop.time())
-        if exchange.written:
+        if exchange.may_have_run:
             exchange.end(Outcome.RESET)
         elif self.has_carried_request:
-            # The request was not written completely, so it has not run and this does not count as an attempt. It is
-            # sent again on a new connection; there this branch does not apply, so it is resent at most once.
+            # The head was not complete, so the request has not run and this does not count as an attempt. It is sent
+            # again on a new connection; there this branch does not apply, so it is resent at most once.
             exchange.connection = None
             self.pool.reopen(exchange)
         else:
@@ -196,8 +206,8 @@
         self.exchange = None
         if self.stall_timer is not None:
             self.stall_timer.cancel()
-        if self.last_byte_timer is not None:
-            self.last_byte_timer.cancel()
+        if self.head_end_timer is not None:
+            self.head_end_timer.cancel()
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError as error:
--- a/thistleusher/net/connection_pool.py
+++ b/thistleusher/net/connection_pool.py
@@ -8,7 +8,7 @@
 
 from thistleusher.net.backend_connection import DEFAULT_OPTIONS, BackendConnection, UpstreamOptions
 from thistleusher.net.exchange import BackendExchange
-from thistleusher.net.last_byte_guard import LastByteGuard
+from thistleusher.net.head_guard import HeadGuard
 from thistleusher.services.addresses import Address
 
 
@@ -29,7 +29,7 @@
         endpoint: Endpoint,
         loop: asyncio.AbstractEventLoop,
         connections: set[BackendConnection],
-        guard: LastByteGuard,
+        guard: HeadGuard,
         reopen: Callable[[BackendExchange], None],
         options: UpstreamOptions = DEFAULT_OPTIONS,
     ) -> None:
--- a/thistleusher/net/exchange.py
+++ b/thistleusher/net/exchange.py
@@ -25,8 +25,12 @@
 class BackendExchange:
     """One request to a backend. It has exactly one outcome, reported through `on_end`.
 
-    `can_send` is called at the start, after a new connection has opened, and before a delayed last byte is written,
-    since the backend may have begun to drain or the client may have disconnected in the meantime.
+    `can_send` is called at the start, after a new connection has opened, and before the delayed end of a head is
+    written, since the backend may have begun to drain or the client may have disconnected in the meantime.
+
+    `may_have_run` becomes true before the byte that completes the request's head is handed to the transport: a backend
+    may run and answer a request before it has read the body. Whatever ends the exchange from then on, only the
+    backend's own answer proves that the request has not run.
     """
 
     def __init__(
@@ -41,9 +45,9 @@
     ) -> None:
         """Create an exchange; `Upstream.send` starts it.
 
-        `guarded`: whether the last byte may be delayed until the connection has proved to be open, so that a broken
-        connection does not leave open whether the request has run. `Upstream.send` clears it unless connections have
-        been seen to break lately.
+        `guarded`: whether the end of the request's head may be delayed until the connection has proved to be open, so
+        that a broken connection does not leave open whether the request has run. `Upstream.send` clears it unless
+        connections have been seen to break lately.
 
         `request_id`: required value of the response header `UpstreamOptions.request_id_header`. A response with another
         value, or without the header, is not a response to this exchange.
@@ -60,7 +64,7 @@
         self.stall_timeout = stall_timeout
         self.connection: ExchangeConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.written = False  # whether the request has been written completely, so that it may have run
+        self.may_have_run = False  # whether the request's head has been written completely
         self.ended = False
         self.read_count_at_start = 0  # the pool's `read_count` when the exchange started
 
@@ -76,13 +80,13 @@
     def give_up(self, outcome: Outcome) -> None:
         """Abandon the exchange.
 
-        The connection is closed first, so that a repeated request never runs beside this one. If the request was not
-        written completely, it cannot have run, and the outcome MOOT (for CANCELLED) or CONNECT_FAILED is reported.
+        The connection is closed first, so that a repeated request never runs beside this one. If the request's head was
+        not written completely, it cannot have run: MOOT (for CANCELLED) or CONNECT_FAILED is reported.
         """
         if self.ended:
             return
         if self.connection is not None:
             self.connection.drop()
-        if not self.written:
+        if not self.may_have_run:
             outcome = Outcome.MOOT if outcome is Outcome.CANCELLED else Outcome.CONNECT_FAILED
         self.end(outcome)
--- a/thistleusher/net/last_byte_guard.py
+++ b/thistleusher/net/head_guard.py
@@ -1,23 +1,24 @@
-"""Decides when the last byte of a request is delayed until its connection has proved to be open.
+"""Decides when the end of a request's head is delayed until its connection has proved to be open.
 
-A backend runs a request once its last byte has arrived. If the connection closes at about the time the last byte
-is written, the request may have run, so a request of a non-idempotent class has failed for good. So if connections have
-recently closed during requests, the last byte is written `LAST_BYTE_DELAY_S` after the rest, and only if the connection
-is still open: a request whose connection breaks before that has certainly not run.
+A backend may run a request once its head is complete, before it has read the body. If the connection closes at about
+the time the head is completed, the request may have run, so a request of a non-idempotent class has failed for good. So
+if connections have recently closed during requests, the blank line that ends the head is written `HEAD_END_DELAY_S`
+after the lines before it, and only if the connection is still open: a request whose connection breaks before that has
+certainly not run.
 
 No input or output: times are passed in, in seconds on a monotonic clock.
 """
 
 from __future__ import annotations
 
-LAST_BYTE_DELAY_S = 0.003  # delay of the last byte: one round trip, and some time for a busy peer
+HEAD_END_DELAY_S = 0.003  # delay of the head's end: one round trip, and some time for a busy peer
 # Requests are guarded for this long after a connection has closed during a request, or early while idle.
 GUARD_DURATION_S = 30.0
 # A backend that closes an idle connection before this fraction of the agreed idle time-out closes it early.
 EARLY_CLOSE_FRACTION = 0.1
 
 
-class LastByteGuard:
+class HeadGuard:
     """Decides from recent connection closes whether requests are guarded. Costs one comparison per request."""
 
     def __init__(self, idle_timeout_s: float) -> None:
@@ -26,9 +27,9 @@
         self.active_until = float("-inf")
 
     @staticmethod
-    def last_byte_delay() -> float:
-        """Return the delay of a guarded request's last byte, in seconds."""
-        return LAST_BYTE_DELAY_S
+    def head_end_delay() -> float:
+        """Return the delay of the end of a guarded request's head, in seconds."""
+        return HEAD_END_DELAY_S
 
     def record_broken_connection(self, now: float) -> None:
         """Record that a connection closed during a request."""
--- a/thistleusher/net/ingress.py
+++ b/thistleusher/net/ingress.py
@@ -34,9 +34,9 @@
         self.exchange = exchange
 
     @property
-    def written(self) -> bool:
-        """Whether the request has been written completely, so that it may have run."""
-        return self.exchange.written
+    def may_have_run(self) -> bool:
+        """Whether its backend may have begun to run the request."""
+        return self.exchange.may_have_run
 
     def has_unread_bytes(self) -> bool:
         """Return whether the backend has sent unread bytes: the response, perhaps, if this process was suspended."""
--- a/thistleusher/net/upstream.py
+++ b/thistleusher/net/upstream.py
@@ -15,7 +15,7 @@
 )
 from thistleusher.net.connection_pool import ConnectionPool, Endpoint
 from thistleusher.net.exchange import BackendExchange
-from thistleusher.net.last_byte_guard import LastByteGuard
+from thistleusher.net.head_guard import HeadGuard
 from thistleusher.net.socket_state import enable_dead_peer_detection
 
 log = logging.getLogger(__name__)
@@ -40,7 +40,7 @@
         self.max_idle_s = MAX_IDLE_FRACTION * idle_timeout
         self.max_sockets = max_sockets
         self.options = options
-        self.guard = LastByteGuard(idle_timeout)
+        self.guard = HeadGuard(idle_timeout)
         self.pools: dict[str, ConnectionPool] = {}
         self.connections: set[BackendConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -78,7 +78,7 @@
             self._start_open(pool, exchange)
 
     def reopen(self, exchange: BackendExchange) -> None:
-        """Send an exchange on a new connection, after a reused one ended before the request's last byte was written."""
+        """Send an exchange on a new connection, after a reused one ended before the request's head was complete."""
         pool = self.pools.get(exchange.backend)
         if pool is None or not exchange.can_send():
             exchange.end(Outcome.MOOT)
@@ -100,7 +100,7 @@
     def _give_up(self, exchange: BackendExchange, outcome: Outcome) -> None:
         """End an exchange. If its backend has sent nothing at all since it started, close the idle connections too."""
         pool = self.pools.get(exchange.backend)
-        if pool is not None and exchange.written and pool.read_count == exchange.read_count_at_start:
+        if pool is not None and exchange.may_have_run and pool.read_count == exchange.read_count_at_start:
             pool.close_idle()
         exchange.give_up(outcome)
 
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -111,7 +111,7 @@
 
         def ended(exchange: BackendExchange, outcome: Outcome, answer: Response | None) -> None:
             call.attempt = None
-            call.ended_attempt_may_have_run |= exchange.written and outcome is not Outcome.FULL
+            call.ended_attempt_may_have_run |= exchange.may_have_run and outcome is not Outcome.FULL
             if answer is not None:
                 self._note_answer(call, backend, outcome, answer)
             on_end(AttemptResult(outcome, answer))
--- a/thistleusher/proxy/http_messages.py
+++ b/thistleusher/proxy/http_messages.py
@@ -109,7 +109,7 @@
 
     def may_have_run(self) -> bool:
         """Return whether a backend may have started the request, so that no rejection may be sent any more."""
-        return self.ended_attempt_may_have_run or (self.attempt is not None and self.attempt.written)
+        return self.ended_attempt_may_have_run or (self.attempt is not None and self.attempt.may_have_run)
 
     def message(self, remaining_s: float, backend: str) -> bytes:
         """Return the bytes to send to the backend; `remaining_s`: remaining time of the request in seconds."""
