--- a/tests/proxy/test_callers.py
+++ b/tests/proxy/test_callers.py
@@ -58,6 +58,31 @@
     play(scenario, backends_begin_at_head=True)
 
 
+def test_a_payment_goes_out_anew_if_its_connection_closed_unnoticed_before_the_end_of_its_head() -> None:
+    """Guards against a head completed on a closed connection, which would leave open whether the payment has run."""
+
+    async def scenario(world: World) -> None:
+        world.steps = ["answers"]
+        client = world.client()
+        client.ask(b"e1", b"e")
+        while not client.got:
+            await asyncio.sleep(0.001)
+        world.upstream.guard.record_broken_connection(world.loop.time())
+        client.ask(b"e2", b"e")
+        (connection,) = world.upstream.connections
+        assert connection.exchange is not None
+        wire = next(w for w in world.wires if w is not client.wire)
+        wire.cut = True
+        wire.unread.append(None)  # closed by the backend, but the process reads that after its timers
+        await asyncio.sleep(0.1)
+        wire.read()
+        await asyncio.sleep(0.1)
+        assert [status for status, _, _ in client.answers()] == [200, 200]
+        assert len(world.runs[b"e2"]) == 1
+
+    play(scenario, backends=1)
+
+
 def test_a_client_that_reads_nothing_is_disconnected_and_one_that_reads_on_is_not() -> None:
     async def scenario(world: World) -> None:
         clients = [world.client() for _ in range(2)]
