Soak faults: the line of the reset fault as it reads now

Change: it names `exchange.may_have_run`; two comments of tests/proxy/test_leaving_clients.py say head.

--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -79,7 +79,7 @@
     SourceFault(
         "an attempt whose connection was reset counts as never sent",
         "net/backend_connection.py",
-        "            exchange.written = True\n            self.transport",
+        "            exchange.may_have_run = True\n            self.transport",
         "            self.transport",
     ),
     SourceFault(
--- a/tests/proxy/test_leaving_clients.py
+++ b/tests/proxy/test_leaving_clients.py
@@ -96,12 +96,12 @@
 
 @pytest.mark.parametrize("name", [b"p1", b"e1"])
 def test_timers_that_are_due_before_the_end_is_read_send_nothing(name: bytes):
-    """The last byte of the request to the backend was still held back when the process was paused."""
+    """The end of the head was still held back from the backend when the process was paused."""
 
     async def scenario(world: World) -> None:
         client = world.client()
         world.upstream.guard.record_broken_connection(world.loop.time())
-        if name == b"p1":  # its last byte is not held back; it waits for its connection
+        if name == b"p1":  # its head is not held back; it waits for its connection
             client.ask(name, b"p")
         else:
             client.ask(name, b"e")
