Loopback rig: read heads with the expressions of the simulated peers

Cause: the early-answering backend of tests/proxy/loopback_rig.py had two expressions for the length and the id of a request, which tests/proxy/simulated_peers.py has already (LENGTH, REQUEST). Change: the rig uses those. Nothing outside tests. Result: 427 tests of tests/proxy pass; with the last byte held back in place of the head's end the loopback test fails as before.

--- a/tests/proxy/loopback_rig.py
+++ b/tests/proxy/loopback_rig.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import random
-import re
 
 from standins.http import Message, read_message
+from tests.proxy.simulated_peers import LENGTH, REQUEST
 from thistleusher.common.node_settings import Bounds
 from thistleusher.common.record_reader import read_record
 from thistleusher.configuration.index import Index
@@ -18,8 +18,6 @@
 from thistleusher.proxy.listener import ProxyServer
 from thistleusher.proxy.placement import ListedBackend
 
-LENGTH_LINE = re.compile(rb"\r\nContent-Length: (\d+)\r\n", re.IGNORECASE)
-ATTEMPT_LINE = re.compile(rb"\r\nX-Attempt-Id: (\S+)\r\n", re.IGNORECASE)
 ROUTE = {"hostname": "h.example", "deadline_ms": 2000, "target_ms": 500, "target": "s", "tries": 3}
 
 
@@ -97,11 +95,11 @@
     async def answer_early(self, reader, writer):
         """Run a request once its head is there, answer it at once, and read its body after that."""
         head = await reader.readuntil(b"\r\n\r\n")
-        attempt = ATTEMPT_LINE.search(head)[1].decode()
+        attempt = REQUEST.search(head)[1].decode()
         self.began.append(attempt)
         writer.write(answer(attempt))
         await writer.drain()
-        body = await reader.readexactly(int(LENGTH_LINE.search(head)[1]))
+        body = await reader.readexactly(int(LENGTH.search(head)[1]))
         self.got.append(Message(head.split(b"\r\n")[0].decode(), {}, body))
 
 
