--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -134,7 +134,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(*NO_ANSWER, asyncio.IncompleteReadError):
+        with contextlib.suppress(*NO_ANSWER, asyncio.IncompleteReadError, asyncio.CancelledError):
             await self.serve(reader, writer)
         self.writers.discard(writer)
         writer.close()
@@ -187,7 +187,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(*NO_ANSWER, asyncio.IncompleteReadError):
+        with contextlib.suppress(*NO_ANSWER, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 await read_message(reader)
                 rows = [instance.entry() for instance in self.instances]
