--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -26,7 +27,7 @@
 ZONES = {"rijeka-1": "kvarner", "rijeka-2": "kvarner", "krapina-1": "zagorje"}
 CORE_ZONES = ("rijeka-1", "rijeka-1", "rijeka-2")
 FRONT_ZONES = ("rijeka-1", "rijeka-2", "krapina-1")
-CONTROL, FRONT, READY, DIRECTORY, PLATFORM, BACKEND = 8381, 8388, 8384, 8383, 8382, 8080
+PORTS_KEPT = 16  # ports that each machine keeps free for what the programs say to each other
 HOST = "sajam.example"
 NO_ANSWER = (OSError, EOFError, TimeoutError, ValueError)
 BOUNDS = (
@@ -40,6 +41,19 @@
 CORE_LIMITS = ("limits.cores=3", "limits.mem_mb=296", "limits.fd_limit=4096", "limits.disk_mb=256")
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports in a row that are free on loopback, below the system's own range."""
+    while True:
+        first = random.randrange(10_000, 30_000)
+        with contextlib.ExitStack() as sockets, contextlib.suppress(OSError):
+            for port in range(first, first + count):
+                sockets.enter_context(socket.socket()).bind(("127.0.0.1", port))
+            return list(range(first, first + count))
+
+
+CONTROL, FRONT, READY, DIRECTORY, PLATFORM, BACKEND, KEPT = free_ports(6 + PORTS_KEPT)[:7]
+
+
 class Record:
     """The record of a run: one line an event, with the seconds since the start."""
 
@@ -226,7 +240,7 @@
             f"region={ZONES[self.zone]}",
             *(f"zones.{zone}={region}" for zone, region in ZONES.items()),
             *(f"binds.{name}={self.ip}:{port}" for name, port in binds.get(self.role, {}).items()),
-            "port_range=7560,7575",
+            f"port_range={KEPT},{KEPT + PORTS_KEPT - 1}",
             "seed_nodes=" + ",".join(f"{ip}:{CONTROL}" for ip in self.rig.core_ips),
             f"bootstrap={'true' if self.bootstrap else 'false'}",
             f"counted={'false' if front else 'true'}",
@@ -486,8 +500,14 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _interrupt(*_: object) -> None:
+    """End the case, and with it the processes that it started."""
+    raise KeyboardInterrupt
+
+
 def main(case: Callable[[], Awaitable[int]]) -> None:
     """Run a case; exit with its code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         code = asyncio.run(case())  # type: ignore[arg-type]
     except Exception as error:
