Signals: a process that starts or has shut down is not ended by one

Callers saw: a process that was terminated in the first tenths of a second after its start ended by the signal (-15) and without a log line, instead of with 0; SIGHUP or a second SIGTERM in the last moments of a shutdown ended it by that signal too (-1, -15). Cause: the handlers belonged to the event loop. Before it runs SIGTERM had its default action, and the loop sets the default back when it is closed. Errors of a first tick or of a shutdown ended a process as well. Change: common.signals handles them from the first own line on and leaves them ignored at the end. A starting process has nothing to hand over and ends at once with 0; while listeners are opened, SIGTERM ends that and shuts down. The first tick runs under the same guard as the others, an error in shut_down is logged. The settings file is read before what is slow to load (common.settings_file). Left: until about 18 ms after the start the interpreter has not reached a line of ours (measured here).

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -22,7 +22,8 @@
 
 from benchmarks.scale.inputs import proxy_address, proxy_zone, settings
 from thistleusher.common.node_settings import CONTROL, PROXY, REGISTRY, RING
-from thistleusher.common.process import TICK_S, SettingsFile
+from thistleusher.common.process import TICK_S
+from thistleusher.common.settings_file import SettingsFile
 from thistleusher.proxy.commands import ApplyConfiguration, Command, DeliverChargeAnswer
 from thistleusher.proxy.program import ProxyProgram
 from thistleusher.proxy.requests import ChargeTenant
--- /dev/null
+++ b/tests/system/test_starts.py
@@ -0,0 +1,91 @@
+"""Processes that start or end while signals come, and the systems that they found."""
+
+import contextlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from tests.system.programs import Program, addresses
+
+PROGRAMS = ("control", "registry", "proxy")
+
+
+@pytest.fixture
+def programs():
+    """A list of programs that are ended with the test."""
+    started = []
+    yield started
+    for program in started:
+        program.end()
+
+
+def one(programs, folder, name):
+    """Return one program on an address of its own."""
+    (ip,) = addresses(1)
+    programs.append(Program(folder, name, ip, (ip,)))
+    return programs[-1]
+
+
+def wait_until_handled(program):
+    """Wait until the process has installed its handlers."""
+    status = f"/proc/{program.process.pid}/status"
+    caught, bit = 0, 1 << (signal.SIGTERM - 1)
+    end = time.monotonic() + 20
+    while not caught & bit:
+        assert time.monotonic() < end and program.process.poll() is None
+        with open(status) as file:  # noqa: PTH123
+            caught = next(int(line.split()[1], 16) for line in file if line.startswith("SigCgt"))
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_signals_are_handled_before_anything_slow_is_loaded(name):
+    source = (
+        f"import sys; sys.argv = ['thistleusher', '{name}']; import signal; import thistleusher.system\n"
+        "handled = signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL\n"
+        "slow = {'asyncio', 'uvloop', 'absl', 'msgspec', 'lmdb', 'pathlib', 'typing'} & sys.modules.keys()\n"
+        "assert handled and not slow, (handled, slow)\n"
+    )
+    found = subprocess.run([sys.executable, "-S", "-c", source], capture_output=True, text=True)
+    assert found.returncode == 0, found.stderr
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.3])
+def test_a_process_that_is_terminated_while_it_starts_ends_in_order(programs, tmp_path, name, delay_s):
+    program = one(programs, tmp_path, name)
+    program.start()
+    wait_until_handled(program)
+    time.sleep(delay_s)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.wait() == 0
+    assert "102 " in program.log()
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_a_process_that_is_told_to_reload_while_it_starts_goes_on(programs, tmp_path, name):
+    program = one(programs, tmp_path, name)
+    program.start()
+    wait_until_handled(program)
+    for _ in range(60):
+        program.process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+    program.wait_for_log("100 ")
+    program.process.send_signal(signal.SIGTERM)
+    assert program.wait() == 0
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_in_the_last_moments_of_a_shutdown_do_not_end_the_process(programs, tmp_path, name, number):
+    program = one(programs, tmp_path, name)
+    program.start()
+    program.wait_for_log("100 ")
+    program.process.send_signal(signal.SIGTERM)
+    with contextlib.suppress(ProcessLookupError):
+        while program.process.poll() is None:
+            program.process.send_signal(number)
+            time.sleep(0.0005)
+    assert program.wait() == 0
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -1,21 +1,25 @@
-"""Starts one of the three programs and runs it until it ends."""
+"""Starts one of the three programs and runs it until it ends.
+
+Loads the settings before everything that is slow to load: what a program has to do first may depend on them.
+"""
 
 from __future__ import annotations
 
-import asyncio
 import importlib
 import sys
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
-import uvloop
-
-from thistleusher.common.process import SettingsFile
-from thistleusher.log.setup import use_absl_handler
+from thistleusher.common import signals
+from thistleusher.common.settings_file import SettingsFile
 
 EXIT_OK = 0
 EXIT_CANNOT_SERVE = 1
 EXIT_BAD_SETTINGS = 2
 
+Main = Callable[[SettingsFile], Coroutine[Any, Any, None]]
+
 
 def start(program: str, path: Path | None = None, verbose: bool = False) -> int:
     """Run `thistleusher.<program>.program` with the settings file at `path`, by default that of `node_settings_path`.
@@ -23,7 +27,7 @@
     Return the exit code: `EXIT_OK` after a graceful shutdown, `EXIT_CANNOT_SERVE` if a port cannot be opened,
     `EXIT_BAD_SETTINGS` if the settings file is missing or invalid.
     """
-    use_absl_handler(verbose)
+    signals.install()
     try:
         settings = SettingsFile(path)
     except OSError as error:
@@ -33,11 +37,25 @@
         for fault in group.exceptions:
             print(f"settings: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    main = importlib.import_module(f"thistleusher.{program}.program").main
     try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(main(settings))
+        _run(program, settings, verbose)
     except OSError as error:
         print(f"cannot serve: {error}", file=sys.stderr)
         return EXIT_CANNOT_SERVE
+    finally:
+        signals.ignore()
     return EXIT_OK
+
+
+def _run(program: str, settings: SettingsFile, verbose: bool) -> None:
+    """Load a program and run it."""
+    import asyncio
+
+    import uvloop
+
+    from thistleusher.log.setup import use_absl_handler
+
+    use_absl_handler(verbose)
+    main: Main = importlib.import_module(f"thistleusher.{program}.program").main
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main(settings))
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -16,7 +16,8 @@
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import log_event
 from thistleusher.common.node_settings import CONTROL
-from thistleusher.common.process import SettingsFile, serve
+from thistleusher.common.process import serve
+from thistleusher.common.settings_file import SettingsFile
 from thistleusher.control import orders
 from thistleusher.control.interface import Answer, Call, LogEvent, Send, SendToClient, ServiceOutput, Write
 from thistleusher.control.leases import LeaseGrantor
@@ -92,13 +93,15 @@
 
     async def run(self) -> None:
         """Run until the process receives a signal to stop."""
+        await serve("control", self.settings, self.tick, self._settings_changed, self.shut_down, self._start)
+
+    async def _start(self) -> None:
+        """Open the listeners."""
         node_settings = self.node_settings
         await self.listener.listen(node_settings.ip, node_settings.port(CONTROL))
         if node_settings.binds.control:
             await self.api.listen(*read_address(node_settings.binds.control))
-        self.tick()
         self.loop.call_later(PRELOAD_DELAY_S, orders.validation_module)
-        await serve("control", self.settings, self.tick, self._settings_changed, self.shut_down)
 
     async def shut_down(self) -> None:
         """Hand over this machine's roles, answer waiting calls, and close.
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -18,8 +18,9 @@
 from thistleusher.common.events import Event, log_event
 from thistleusher.common.incarnations import new_incarnation
 from thistleusher.common.node_settings import CONTROL, PROXY, REGISTRY, RING
-from thistleusher.common.process import SettingsFile, serve
+from thistleusher.common.process import serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
+from thistleusher.common.settings_file import SettingsFile
 from thistleusher.net.backend_connection import UpstreamOptions
 from thistleusher.net.connection_pool import Endpoint
 from thistleusher.net.request_buffer import ClientLimits
@@ -137,20 +138,22 @@
 
     async def run(self) -> None:
         """Serve until the process is asked to shut down."""
-        node_settings = self.node_settings
-        await self.loop.create_datagram_endpoint(
-            lambda: self.ring_socket, local_addr=(node_settings.ip, node_settings.port(RING))
-        )
+        await serve("proxy", self.settings, self.tick, self._settings_changed, self.shut_down, self._start)
+
+    async def _start(self) -> None:
+        """Open the listeners, and connect to the core."""
+        node_settings, binds = self.node_settings, self.node_settings.binds
+        ring = (node_settings.ip, node_settings.port(RING))
+        await self.loop.create_datagram_endpoint(lambda: self.ring_socket, local_addr=ring)
         await self.hand_over_listener.listen(node_settings.ip, node_settings.port(PROXY))
-        if node_settings.binds.ready:
-            await self.readiness.listen(*read_address(node_settings.binds.ready))
-        if node_settings.binds.directory:
-            await self.directory.listen(*read_address(node_settings.binds.directory))
-        if node_settings.binds.front:
-            await self.server.listen(*read_address(node_settings.binds.front))
+        for server, address in (
+            (self.readiness, binds.ready),
+            (self.directory, binds.directory),
+            (self.server, binds.front),
+        ):
+            if address:
+                await server.listen(*read_address(address))
         self._connect_to_core(node_settings.core_ips)
-        self.tick()
-        await serve("proxy", self.settings, self.tick, self._settings_changed, self.shut_down)
 
     async def shut_down(self) -> None:
         """Announce the shutdown, serve clients that still arrive, finish requests in flight, and close all sockets."""
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -15,8 +15,9 @@
 from thistleusher.common.events import log_event
 from thistleusher.common.incarnations import new_incarnation
 from thistleusher.common.node_settings import CONTROL, REGISTRY
-from thistleusher.common.process import SettingsFile, serve
+from thistleusher.common.process import serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
+from thistleusher.common.settings_file import SettingsFile
 from thistleusher.registry.outputs import CallPlatform, ConnectToCore, Output, SendToControl, SendToSubscriber
 from thistleusher.registry.platform_client import PlatformClient
 from thistleusher.registry.registry import Registry
@@ -67,10 +68,13 @@
 
     async def run(self) -> None:
         """Serve until the process receives a signal to shut down."""
-        await self.listener.listen(self.node_settings.ip, self.node_settings.port(REGISTRY))
-        self._connect_to(self.node_settings.core_ips)
-        self.tick()
-        await serve("registry", self.settings, self.tick, self._settings_changed, self.shut_down)
+        await serve("registry", self.settings, self.tick, self._settings_changed, self.shut_down, self._start)
+
+    async def _start(self) -> None:
+        """Open the listener, and connect to the core."""
+        node_settings = self.node_settings
+        await self.listener.listen(node_settings.ip, node_settings.port(REGISTRY))
+        self._connect_to(node_settings.core_ips)
 
     async def shut_down(self) -> None:
         """Release the singleton role, then close all links."""
--- a/thistleusher/system.py
+++ b/thistleusher/system.py
@@ -5,22 +5,24 @@
 
 from __future__ import annotations
 
-import signal
+import sys
 
-# This precedes the slow imports, because SIGHUP would end the process until the main loop handles it.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+PROGRAMS = ("proxy", "control", "registry")
+STARTS_PROGRAM = len(sys.argv) == 2 and sys.argv[1] in PROGRAMS
 
-import gc  # noqa: E402
-import sys  # noqa: E402
+if STARTS_PROGRAM:  # before the slow imports, because a signal ends a process that has no handler for it
+    from thistleusher.common import signals
 
-from thistleusher.common import process_start  # noqa: E402, F401  (first: records the start)
+    signals.install()
 
-PROGRAMS = ("proxy", "control", "registry")
+import gc  # noqa: E402
+
+from thistleusher.common import process_start  # noqa: E402, F401  (records the start)
 
 
 def main() -> None:
     """Start the program named by the only argument, or else run the command line."""
-    if len(sys.argv) == 2 and sys.argv[1] in PROGRAMS:
+    if STARTS_PROGRAM:
         gc.disable()  # imports create hardly any garbage; `process.serve` enables the collector again
         from thistleusher.common.launcher import start
 
