Start: a port that is still held is waited for

Callers saw (read in the sources, then shown): a process whose port another one still held ended at once with exit code 1, and so at each start. Cause: an address in use was treated like one that does not exist. Change: listeners are opened again and again for 10 s, longer than a shutdown may take; event 105 says so.

--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import signal
+import socket
 import subprocess
 import sys
 import time
 
 import pytest
 
-from tests.system.programs import Program, addresses
+from tests.system.programs import PORT, Program, addresses
 
 PROGRAMS = ("control", "registry", "proxy")
 
@@ -89,3 +90,15 @@
             program.process.send_signal(number)
             time.sleep(0.0005)
     assert program.wait() == 0
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_a_process_waits_for_a_port_that_is_still_held(programs, tmp_path, name):
+    program = one(programs, tmp_path, name)
+    offset = {"control": 0, "registry": 1, "proxy": 2}[name]
+    with socket.socket() as holder:
+        holder.bind((program.ip, PORT + 4 + offset))
+        holder.listen()
+        program.start()
+        program.wait_for_log("105 ")
+    program.wait_for_log("100 ")
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -52,6 +52,13 @@
         "The changed settings file is unreadable or invalid; the process keeps its previous settings.",
         "Correct the reported errors; the file is read again within a second, or on SIGHUP.",
     )
+    PORT_IN_USE = Entry(
+        105,
+        "warning",
+        "waiting for an address that is in use: %s",
+        "Another process, perhaps an earlier one of this program, still holds a port; it is tried again for 10 s.",
+        "If the process then ends with exit code 1, find out which process holds the port.",
+    )
     FAULT = Entry(
         120,
         "error",
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -15,6 +15,7 @@
 
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import log_event
+from thistleusher.common.listening import listening
 from thistleusher.common.node_settings import CONTROL
 from thistleusher.common.process import serve
 from thistleusher.common.settings_file import SettingsFile
@@ -98,9 +99,10 @@
     async def _start(self) -> None:
         """Open the listeners."""
         node_settings = self.node_settings
-        await self.listener.listen(node_settings.ip, node_settings.port(CONTROL))
+        await listening(lambda: self.listener.listen(node_settings.ip, node_settings.port(CONTROL)))
         if node_settings.binds.control:
-            await self.api.listen(*read_address(node_settings.binds.control))
+            host, port = read_address(node_settings.binds.control)
+            await listening(lambda: self.api.listen(host, port))
         self.loop.call_later(PRELOAD_DELAY_S, orders.validation_module)
 
     async def shut_down(self) -> None:
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -11,12 +11,14 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 from thistleusher.common.background import start_background
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import Event, log_event
 from thistleusher.common.incarnations import new_incarnation
+from thistleusher.common.listening import listening
 from thistleusher.common.node_settings import CONTROL, PROXY, REGISTRY, RING
 from thistleusher.common.process import serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
@@ -144,15 +146,15 @@
         """Open the listeners, and connect to the core."""
         node_settings, binds = self.node_settings, self.node_settings.binds
         ring = (node_settings.ip, node_settings.port(RING))
-        await self.loop.create_datagram_endpoint(lambda: self.ring_socket, local_addr=ring)
-        await self.hand_over_listener.listen(node_settings.ip, node_settings.port(PROXY))
+        await listening(lambda: self.loop.create_datagram_endpoint(lambda: self.ring_socket, local_addr=ring))
+        await listening(lambda: self.hand_over_listener.listen(node_settings.ip, node_settings.port(PROXY)))
         for server, address in (
             (self.readiness, binds.ready),
             (self.directory, binds.directory),
             (self.server, binds.front),
         ):
             if address:
-                await server.listen(*read_address(address))
+                await listening(partial(server.listen, *read_address(address)))
         self._connect_to_core(node_settings.core_ips)
 
     async def shut_down(self) -> None:
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -14,6 +14,7 @@
 from thistleusher.common.background import start_background
 from thistleusher.common.events import log_event
 from thistleusher.common.incarnations import new_incarnation
+from thistleusher.common.listening import listening
 from thistleusher.common.node_settings import CONTROL, REGISTRY
 from thistleusher.common.process import serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
@@ -73,7 +74,7 @@
     async def _start(self) -> None:
         """Open the listener, and connect to the core."""
         node_settings = self.node_settings
-        await self.listener.listen(node_settings.ip, node_settings.port(REGISTRY))
+        await listening(lambda: self.listener.listen(node_settings.ip, node_settings.port(REGISTRY)))
         self._connect_to(node_settings.core_ips)
 
     async def shut_down(self) -> None:
