Founding: ends in a core that works, whoever is killed when

Cause: two of a class, a state without an exit. Only the lowest seed founded, with all seeds heard, and only a process with bootstrap=true was a founder: the one that came back waited for the status of the others, which waited for its announcement. And a promise of epoch 1 without a view was a state that nothing left, also with bootstrap=true. Change: a founder's disk holds the seeds of the first start from before its first message on, written with the store itself in a thread that begins as soon as the settings are read; a restarted process is a founder because its disk says so. All derive the same view 0 from the seeds; the first epoch is an ordinary election from it, by a majority of the seeds, whose candidates take turns. Founders that were late become voters (with fewer than 2 x tolerance + 1 voters learners are taken in), and zones that were not known are corrected. An empty disk with bootstrap=false takes no part and says what it waits for (206); founders say whom they miss (205). Signatures: ControlNode has no bootstrap any more.

--- a/simnet/core/machine.py
+++ b/simnet/core/machine.py
@@ -26,6 +26,7 @@
         self.zone = zone
         self.disk = Disk(rng)
         self.service: ControlService | None = None
+        self.starting = False  # its process writes the founder's record; there is no node yet
         self.incarnation = 0  # incremented at every start and every end of its process
         self.removed = False  # removed, or terminated in order to be removed
         # A machine without power does not answer; one whose process has ended refuses connections.
--- a/simnet/disk.py
+++ b/simnet/disk.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -30,6 +30,7 @@
     records: Records
     items: EncodedItems | None
     refused: bool
+    founding_seeds: tuple[str, ...] = ()
 
 
 class Disk:
@@ -55,12 +56,20 @@
         self.floor = empty.floor
         self.items: EncodedItems = {}
         self.leases: dict[str, tuple[str, int]] = {}
+        self.founding_seeds: tuple[str, ...] = ()
         self.pending.clear()
 
     def stored(self) -> StoredState:
         """Return the state that a process reads at its start."""
         items = {name: _decode_item.decode(data) for name, data in self.items.items()}
-        return StoredState(self.promised, self.view, self.position, self.floor, items, dict(self.leases))
+        stored = StoredState(self.promised, self.view, self.position, self.floor, items, dict(self.leases))
+        if self.founding_seeds:
+            stored.add_founding_view(self.founding_seeds)
+        return stored
+
+    def may_found(self) -> bool:
+        """Return whether nothing was ever written to the disk."""
+        return not self.founding_seeds and self.view is None and self.promised == 0 and self.position.epoch < 0
 
     def item(self, name: str) -> Any:
         """Return the value of an item on disk, or None if there is none."""
@@ -71,13 +80,24 @@
         """Begin a write, and return the time at which it ends."""
         items = None if records.items is None else _encoded(records.items)
         self.written_bytes += sum(map(len, (items or {}).values()))
+        refused = self._occupy(now)
+        self.pending.append(PendingWrite(records, items, refused))
+        return self._busy_until
+
+    def begin_founding(self, now: float, seeds: Sequence[str]) -> float:
+        """Begin the write of a founder's record, and return the time at which it ends."""
+        refused = self._occupy(now)
+        self.pending.append(PendingWrite(Records(), None, refused, tuple(seeds)))
+        return self._busy_until
+
+    def _occupy(self, now: float) -> bool:
+        """Occupy the disk for one more write; return whether the disk will refuse it."""
         start = max(now, self._busy_until, self.stalled_until)
         duration = SYNC_S + SYNC_SPREAD_S * self._rng.random()
         if start < self.slow_until:
             duration *= SLOW_FACTOR
-        self.pending.append(PendingWrite(records, items, start < self.full_until))
         self._busy_until = start + duration
-        return self._busy_until
+        return start < self.full_until
 
     def end(self) -> bool:
         """Complete the oldest write in flight, and return whether it is on disk."""
@@ -105,6 +125,8 @@
             self.floor = records.floor
         if write.items is not None:
             self.items = dict(write.items) if records.complete else {**self.items, **write.items}
+        if write.founding_seeds:
+            self.founding_seeds = write.founding_seeds
         if records.leases is not None:
             self.leases = dict(records.leases)
 
--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -1,6 +1,8 @@
 """Processes that start or end while signals come, and the systems that they found."""
 
+import asyncio
 import contextlib
+import json
 import signal
 import socket
 import subprocess
@@ -9,6 +11,7 @@
 
 import pytest
 
+from standins.caller import Caller
 from tests.system.programs import PORT, Program, addresses
 
 PROGRAMS = ("control", "registry", "proxy")
@@ -102,3 +105,58 @@
         program.start()
         program.wait_for_log("105 ")
     program.wait_for_log("100 ")
+
+
+def core(programs, folder):
+    """Return three control programs that are each other's seeds."""
+    ips = addresses(3)
+    programs += [Program(folder / ip, "control", ip, ips) for ip in ips]
+    return programs[-3:]
+
+
+def acknowledged_within(controls, seconds):
+    """Send a configuration to one machine after another; return whether it was acknowledged in time."""
+    document = json.dumps({"version": 1, "services": [], "routes": [], "tenants": []}).encode()
+
+    async def send():
+        caller = Caller()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for control in controls:
+                with contextlib.suppress(OSError, EOFError, TimeoutError, ValueError):
+                    answer = await caller.call(f"{control.ip}:{PORT}", "POST", "/Config.Replace", {}, document)
+                    if answer.status in (200, 400):  # only a leader rejects a document for good
+                        return True
+            await asyncio.sleep(0.1)
+        return False
+
+    return asyncio.run(send())
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@pytest.mark.parametrize("after_s", [0.3, 1.0])
+def test_a_control_process_that_is_started_again_while_the_system_is_founded_does_not_stop_it(
+    programs, tmp_path, seed, number, after_s
+):
+    controls = core(programs, tmp_path)
+    for control in controls:
+        control.start()
+    time.sleep(after_s)
+    controls[seed].process.send_signal(number)
+    controls[seed].wait()
+    time.sleep(0.3)
+    controls[seed].start(bootstrap=False)
+    assert acknowledged_within(controls, 8.0), [control.log() for control in controls]
+
+
+def test_a_core_whose_processes_are_all_killed_while_it_is_founded_starts(programs, tmp_path):
+    controls = core(programs, tmp_path)
+    for control in controls:
+        control.start()
+    time.sleep(0.6)
+    for control in controls:
+        control.end()
+    for control in controls:
+        control.start(bootstrap=False)
+    assert acknowledged_within(controls, 8.0), [control.log() for control in controls]
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -101,6 +101,20 @@
         "This process asks the voters to elect it, for the reason given.",
         "None, unless candidacies repeat without 201: then check that a majority of voters is running and reachable.",
     )
+    FOUNDING_WAITS = Entry(
+        205,
+        "warning",
+        "the system is not founded yet: not heard from %s",
+        "This founder has been up for seconds, and no majority of the seeds of the first start has agreed on an epoch.",
+        "Start the named machines with their disks. If a majority of the seeds has lost them: docs/founding.md.",
+    )
+    STATE_LOST = Entry(
+        206,
+        "warning",
+        "this machine has no state and may not vote; status received from %s",
+        "Its disk was empty or unreadable, and it was not started as a founder. It waits for the status of the voters.",
+        "Start the other core machines. If a majority of them logs this line, nothing ends it: docs/founding.md.",
+    )
     CHANGE_COMMITTED = Entry(
         210,
         "info",
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -7,7 +7,7 @@
 
 import importlib
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +18,7 @@
 EXIT_CANNOT_SERVE = 1
 EXIT_BAD_SETTINGS = 2
 
-Main = Callable[[SettingsFile], Coroutine[Any, Any, None]]
+Main = Callable[..., Awaitable[None]]
 
 
 def start(program: str, path: Path | None = None, verbose: bool = False) -> int:
@@ -37,8 +37,9 @@
         for fault in group.exceptions:
             print(f"settings: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    arguments = [settings, *_begin(program, settings)]
     try:
-        _run(program, settings, verbose)
+        _run(program, arguments, verbose)
     except OSError as error:
         print(f"cannot serve: {error}", file=sys.stderr)
         return EXIT_CANNOT_SERVE
@@ -47,7 +48,16 @@
     return EXIT_OK
 
 
-def _run(program: str, settings: SettingsFile, verbose: bool) -> None:
+def _begin(program: str, settings: SettingsFile) -> list[Any]:
+    """Begin what cannot wait for the program to be loaded; return further arguments of its `main`."""
+    if program != "control":
+        return []
+    from thistleusher.control.store_opener import start_opening
+
+    return [start_opening(settings.node_settings)]
+
+
+def _run(program: str, arguments: list[Any], verbose: bool) -> None:
     """Load a program and run it."""
     import asyncio
 
@@ -58,4 +68,4 @@
     use_absl_handler(verbose)
     main: Main = importlib.import_module(f"thistleusher.{program}.program").main
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main(settings))
+        runner.run(main(*arguments))  # type: ignore[arg-type]
--- a/thistleusher/control/elections.py
+++ b/thistleusher/control/elections.py
@@ -195,7 +195,7 @@
         """Repeat unanswered requests, and abandon the candidacy if it takes too long."""
         candidacy, now = self._role.candidacy, self._context.now
         assert candidacy is not None
-        if not self._joining.founding and now - candidacy.begun_at > CANDIDACY_TIMEOUT_S:
+        if now - candidacy.begun_at > CANDIDACY_TIMEOUT_S:
             self._role.candidacy = None
             self._role.postpone_candidacy(ABANDONED_RETRY_DELAY_S, ABANDONED_RETRY_JITTER_S)
         elif candidacy.stage is Stage.VOTE and now - candidacy.begun_at > BETTER_REPLICA_WAIT_S:
--- a/thistleusher/control/hand_over.py
+++ b/thistleusher/control/hand_over.py
@@ -59,7 +59,7 @@
     def can_stop(self) -> bool:
         """Whether no other machine depends on this process any more."""
         view, me = self._durable.view, self._context.me
-        if view is None:
+        if view is None or self._joining.founding:  # nothing has been acknowledged yet
             return True
         if me in view.previous_voters:  # a candidate may still ask a previous voter for the view that follows
             return False
--- a/thistleusher/control/interface.py
+++ b/thistleusher/control/interface.py
@@ -20,11 +20,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from thistleusher.common.events import Event
+from thistleusher.control.founding_view import FOUNDING_EPOCH, FOUNDING_POSITION, founding_view
 from thistleusher.transport.messages import AnyMessage, Items, Position, ViewRecord
 from thistleusher.transport.state_updates import State
 
@@ -58,6 +59,13 @@
     items: Items = field(default_factory=dict)
     leases: dict[str, tuple[str, int]] = field(default_factory=dict)
 
+    def add_founding_view(self, seeds: Iterable[str]) -> None:
+        """Add what a founder's record implies; `seeds` are those of the first start."""
+        if self.view is None:
+            self.view = founding_view(seeds)
+        if self.position.epoch < FOUNDING_EPOCH:
+            self.position = FOUNDING_POSITION
+
 
 # Calls. The leader answers them.
 
--- a/thistleusher/control/joining.py
+++ b/thistleusher/control/joining.py
@@ -11,17 +11,19 @@
 from functools import partial
 from typing import NamedTuple
 
+from thistleusher.common.events import Event
 from thistleusher.control.context import Context
 from thistleusher.control.durable import DurableState
+from thistleusher.control.founding_view import FOUNDING_POSITION, is_founding
 from thistleusher.control.interface import Records
 from thistleusher.control.learners import Learners
 from thistleusher.control.role import Role
-from thistleusher.control.timing import RETRY_INTERVAL_S
+from thistleusher.control.timing import FOUNDING_REPORT_INTERVAL_S, RETRY_INTERVAL_S
 from thistleusher.transport.messages import FounderAnnouncement, Status, StatusRequest, ViewRecord
 
 
 class Founder(NamedTuple):
-    """A machine that takes part in founding the system: its zone, and when it was first heard."""
+    """A machine that takes part in founding the system: its zone, and when this process first heard it."""
 
     zone: str
     first_heard_at: float
@@ -30,18 +32,23 @@
 class Joining:
     """One node's own steps to become a voter, and its answers to other machines that want to become voters."""
 
-    def __init__(self, context: Context, durable: DurableState, role: Role, bootstrap: bool) -> None:
-        """Create the state; `bootstrap`: whether the system starts for the first time."""
+    def __init__(self, context: Context, durable: DurableState, role: Role) -> None:
         self._context = context
         self._durable = durable
         self._role = role
-        self.founding = bootstrap and durable.view is None and durable.promised == 0
-        self.state_lost = durable.view is None and not self.founding
+        self.state_lost = durable.view is None
         self.ready_to_vote = False
-        self.founders: dict[str, Founder] = {}
+        self.founders = {context.me: Founder(context.zone, context.now)}
+        self.corrected_zones: dict[str, str] = {}  # voter -> its zone, if the view has another one for it
         self.learners = Learners(context)
         self._statuses: dict[str, Status] = {}  # machine -> its latest status, while this node is not a voter
         self._next_request_at = context.now
+        self._next_report_at = context.now + FOUNDING_REPORT_INTERVAL_S
+
+    @property
+    def founding(self) -> bool:
+        """Whether this machine is a founder that knows of no epoch yet."""
+        return is_founding(self._durable.view)
 
     @property
     def is_voter(self) -> bool:
@@ -57,7 +64,6 @@
 
     def record_membership(self, is_voter: bool) -> None:
         """Record whether this machine is a voter in a view that it records."""
-        self.founding = False
         if is_voter:
             self.state_lost = False
             self.ready_to_vote = False
@@ -69,20 +75,32 @@
         if self._context.now < self._next_request_at:
             return
         self._next_request_at = self._context.now + RETRY_INTERVAL_S
-        for seed in sorted(self._context.seeds - {self._context.me}):
+        seeds = self._durable.view.voters if self._durable.view is not None else {}
+        for seed in sorted({*self._context.seeds, *seeds} - {self._context.me}):
             self._context.send(seed, FounderAnnouncement(self._context.zone))
 
     def on_founder_announcement(self, sender: str, message: FounderAnnouncement) -> None:
         """Record another founder, or answer with the status if the system has already been founded."""
+        view = self._durable.view
         if self.founding:
             self.founders.setdefault(sender, Founder(message.zone, self._context.now))
-        elif self._durable.view is not None:
+            if view is not None and sender not in view.voters:  # it may hold a copy in the first epoch
+                self.learners.record_heard(sender, message.zone, FOUNDING_POSITION, promised=0)
+        elif view is not None and not self.state_lost:
+            if view.voters.get(sender, message.zone) != message.zone:
+                self.corrected_zones[sender] = message.zone
             self.send_status(sender)
 
+    def correct_zone(self, leader: str, view: ViewRecord) -> None:
+        """Tell the leader this machine's zone if its view has another: it was founded before this machine was heard."""
+        if view.voters.get(self._context.me, self._context.zone) != self._context.zone:
+            self._context.send(leader, FounderAnnouncement(self._context.zone))
+
     # Status requests of a machine that has lost its state or has no vote.
 
     def request_status(self) -> None:
         """Ask all known machines of the core for their status, at most once in `RETRY_INTERVAL_S`."""
+        self._report_lost_state()
         if self._context.now < self._next_request_at:
             return
         self._next_request_at = self._context.now + RETRY_INTERVAL_S
@@ -90,12 +108,16 @@
         for peer in self.known_peers():
             self._context.send(peer, StatusRequest(self._context.zone, self.ready_to_vote, position, promised))
 
+    def _report_lost_state(self) -> None:
+        """Log now and then that this machine waits for others because its disk was empty."""
+        if not self.state_lost or self._context.now < self._next_report_at:
+            return
+        self._next_report_at = self._context.now + FOUNDING_REPORT_INTERVAL_S
+        answered = ", ".join(sorted(self._statuses)) or "no machine"
+        self._context.log(Event.STATE_LOST, answered)
+
     def on_status(self, sender: str, message: Status) -> None:
         """Handle the status of another machine."""
-        if self.founding and self._durable.promised == 0:
-            # The system was founded without this machine, or this machine took part and has lost its state since.
-            self.founding = False
-            self.state_lost = True
         if message.leader_heard:
             self._role.leader_seen_at = self._context.now
             if sender == message.view.leader:
--- a/thistleusher/control/membership.py
+++ b/thistleusher/control/membership.py
@@ -2,8 +2,8 @@
 
 The number of voters is constant: a learner that has caught up replaces a voter that is leaving or silent, and one
 change adds the one and removes the other. A silent voter that no learner can replace keeps its vote. Only if the number
-of voters is even or below `MIN_VOTERS` may it change, by one. Besides the leader, `replica_count` machines hold copies;
-the copies are spread over two zones if voters of two zones are available.
+of voters is even or too small for the tolerance may it change, by one. Besides the leader, `replica_count` machines
+hold copies; the copies are spread over two zones if voters of two zones are available.
 
 All functions are pure.
 """
@@ -41,6 +41,12 @@
     silent_s: Mapping[str, float]  # other voter -> seconds since it was last heard
     leaving: Set[str]  # voters whose processes are stopping
     learners: Mapping[str, Learner]  # learners that have caught up and been heard for long enough to become voters
+    min_voters: int = MIN_VOTERS  # with fewer voters, learners become voters
+
+
+def min_voters(tolerance: int) -> int:
+    """Return how many voters it takes for a majority to remain when as many machines are lost as may be."""
+    return max(MIN_VOTERS, 2 * tolerance + 1)
 
 
 def replica_count(voters: int, tolerance: int) -> int:
@@ -87,7 +93,7 @@
         after.update({learner: observation.learners[learner].zone for learner in replacements.values()})
         reasons = (f"{new} replaces {old}" for old, new in sorted(replacements.items()))
         return VoterChange(after, ", ".join(reasons))
-    if len(voters) % 2 == 0 or len(voters) < MIN_VOTERS:
+    if len(voters) % 2 == 0 or len(voters) < observation.min_voters:
         return _change_to_odd_count(voters, observation)
     return None
 
--- a/thistleusher/control/node.py
+++ b/thistleusher/control/node.py
@@ -9,9 +9,9 @@
    `view_change`). Every leader therefore has all changes that were ever acknowledged.
 3. A machine that has promised an epoch takes no part in a lower one. Its promise is on its disk before it is sent
    (`voting`).
-4. A machine whose disk is empty and that is not founding has *lost its state*. It casts no votes, acts as no replica
-   and answers no requests until it has the status of enough other machines: no majority could have decided without at
-   least one of them (`joining`).
+4. A machine whose disk is empty has *lost its state*; a founder's disk names the seeds (`founding_view`). It casts no
+   votes, acts as no replica and answers no requests until it has the status of enough other machines: no majority
+   could have decided without at least one of them (`joining`).
 5. A leader answers only while a majority has acknowledged heartbeats that it sent within the last `LEASE_S`. A voter
    that has heard a leader votes for no other machine for `VOTER_GUARD_S`, which is longer (`leadership`, `voting`).
 6. The number of voters is constant. A learner has the complete state before it replaces a voter, and a single epoch
@@ -82,7 +82,6 @@
         me: str,
         zone: str,
         seeds: Iterable[str],
-        bootstrap: bool,
         stored: StoredState,
         now: float,
         rng: random.Random,
@@ -90,14 +89,14 @@
     ) -> None:
         """Create the node from its stored state.
 
-        `bootstrap`: whether the system starts for the first time; `tolerance`: number of machines that may be lost at
-        the same time.
+        `seeds`: the addresses in the current settings; those of the first start are in a founder's stored state.
+        `tolerance`: number of machines that may be lost at the same time.
         """
         self._context = Context(me, zone, seeds, now, rng, tolerance)
         self._durable = DurableState(self._context, stored)
         self._calls = CallQueue(self._context)
         self._role = Role(self._context, self._durable, self._calls)
-        self._joining = Joining(self._context, self._durable, self._role, bootstrap)
+        self._joining = Joining(self._context, self._durable, self._role)
         self._leader = Leader(self._context, self._durable, self._role, self._joining, self._calls)
         self._elections = self._leader.elections
         self._hand_over = self._leader.hand_over
@@ -230,7 +229,7 @@
 
     @property
     def founding(self) -> bool:
-        """Whether this machine takes part in founding the system, which starts for the first time."""
+        """Whether this machine is a founder that knows of no epoch yet."""
         return self._joining.founding
 
     @property
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,7 @@
 from thistleusher.control.node import ControlNode
 from thistleusher.control.service import ControlService
 from thistleusher.control.storage import Storage
+from thistleusher.control.store_file import OpenedStore
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
@@ -53,19 +55,19 @@
 class ControlProgram:
     """One control process on a machine of the core."""
 
-    def __init__(self, settings: SettingsFile) -> None:
+    def __init__(self, settings: SettingsFile, store: OpenedStore) -> None:
         """Read the stored state. Nothing is sent before `run`."""
         self.settings = settings
         node_settings = self.node_settings = settings.node_settings
         self.loop = asyncio.get_running_loop()
-        self.storage = Storage(Path(node_settings.data_dir or "."), node_settings.limits.disk_mb, self._write_completed)
+        folder = Path(node_settings.data_dir or ".")
+        self.storage = Storage(folder, node_settings.limits.disk_mb, self._write_completed, store)
         stored = self.storage.read()
         now = time.monotonic()
         node = ControlNode(
             node_settings.ip,
             node_settings.zone,
             node_settings.core_ips,
-            node_settings.bootstrap,
             stored,
             now,
             random.Random(),
@@ -236,6 +238,7 @@
         self._submit(lambda call_id: orders.deferred_evacuation_change(call_id, zone, begin), on_answer)
 
 
-async def main(settings: SettingsFile) -> None:
-    """Run the control program; `python -m thistleusher.system control` calls this."""
-    await ControlProgram(settings).run()
+async def main(settings: SettingsFile, opening: Future[OpenedStore]) -> None:
+    """Run the control program once its store is open; `python -m thistleusher.system control` calls this."""
+    store = await asyncio.wrap_future(opening)
+    await ControlProgram(settings, store).run()
--- a/thistleusher/control/reconfiguration.py
+++ b/thistleusher/control/reconfiguration.py
@@ -20,6 +20,7 @@
     RETRY_INTERVAL_S,
     VOTER_CHANGE_INTERVAL_S,
 )
+from thistleusher.transport.messages import ViewRecord
 
 LEAVING_TIMEOUT_S = 4 * RETRY_INTERVAL_S  # a voter's announcement that its process is stopping expires after this time
 
@@ -112,10 +113,19 @@
         last_heard, me = leadership.last_heard, self._context.me
         silent_s = {voter: now - last_heard.get(voter, NEVER) for voter in view.voters if voter != me}
         learners = {name: each for name, each in self._joining.learners.stable().items() if self._caught_up(each)}
-        observation = membership.Observation(me, silent_s, set(self._role.leaving), learners)
-        change = membership.next_voters(view.voters, observation)
+        fewest = membership.min_voters(self._context.tolerance)
+        observation = membership.Observation(me, silent_s, set(self._role.leaving), learners, fewest)
+        change = self._zone_correction(view) or membership.next_voters(view.voters, observation)
         return change if change is not None and self._can_decide(change, leadership) else None
 
+    def _zone_correction(self, view: ViewRecord) -> membership.VoterChange | None:
+        """Return the voters with the zones of those that were not heard when the system was founded, if known now."""
+        heard = self._joining.corrected_zones
+        known = {name: zone for name, zone in heard.items() if view.voters.get(name, zone) != zone}
+        if not known:
+            return None
+        return membership.VoterChange({**view.voters, **known}, f"the zone of {', '.join(sorted(known))} is known")
+
     def _can_decide(self, change: membership.VoterChange, leadership: Leadership) -> bool:
         """Return whether a majority of the voters before a change and a majority of those after it are available."""
         now = self._context.now
--- a/thistleusher/control/replica_updates.py
+++ b/thistleusher/control/replica_updates.py
@@ -56,8 +56,8 @@
         """Return whether this machine accepts a copy from its sender."""
         joining, view = self._joining, self._durable.view
         below_promise = message.epoch < self._durable.promised
-        if joining.founding:
-            return sender in self._context.seeds and not below_promise
+        if view is not None and joining.founding:  # the sender is a seed: only seeds are candidates for the first epoch
+            return sender in view.voters and not below_promise
         if view is None or (joining.state_lost and not joining.ready_to_vote):
             return False
         if self._context.me not in view.voters:
--- a/thistleusher/control/service.py
+++ b/thistleusher/control/service.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from thistleusher.common.errors import ServiceError
+from thistleusher.control.founding_view import is_founding
 from thistleusher.control.interface import (
     Answer,
     Call,
@@ -167,7 +168,7 @@
 
     def _core_info(self) -> CoreInfo:
         view = self.node.view
-        if view is None:
+        if view is None or is_founding(view):
             return CoreInfo((), 0, "")
         return CoreInfo(tuple(sorted(view.voters)), view.epoch, view.leader)
 
--- a/thistleusher/control/storage.py
+++ b/thistleusher/control/storage.py
@@ -3,7 +3,7 @@
 A write that hangs delays only the writes behind it; the caller that waits for it decides on a time-out. An error is
 reported as a failed write, of which nothing is on disk. Each item of the state is a record of its own, so that a change
 writes no more than its own size and a complete copy replaces all items in one transaction. The map is small, and is
-opened without `writemap`, which would sync the entire map at each commit.
+opened without `writemap`, which would sync the entire map at each commit. `store_file` opens and creates the file.
 """
 
 from __future__ import annotations
@@ -20,13 +20,9 @@
 
 from thistleusher.common.events import Event, log_event
 from thistleusher.control.interface import Records, StoredState
+from thistleusher.control.store_file import FOUNDERS_KEY, OpenedStore, open_store
 from thistleusher.transport.messages import Items, Position, ViewRecord
 
-MIN_MAP_MB = 4.0
-MAX_MAP_MB = 96
-MAP_FRACTION = 0.5  # fraction of the disk limit that the map may use
-BYTES_PER_MB = 1024 * 1024
-
 # Keys. These and the records' formats must not change: a later release reads what an earlier one wrote.
 PROMISE_KEY = b"promise"
 VIEW_KEY = b"view"
@@ -43,12 +39,15 @@
 class Storage:
     """The storage in one data folder."""
 
-    def __init__(self, folder: Path, disk_mb: float, on_completed: OnCompleted) -> None:
-        """Open the folder; `on_completed(token, ok)` is called from the writer thread at the end of each write."""
-        folder.mkdir(parents=True, exist_ok=True)
-        map_bytes = int(min(MAX_MAP_MB, max(MIN_MAP_MB, disk_mb * MAP_FRACTION)) * BYTES_PER_MB)
-        self._environment = lmdb.open(str(folder), map_size=map_bytes, max_dbs=0, metasync=True, sync=True, lock=False)
+    def __init__(
+        self, folder: Path, disk_mb: float, on_completed: OnCompleted, opened: OpenedStore | None = None
+    ) -> None:
+        """Open the folder, unless it is `opened`; `on_completed(token, ok)` is called from the writer thread.
+
+        Raise OSError or lmdb.Error if the folder cannot be opened.
+        """
         self._on_completed = on_completed
+        self._environment = (opened or open_store(folder, disk_mb)).environment
         self._jobs: queue.SimpleQueue[tuple[int, Records] | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="storage", daemon=True)
         self._thread.start()
@@ -59,11 +58,11 @@
         If any record cannot be decoded, the complete state counts as lost: a machine that has lost its state is safe,
         but a machine that knows only some of its promises is not.
         """
-        with self._environment.begin() as transaction:
-            raw = {bytes(key): bytes(value) for key, value in transaction.cursor()}
         try:
+            with self._environment.begin() as transaction:
+                raw = {bytes(key): bytes(value) for key, value in transaction.cursor()}
             return _decode(raw)
-        except DECODE_ERRORS as error:
+        except (lmdb.Error, *DECODE_ERRORS) as error:
             log_event(Event.DISK_FAILED, f"stored state cannot be decoded, treated as lost: {error!r}")
             return StoredState()
 
@@ -126,6 +125,8 @@
         stored.position = msgspec.convert(position, Position)
     elif OLD_COPY_KEY in raw:
         _decode_old_copy(raw[OLD_COPY_KEY], stored)
+    if FOUNDERS_KEY in raw:
+        stored.add_founding_view(msgpack.unpackb(raw[FOUNDERS_KEY]))
     for key, value in raw.items():
         if key.startswith(ITEM_PREFIX):
             number, item = msgpack.unpackb(value, strict_map_key=False)
--- a/thistleusher/control/timing.py
+++ b/thistleusher/control/timing.py
@@ -28,6 +28,10 @@
 BETTER_REPLICA_WAIT_S = 0.06  # a candidate that has a majority waits this long for voters that are better replicas
 RENEWAL_BETTER_REPLICA_WAIT_S = 0.3  # the same for a leader that starts a new epoch, as it has just heard those voters
 FOUNDING_WAIT_S = 1.2  # time for all founders to announce themselves
+FOUNDING_PATIENCE_S = 2.4  # a seed waits this long for other seeds before it goes on without them
+FOUNDING_STAGGER_S = 1.2  # delay between one seed's founding candidacy and the next seed's; exceeds CANDIDACY_TIMEOUT_S
+FOUNDING_RECORD_WAIT_S = 0.5  # a founding candidate waits this long for the voters beyond the majority
+FOUNDING_REPORT_INTERVAL_S = 5.0  # interval of log lines while the system is not founded, or the state is lost
 
 # Replicas.
 REPLICA_TIMEOUT_S = 0.7  # a replica that is silent, or has not acknowledged a change, for this long is replaced
--- a/thistleusher/control/view_change.py
+++ b/thistleusher/control/view_change.py
@@ -17,7 +17,7 @@
 from thistleusher.control.interface import Records
 from thistleusher.control.joining import Joining
 from thistleusher.control.role import Role
-from thistleusher.control.timing import CANDIDACY_TIMEOUT_S, REPLICA_EXCLUSION_S
+from thistleusher.control.timing import FOUNDING_RECORD_WAIT_S, REPLICA_EXCLUSION_S
 from thistleusher.transport.messages import (
     Install,
     Installed,
@@ -142,7 +142,8 @@
         if not (view.has_majority(recorded) and candidacy.view.has_quorum(recorded)):
             return
         if self._joining.founding:
-            if self._context.now - candidacy.begun_at < CANDIDACY_TIMEOUT_S and len(recorded) < len(view.voters):
+            waited_s = self._context.now - candidacy.begun_at
+            if waited_s < FOUNDING_RECORD_WAIT_S and len(recorded) < len(view.voters):
                 return
             self._context.log(Event.CLUSTER_FOUNDED, ", ".join(sorted(view.voters)))
         self._durable.view = view
--- a/thistleusher/control/voting.py
+++ b/thistleusher/control/voting.py
@@ -137,6 +137,7 @@
         if self._context.me not in view.voters:
             durable.adopt_view(view)
             return
+        self._joining.correct_zone(sender, view)
         role.record_leader_heard(sender)
         role.confirmed_epoch = max(role.confirmed_epoch, view.epoch)
         if durable.view is not None and durable.view.epoch == view.epoch:
