Store: a file that cannot be read counts as a lost disk and ends no process

Callers saw (shown, not on the users' machines): control ended at each start with lmdb.InvalidError after power was lost while its store was created; a file cut short ended it by SIGBUS or an assertion of LMDB. Two such machines of three are a system that does not start. Cause: LMDB writes its first pages without a sync and trusts whatever it opens; nothing else was prepared for a file that is there and not whole. lmdb.Error is no OSError, and the decoding errors of records were the only ones caught. Change: a new store is written under another name, synced, renamed, its folder synced. store_check reads the pages that hold or lead to records before LMDB maps them. An unreadable file is renamed for an operator, the new one says why (key lost), and the machine counts as one that lost its disk, never as a founder. An unavailable disk is tried again and again, in a thread. Commits are followed by fdatasync in place of a meta page through O_DSYNC, which the page's sentence on losses of power does not cover; a failed sync is repeated, as the commit is visible by then. After a failure in the middle of a commit the store is opened anew: LMDB refuses everything from then on.

--- a/tests/control/test_purity.py
+++ b/tests/control/test_purity.py
@@ -6,7 +6,7 @@
 import pytest
 
 CONTROL = Path(__file__).resolve().parents[2] / "thistleusher" / "control"
-RUNTIME = {"program.py", "storage.py", "store_file.py", "store_opener.py"}
+RUNTIME = {"program.py", "storage.py", "store_check.py", "store_file.py", "store_opener.py"}
 IO_MODULES = {"asyncio", "lmdb", "os", "queue", "select", "socket", "subprocess", "threading", "time"}
 
 
--- a/thistleusher/control/storage.py
+++ b/thistleusher/control/storage.py
@@ -10,6 +10,7 @@
 
 import queue
 import threading
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -21,8 +22,11 @@
 from thistleusher.common.events import Event, log_event
 from thistleusher.control.interface import Records, StoredState
 from thistleusher.control.store_file import FOUNDERS_KEY, OpenedStore, open_store
+from thistleusher.control.store_opener import open_patiently
 from thistleusher.transport.messages import Items, Position, ViewRecord
 
+SYNC_RETRY_DELAY_S = 0.05
+
 # Keys. These and the records' formats must not change: a later release reads what an earlier one wrote.
 PROMISE_KEY = b"promise"
 VIEW_KEY = b"view"
@@ -46,8 +50,14 @@
 
         Raise OSError or lmdb.Error if the folder cannot be opened.
         """
+        self._folder = folder
+        self._disk_mb = disk_mb
         self._on_completed = on_completed
-        self._environment = (opened or open_store(folder, disk_mb)).environment
+        store = opened or open_store(folder, disk_mb)
+        self._environment = store.environment
+        self._is_lost = False  # whether the store was lost while this process ran: nothing is written until it restarts
+        if store.lost:
+            log_event(Event.DISK_FAILED, f"the store is unreadable, its state is lost: {store.lost}")
         self._jobs: queue.SimpleQueue[tuple[int, Records] | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="storage", daemon=True)
         self._thread.start()
@@ -73,14 +83,41 @@
     def _run(self) -> None:
         while (job := self._jobs.get()) is not None:
             token, records = job
-            try:
-                with self._environment.begin(write=True) as transaction:
-                    _put(transaction, records)
-                ok = True
-            except Exception as error:  # the thread must go on to complete later writes, whatever the error
-                log_event(Event.DISK_FAILED, repr(error))
-                ok = False
-            self._on_completed(token, ok)
+            self._on_completed(token, self._write(records))
+
+    def _write(self, records: Records) -> bool:
+        """Write records; return whether they are on disk. If False, none of them is."""
+        if self._is_lost:  # what a later process would read is not what this one relies on
+            return False
+        try:
+            with self._environment.begin(write=True) as transaction:
+                _put(transaction, records)
+        except Exception as error:  # the thread must go on to complete later writes, whatever the error
+            log_event(Event.DISK_FAILED, repr(error))
+            if isinstance(error, lmdb.PanicError):
+                self._reopen()
+            return False
+        self._sync()
+        return True
+
+    def _sync(self) -> None:
+        """Sync a committed transaction, again and again while the disk refuses: it is visible, so it has not failed."""
+        while (error := self._try_sync()) is not None:
+            log_event(Event.DISK_FAILED, f"a write is not synced yet: {error!r}")
+            time.sleep(SYNC_RETRY_DELAY_S)
+
+    def _try_sync(self) -> lmdb.Error | None:
+        try:
+            self._environment.sync(True)
+        except lmdb.Error as error:
+            return error
+        return None
+
+    def _reopen(self) -> None:
+        """Open the store anew: after a failure in the middle of a commit, LMDB refuses all further transactions."""
+        self._environment.close()
+        store = open_patiently(self._folder, self._disk_mb)
+        self._environment, self._is_lost = store.environment, bool(store.lost)
 
     def close(self) -> None:
         """Let the writer thread finish the queued writes and end. Does not wait for it: the process may exit before."""
