Bodies: a request that has ended holds none, and each is held once

Cause: a body stayed in the connection's buffer until its next request, in the request (a copy), in the message for the backend (another copy), in the answer's reader, and behind a timer that had fired; cycles between connection and parser, request and attempt kept them until a full run of the collector, which counts objects and not bytes. Change: the buffer is handed over, not copied, and dropped where the request is complete or its connection ends; the request drops its body when it is answered or its client has left (no attempt starts then); head and body go to the transport as two buffers. The timer of a held head is dropped when it has fired.

--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -106,15 +106,23 @@
             self.transport.write(message[:held_from])
             held_back = memoryview(message)[held_from:]
             self.head_end_timer = self.pool.loop.call_later(
-                self.pool.guard.head_end_delay(), self._complete_head, held_back
+                self.pool.guard.head_end_delay(), self._complete_head, held_back, exchange.body()
             )
         else:
             exchange.may_have_run = True
+            self._write(message, exchange.body())
+
+    def _write(self, message: bytes | memoryview, body: bytes | bytearray) -> None:
+        assert self.transport is not None
+        if body:
+            self.transport.writelines([message, body])
+        else:
             self.transport.write(message)
 
-    def _complete_head(self, held_back: memoryview) -> None:
+    def _complete_head(self, held_back: memoryview, body: bytes | bytearray) -> None:
         """Write the rest of a guarded request, unless the connection has ended or the request is no longer needed."""
         exchange = self.exchange
+        self.head_end_timer = None  # it would keep the body
         assert self.transport is not None
         assert exchange is not None
         if self.is_stale():
@@ -124,7 +132,7 @@
             exchange.end(Outcome.MOOT)
         else:
             exchange.may_have_run = True
-            self.transport.write(held_back)
+            self._write(held_back, body)
 
     def data_received(self, data: bytes) -> None:
         """Parse a read; only its first response can be the response to the exchange.
@@ -208,6 +216,7 @@
             self.stall_timer.cancel()
         if self.head_end_timer is not None:
             self.head_end_timer.cancel()
+            self.head_end_timer = None
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError as error:
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -20,6 +20,7 @@
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
 MAX_LINGER_BYTES = 256 * 1024  # input that is read and discarded while lingering
+MAX_JOINED_BYTES = 64 * 1024  # larger bodies are written without a copy
 PROCESS_PAUSE_S = 1.0  # a timer that fires later than this shows that the process was suspended
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
@@ -106,6 +107,7 @@
         """Unregister, drop the requests read ahead, and report the disconnect for the current request."""
         self.closing = True
         self.disconnected = True
+        self.body = bytearray()  # of a request that will not come whole
         self.server.connections.discard(self)
         self._abandon_requests()
 
@@ -171,6 +173,7 @@
         self.in_head = True
         self.has_sent_request = True
         request = self.server.read_request(self)
+        self.body = bytearray()  # the request has it now; held here too, it would last until the next request
         if isinstance(request, ImmediateResponse) and request.closes:  # makes a client reconnect to repeat it
             self.reject(request.status, request.text)
             return
@@ -227,10 +230,16 @@
         close = not self.keep_alive or self.server.draining
         if close:
             header_lines += b"Connection: close\r\n"
-        self.transport.write(
-            b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s"
-            % (status, REASON_PHRASES.get(status, b"-"), header_lines, len(body), body)
+        head = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (
+            status,
+            REASON_PHRASES.get(status, b"-"),
+            header_lines,
+            len(body),
         )
+        if len(body) > MAX_JOINED_BYTES:
+            self.transport.writelines([head, body])
+        else:
+            self.transport.write(head + body)
         if close:
             self.close()
 
--- a/thistleusher/net/exchange.py
+++ b/thistleusher/net/exchange.py
@@ -42,6 +42,7 @@
         guarded: bool = False,
         request_id: bytes = b"",
         stall_timeout: Callable[[], float] = lambda: RESPONSE_STALL_S,
+        body: Callable[[], bytes | bytearray] = bytes,
     ) -> None:
         """Create an exchange; `Upstream.send` starts it.
 
@@ -52,11 +53,14 @@
         `request_id`: required value of the response header `UpstreamOptions.request_id_header`. A response with another
         value, or without the header, is not a response to this exchange.
 
+        `message`: returns the request's head, with the body behind it unless `body` returns that, which is not copied.
+
         `stall_timeout`: returns the seconds after which a partial response that receives no byte is abandoned; 0 for
         never. It is called again when they have passed.
         """
         self.backend = backend
         self.message = message
+        self.body = body
         self.can_send = can_send
         self.on_end = on_end
         self.guarded = guarded
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -57,6 +57,18 @@
             call.request, lambda final: self.answer(final, call, reply), call, call.received_at, request_class
         )
 
+    def client_disconnected(self, call: ClientRequest) -> None:  # type: ignore[override]
+        """Report a client's disconnect; its request is not sent any more."""
+        super().client_disconnected(call)  # type: ignore[arg-type]
+        call.release()
+
+    def may_send(self, in_flight: InFlightRequest, backend: str) -> bool:
+        """Return whether a request may be sent now; otherwise, if its client has left, drop its body."""
+        allowed = super().may_send(in_flight, backend)
+        if in_flight.answered:
+            in_flight.context.release()
+        return allowed
+
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Cancel an attempt at a silent backend, so that the request can be sent to another one.
 
@@ -82,6 +94,7 @@
         answer: Response | None = final.payload if verdict is Verdict.SERVED else None
         if verdict is Verdict.FAILED and call.last_error is not None:
             answer = call.last_error
+        call.release()
         if answer is not None:
             reply(answer.status, answer_lines(answer), answer.body)
             return
@@ -99,8 +112,8 @@
         call: ClientRequest = in_flight.context
         repeatable = call.context.match.route.idempotent
 
-        def message() -> bytes:
-            return call.message(max(MIN_REMAINING_S, in_flight.deadline - self.driver.scheduler.time()), backend)
+        def head() -> bytes:
+            return call.head(max(MIN_REMAINING_S, in_flight.deadline - self.driver.scheduler.time()), backend)
 
         def may_send() -> bool:
             in_time = self.driver.scheduler.time() < in_flight.deadline
@@ -117,9 +130,10 @@
             on_end(AttemptResult(outcome, answer))
 
         mark = call.request.id.encode("latin-1")
-        call.attempt = BackendAttempt(
-            self.upstream, BackendExchange(backend, message, may_send, ended, not repeatable, mark, stall_s)
+        exchange = BackendExchange(
+            backend, head, may_send, ended, not repeatable, mark, stall_s, body=lambda: call.body
         )
+        call.attempt = BackendAttempt(self.upstream, exchange)
         return call.attempt
 
     def _note_answer(self, call: ClientRequest, backend: str, outcome: Outcome, answer: Response) -> None:
--- a/thistleusher/proxy/http_messages.py
+++ b/thistleusher/proxy/http_messages.py
@@ -99,7 +99,7 @@
     request: events.Request
     context: RequestContext
     start: bytes  # request line and the headers that are forwarded unchanged
-    body: bytes
+    body: bytes | bytearray
     received_at: float
     has_client_left: Callable[[], bool]  # whether its connection has ended, even if the end is still unread
     last_error: Response | None = None  # newest 5xx answer that reports a backend's own error
@@ -111,15 +111,22 @@
         """Return whether a backend may have started the request, so that no rejection may be sent any more."""
         return self.ended_attempt_may_have_run or (self.attempt is not None and self.attempt.may_have_run)
 
-    def message(self, remaining_s: float, backend: str) -> bytes:
-        """Return the bytes to send to the backend; `remaining_s`: remaining time of the request in seconds."""
+    def head(self, remaining_s: float, backend: str) -> bytes:
+        """Return the head to send to the backend; `remaining_s`: remaining time of the request in seconds."""
         tenant = b"X-Tenant: %s\r\n" % self.context.tenant.encode() if self.context.tenant is not None else b""
         length = b"Content-Length: %d\r\n" % len(self.body) if self.has_length else b""
-        return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n%s%s\r\n%s" % (
+        return b"%sX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n%s%s\r\n" % (
             self.start,
             max(1, int(remaining_s * 1000)),
             backend.encode(),
             tenant,
             length,
-            self.body,
         )
+
+    def release(self) -> None:
+        """Drop the body and the kept answer when the request is answered or its client has left.
+
+        The request itself may be kept by reference cycles until the collector runs, which counts objects, not bytes.
+        """
+        self.body = b""
+        self.last_error = None
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -80,7 +80,7 @@
             events.Request(request_id, context.match.name, PLAN, 0, time_s, 1.0),
             context,
             b"%s %s HTTP/1.1\r\n%s" % (method, connection.url, headers.forwarded),
-            bytes(connection.body),
+            connection.body,
             now,
             connection.has_client_left,
             has_length=bool(connection.body) or method not in BODILESS_METHODS or b"content-length" in headers.values,
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -16,7 +16,7 @@
 
     status: int
     headers: dict[bytes, bytes]
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool  # the connection may carry another request
 
 
@@ -97,5 +97,6 @@
         if status < 200:
             return
         self.bytes_read = 0
-        response = Response(status, self.headers, bytes(self.body), self.parser.should_keep_alive())
-        self.responses.append(response)
+        body = self.body
+        self.body = bytearray()  # held here too, it would last until the connection's next response
+        self.responses.append(Response(status, self.headers, body, self.parser.should_keep_alive()))
