--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -79,8 +79,8 @@
     SourceFault(
         "an attempt whose connection was reset counts as never sent",
         "net/backend_connection.py",
-        "            exchange.may_have_run = True\n            self._write(",
-        "            self._write(",
+        "            exchange.may_have_run = True\n            write_message(",
+        "            write_message(",
     ),
     SourceFault(
         "a malformed request is answered with 500",
--- a/tests/control/test_store_file.py
+++ b/tests/control/test_store_file.py
@@ -57,36 +57,23 @@
     return (folder / STORE_NAME).read_bytes()
 
 
-def half_made():
-    """Return the forms that a file had when it was created and power was lost before its first sync."""
-    return {
-        "zeros": bytes(2 * PAGE_BYTES),
-        "one page": b"page",
-        "100 bytes": b"100",
-        "first page lost": b"first",
-        "second page lost": b"second",
-        "torn": b"torn",
-    }
-
-
-def damaged(fresh, how):
-    """Return the bytes of a new file, damaged."""
-    return {
-        "zeros": bytes(2 * PAGE_BYTES),
-        "one page": fresh[:PAGE_BYTES],
-        "100 bytes": fresh[:100],
-        "first page lost": bytes(PAGE_BYTES) + fresh[PAGE_BYTES:],
-        "second page lost": fresh[:PAGE_BYTES] + bytes(PAGE_BYTES) + fresh[2 * PAGE_BYTES :],
-        "torn": fresh[:512] + bytes(len(fresh) - 512),
-    }[how]
-
-
-@pytest.mark.parametrize("how", half_made())
+# What a loss of power before the first sync of a new file leaves of its bytes.
+HALF_MADE = {
+    "zeros": lambda fresh: bytes(2 * PAGE_BYTES),
+    "one page": lambda fresh: fresh[:PAGE_BYTES],
+    "100 bytes": lambda fresh: fresh[:100],
+    "first page lost": lambda fresh: bytes(PAGE_BYTES) + fresh[PAGE_BYTES:],
+    "second page lost": lambda fresh: fresh[:PAGE_BYTES] + bytes(PAGE_BYTES) + fresh[2 * PAGE_BYTES :],
+    "torn": lambda fresh: fresh[:512] + bytes(len(fresh) - 512),
+}
+
+
+@pytest.mark.parametrize("how", HALF_MADE)
 @pytest.mark.parametrize("seeds", [(), SEEDS])
 def test_a_half_made_store_counts_as_a_lost_disk(folder, how, seeds):
     write(folder)
     path = folder / STORE_NAME
-    path.write_bytes(damaged(path.read_bytes(), how))
+    path.write_bytes(HALF_MADE[how](path.read_bytes()))
     stored, lost = read(folder, seeds)
     assert lost and stored.view is None and (folder / SET_ASIDE_NAME).exists()
     write(folder, Records(promised=7, view=VIEW))
--- a/tests/proxy/test_body_memory.py
+++ b/tests/proxy/test_body_memory.py
@@ -75,29 +75,17 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("path", ["/p/", "/e/"])
-def test_a_request_whose_client_leaves_holds_no_body(live_bytes, path):
-    async def scenario(rig):
-        for backend in rig.backends:
-            backend.script = ["wait"] * 3
-        client = await rig.client()
-        asked = asyncio.ensure_future(client.ask(path, method="POST", body=BODY))
-        await until(rig.runs)
-        asked.cancel()
-        client.writer.transport.abort()
-        await settle(live_bytes)
-
-    play(scenario)
-
+@pytest.mark.parametrize("path, requests", [("/p/", 1), ("/e/", 1), ("/e/", 3)])
+def test_requests_whose_client_leaves_hold_no_bodies(live_bytes, path, requests):
+    """One is at a backend; the others are read ahead."""
 
-def test_requests_read_ahead_whose_client_leaves_hold_no_bodies(live_bytes):
     async def scenario(rig):
         for backend in rig.backends:
             backend.script = ["wait"] * 3
         client = await rig.client()
-        asked = [asyncio.ensure_future(client.ask("/e/", body=BODY)) for _ in range(3)]
+        asked = [asyncio.ensure_future(client.ask(path, method="POST", body=BODY)) for _ in range(requests)]
         await until(rig.runs)
-        await until(lambda: live_bytes() >= 2 * len(BODY))
+        await until(lambda: live_bytes() >= (requests - 1) * len(BODY))
         for task in asked:
             task.cancel()
         client.writer.transport.abort()
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -14,7 +14,6 @@
 from thistleusher.common import signals
 from thistleusher.common.settings_file import SettingsFile
 
-EXIT_OK = 0
 EXIT_CANNOT_SERVE = 1
 EXIT_BAD_SETTINGS = 2
 
@@ -24,7 +23,7 @@
 def start(program: str, path: Path | None = None, verbose: bool = False) -> int:
     """Run `thistleusher.<program>.program` with the settings file at `path`, by default that of `node_settings_path`.
 
-    Return the exit code: `EXIT_OK` after a graceful shutdown, `EXIT_CANNOT_SERVE` if a port cannot be opened,
+    Return the exit code: `signals.EXIT_OK` after a graceful shutdown, `EXIT_CANNOT_SERVE` if a port cannot be opened,
     `EXIT_BAD_SETTINGS` if the settings file is missing or invalid.
     """
     signals.install()
@@ -45,7 +44,7 @@
         return EXIT_CANNOT_SERVE
     finally:
         signals.ignore()
-    return EXIT_OK
+    return signals.EXIT_OK
 
 
 def _begin(program: str, settings: SettingsFile) -> list[Any]:
--- a/thistleusher/control/founding.py
+++ b/thistleusher/control/founding.py
@@ -20,7 +20,6 @@
 from thistleusher.control.role import Role
 from thistleusher.control.timing import (
     FOUNDING_PATIENCE_S,
-    FOUNDING_REPORT_INTERVAL_S,
     FOUNDING_STAGGER_S,
     FOUNDING_WAIT_S,
 )
@@ -37,7 +36,6 @@
         self._role = role
         self._joining = joining
         self._elections = elections
-        self._next_report_at = context.now + FOUNDING_REPORT_INTERVAL_S
 
     def tick(self) -> None:
         """Announce this founder. A seed also continues its candidacy, or starts one when it is its turn."""
@@ -46,7 +44,8 @@
             self._elections.tick()
         elif self._is_due():
             self._elections.start_candidacy("founding", self._first_voters())
-        self._report()
+        missing = self._seeds().keys() - self._joining.founders.keys()
+        self._joining.report_waiting(Event.FOUNDING_WAITS, missing, "no seed")
 
     def _is_due(self) -> bool:
         role, now = self._role, self._context.now
@@ -74,11 +73,3 @@
     def _first_voters(self) -> Mapping[str, str]:
         """Return the voters of the first epoch, address -> zone: all seeds, and all other founders heard."""
         return {**self._seeds(), **{name: founder.zone for name, founder in self._joining.founders.items()}}
-
-    def _report(self) -> None:
-        """Log now and then which seeds this founder waits for."""
-        if self._context.now < self._next_report_at or self._durable.view is None:
-            return
-        self._next_report_at = self._context.now + FOUNDING_REPORT_INTERVAL_S
-        missing = sorted(self._seeds().keys() - self._joining.founders.keys())
-        self._context.log(Event.FOUNDING_WAITS, ", ".join(missing) or "no seed")
--- a/thistleusher/control/joining.py
+++ b/thistleusher/control/joining.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import partial
 from typing import NamedTuple
 
@@ -100,7 +101,8 @@
 
     def request_status(self) -> None:
         """Ask all known machines of the core for their status, at most once in `RETRY_INTERVAL_S`."""
-        self._report_lost_state()
+        if self.state_lost:
+            self.report_waiting(Event.STATE_LOST, self._statuses, "no machine")
         if self._context.now < self._next_request_at:
             return
         self._next_request_at = self._context.now + RETRY_INTERVAL_S
@@ -108,13 +110,12 @@
         for peer in self.known_peers():
             self._context.send(peer, StatusRequest(self._context.zone, self.ready_to_vote, position, promised))
 
-    def _report_lost_state(self) -> None:
-        """Log now and then that this machine waits for others because its disk was empty."""
-        if not self.state_lost or self._context.now < self._next_report_at:
+    def report_waiting(self, event: Event, machines: Iterable[str], none: str) -> None:
+        """Log now and then that this machine cannot vote yet, with the names of machines, or `none`."""
+        if self._context.now < self._next_report_at:
             return
         self._next_report_at = self._context.now + FOUNDING_REPORT_INTERVAL_S
-        answered = ", ".join(sorted(self._statuses)) or "no machine"
-        self._context.log(Event.STATE_LOST, answered)
+        self._context.log(event, ", ".join(sorted(machines)) or none)
 
     def on_status(self, sender: str, message: Status) -> None:
         """Handle the status of another machine."""
--- a/thistleusher/control/store_check.py
+++ b/thistleusher/control/store_check.py
@@ -129,13 +129,14 @@
 
 def _children(pages: _Pages, number: int) -> list[int]:
     data = pages.read(number, BRANCH)
-    return [low | high << 16 | top << 32 for low, high, top, _ in map(NODE.unpack_from, *_nodes(data, number))]
+    nodes = (NODE.unpack_from(data, offset) for offset in _node_offsets(data, number))
+    return [low | high << 16 | top << 32 for low, high, top, _ in nodes]
 
 
 def _check_leaf(pages: _Pages, number: int) -> None:
     data = pages.read(number, LEAF)
-    for buffer, offset in zip(*_nodes(data, number), strict=True):
-        low, high, flags, key_bytes = NODE.unpack_from(buffer, offset)
+    for offset in _node_offsets(data, number):
+        low, high, flags, key_bytes = NODE.unpack_from(data, offset)
         value_bytes, value_at = low | high << 16, offset + NODE.size + key_bytes
         stored_bytes = OVERFLOW_ROOT.size if flags & BIG_DATA else value_bytes
         if value_at + stored_bytes > len(data):
@@ -144,8 +145,8 @@
             pages.check_overflow(OVERFLOW_ROOT.unpack_from(data, value_at)[0], value_bytes)
 
 
-def _nodes(data: bytes, number: int) -> tuple[list[bytes], list[int]]:
-    """Return the page's data once for each of its nodes, and the nodes' offsets."""
+def _node_offsets(data: bytes, number: int) -> list[int]:
+    """Return the offsets of a page's nodes. Raise DamagedStoreError if there is none or one is not in the page."""
     _, _, _, lower, upper = PAGE_HEADER.unpack_from(data)
     if not PAGE_HEADER.size <= lower <= upper <= len(data):
         raise DamagedStoreError(f"page {number} has impossible bounds")
@@ -154,4 +155,4 @@
         raise DamagedStoreError(f"page {number} is empty")
     if any(not upper <= offset <= len(data) - NODE.size for offset in offsets):
         raise DamagedStoreError(f"page {number} has a node outside of it")
-    return [data] * len(offsets), offsets
+    return offsets
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -11,6 +11,7 @@
 from thistleusher.core.events import Outcome
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.head_guard import HeadGuard
+from thistleusher.net.message_writer import write_message
 from thistleusher.services.http_responses import MAX_BODY_BYTES, Response, ResponseReader
 
 log = logging.getLogger(__name__)
@@ -110,14 +111,7 @@
             )
         else:
             exchange.may_have_run = True
-            self._write(message, exchange.body())
-
-    def _write(self, message: bytes | memoryview, body: bytes | bytearray) -> None:
-        assert self.transport is not None
-        if body:
-            self.transport.writelines([message, body])
-        else:
-            self.transport.write(message)
+            write_message(self.transport, message, exchange.body())
 
     def _complete_head(self, held_back: memoryview, body: bytes | bytearray) -> None:
         """Write the rest of a guarded request, unless the connection has ended or the request is no longer needed."""
@@ -132,7 +126,7 @@
             exchange.end(Outcome.MOOT)
         else:
             exchange.may_have_run = True
-            self._write(held_back, body)
+            write_message(self.transport, held_back, body)
 
     def data_received(self, data: bytes) -> None:
         """Parse a read; only its first response can be the response to the exchange.
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -15,12 +15,12 @@
 
 from thistleusher.core.request import BadRequest
 from thistleusher.net import socket_state
+from thistleusher.net.message_writer import write_message
 from thistleusher.net.request_buffer import ClientLimits, RequestBuffer
 
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
 MAX_LINGER_BYTES = 256 * 1024  # input that is read and discarded while lingering
-MAX_JOINED_BYTES = 64 * 1024  # larger bodies are written without a copy
 PROCESS_PAUSE_S = 1.0  # a timer that fires later than this shows that the process was suspended
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
@@ -236,10 +236,7 @@
             header_lines,
             len(body),
         )
-        if len(body) > MAX_JOINED_BYTES:
-            self.transport.writelines([head, body])
-        else:
-            self.transport.write(head + body)
+        write_message(self.transport, head, body)
         if close:
             self.close()
 
--- a/thistleusher/net/ingress.py
+++ b/thistleusher/net/ingress.py
@@ -93,7 +93,11 @@
         """Report a client's disconnect to the driver, unless the call was rejected because its id is in flight."""
         in_flight = self.in_flight.get(call.request.id)
         if in_flight is not None and in_flight.context is call:
-            self.driver.client_gone(call.request.id)
+            self.client_gone(call)
+
+    def client_gone(self, call: WaitingCall) -> None:
+        """Report to the driver that the client of a request in flight has left."""
+        self.driver.client_gone(call.request.id)
 
     @staticmethod
     def finish(final: Final, reply: Reply) -> None:
@@ -119,7 +123,7 @@
             return False
         call: WaitingCall = in_flight.context
         if call.has_client_left():
-            self.driver.client_gone(call.request.id)
+            self.client_gone(call)
             return False
         return True
 
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -57,18 +57,11 @@
             call.request, lambda final: self.answer(final, call, reply), call, call.received_at, request_class
         )
 
-    def client_disconnected(self, call: ClientRequest) -> None:  # type: ignore[override]
-        """Report a client's disconnect; its request is not sent any more."""
-        super().client_disconnected(call)  # type: ignore[arg-type]
+    def client_gone(self, call: ClientRequest) -> None:  # type: ignore[override]
+        """Report that a client has left; its request is not sent any more."""
+        super().client_gone(call)
         call.release()
 
-    def may_send(self, in_flight: InFlightRequest, backend: str) -> bool:
-        """Return whether a request may be sent now; otherwise, if its client has left, drop its body."""
-        allowed = super().may_send(in_flight, backend)
-        if in_flight.answered:
-            in_flight.context.release()
-        return allowed
-
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Cancel an attempt at a silent backend, so that the request can be sent to another one.
 
