Logs: no process waits for the reader of its log or ends without one

Cause: log lines were written with a blocking write, through a stream that raises. With standard error closed, sockets got descriptors 0 to 2, which libuv refuses to close (abort); with its reader gone the first line raised, or the flush at the end failed (exit code 120); with a full pipe the event loop stood still and SIGTERM was not answered. A crash in native code left no line at all. Change: common.standard_streams. Closed standard descriptors become /dev/null; lines are written without waiting, what is not taken is counted and told (106); faulthandler writes the stacks of all threads. The ingress alone logs the same way.

--- a/tests/system/programs.py
+++ b/tests/system/programs.py
@@ -34,16 +34,21 @@
     def data(self) -> Path:
         return self.folder / "disk"
 
-    def start(self, bootstrap: bool = True) -> subprocess.Popen[bytes]:
-        """Write the settings and start the process."""
+    def start(
+        self, bootstrap: bool = True, log: int | None = None, wrapper: tuple[str, ...] = ()
+    ) -> subprocess.Popen[bytes]:
+        """Write the settings and start the process.
+
+        `log`: the descriptor of its standard output and error, in place of a file. `wrapper`: a command that starts it.
+        """
         path = self.folder / "boot.conf"
         path.write_text(self._settings(bootstrap))
-        with (self.folder / "log").open("ab") as log:
+        with (self.folder / "log").open("ab") as file:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "thistleusher.system", self.name],
+                [*wrapper, sys.executable, "-m", "thistleusher.system", self.name],
                 stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
+                stdout=file if log is None else log,
+                stderr=file if log is None else log,
                 env={**os.environ, "THISTLEUSHER_NODE_FILE": str(path)},
             )
         return self.process
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -11,6 +11,8 @@
 
 from absl import logging
 
+from thistleusher.common.standard_streams import DROPPED_NUMBER, DROPPED_TEXT
+
 NO_ACTION = "none"
 
 
@@ -59,6 +61,13 @@
         "Another process, perhaps an earlier one of this program, still holds a port; it is tried again for 10 s.",
         "If the process then ends with exit code 1, find out which process holds the port.",
     )
+    LOG_LINES_DROPPED = Entry(
+        DROPPED_NUMBER,
+        "warning",
+        DROPPED_TEXT,
+        "Standard error was full or had no reader; written before the next line that is taken.",
+        "Look at what reads the log: the process does not wait for it.",
+    )
     FAULT = Entry(
         120,
         "error",
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from thistleusher.common import signals
+from thistleusher.common import signals, standard_streams
 from thistleusher.common.settings_file import SettingsFile
 
 EXIT_CANNOT_SERVE = 1
@@ -27,6 +27,7 @@
     `EXIT_BAD_SETTINGS` if the settings file is missing or invalid.
     """
     signals.install()
+    standard_streams.install()
     try:
         settings = SettingsFile(path)
     except OSError as error:
--- a/thistleusher/common/signals.py
+++ b/thistleusher/common/signals.py
@@ -12,6 +12,8 @@
 import os
 import signal
 
+from thistleusher.common import standard_streams
+
 TYPE_CHECKING = False  # as in `typing`, which is not loaded here
 if TYPE_CHECKING:
     import asyncio
@@ -19,7 +21,6 @@
     from types import FrameType
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-STANDARD_ERROR = 2  # file descriptor
 EXIT_OK = 0
 
 
@@ -33,7 +34,7 @@
 def _exit_at_once(number: int, frame: FrameType | None) -> None:
     """End the process; the log may not be set up yet."""
     line = f"102 the process has shut down: {signal.Signals(number).name} before it served\n"
-    os.write(STANDARD_ERROR, line.encode())
+    standard_streams.write_error(line)
     os._exit(EXIT_OK)
 
 
--- a/thistleusher/log/setup.py
+++ b/thistleusher/log/setup.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-import sys
+
+from thistleusher.common.standard_streams import STANDARD_ERROR, NonBlockingStream, open_missing
 
 PLAIN_FORMAT = "%(asctime)s %(name)s %(levelname)s %(message)s"
 
@@ -18,4 +19,6 @@
 
 def use_plain_handler() -> None:
     """Send records of level info and above to standard error, for an ingress whose environment may lack absl."""
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=PLAIN_FORMAT)
+    open_missing()
+    stream = NonBlockingStream(STANDARD_ERROR)
+    logging.basicConfig(level=logging.INFO, stream=stream, format=PLAIN_FORMAT)
--- a/thistleusher/system.py
+++ b/thistleusher/system.py
@@ -11,9 +11,10 @@
 STARTS_PROGRAM = len(sys.argv) == 2 and sys.argv[1] in PROGRAMS
 
 if STARTS_PROGRAM:  # before the slow imports, because a signal ends a process that has no handler for it
-    from thistleusher.common import signals
+    from thistleusher.common import signals, standard_streams
 
     signals.install()
+    standard_streams.install()
 
 import gc  # noqa: E402
 
