Start: control opens its store in the main thread, and waits for a thread where there is none

Cause: the store was opened in a second thread while the main one loaded modules. Nothing can be served before the store is open, so the thread gained nothing. A refused thread (RuntimeError) ended the process. Change: one attempt in the main thread before anything else is loaded; if the disk refuses, further ones from the event loop. The storage's thread is the first one, after loading, and is started again while the system refuses it (107). Result: at the time of loading one thread in place of two (the new test fails before with 2).

--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -7,12 +7,14 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
 
 from standins.caller import Caller
 from tests.system.programs import PORT, Program, addresses
+from thistleusher.common import threads
 
 PROGRAMS = ("control", "registry", "proxy")
 
@@ -160,3 +162,69 @@
     for control in controls:
         control.start(bootstrap=False)
     assert acknowledged_within(controls, 8.0), [control.log() for control in controls]
+
+
+THREADS_WHEN_LOADED = """
+import importlib, os, sys, threading
+sys.argv = ["thistleusher", "control"]
+from thistleusher.common import launcher
+
+real = importlib.import_module
+
+def import_module(name):
+    print("threads", threading.active_count(), len(os.listdir("/proc/self/task")), file=sys.__stdout__, flush=True)
+    return real(name)
+
+importlib.import_module = import_module
+launcher.start("control")
+"""
+
+
+def test_a_control_process_has_no_second_thread_while_it_loads(programs, tmp_path):
+    """A crash in native code (code 132) was seen with the store's opener beside the loading of modules."""
+    program = one(programs, tmp_path, "control")
+    program.start()
+    program.wait_for_log("100 ")
+    program.end()
+    settings = {"THISTLEUSHER_NODE_FILE": str(tmp_path / "boot.conf")}
+    child = subprocess.Popen(
+        [sys.executable, "-c", THREADS_WHEN_LOADED], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, env=settings
+    )
+    try:
+        assert child.stdout.readline() == b"threads 1 1\n"
+    finally:
+        child.kill()
+        child.wait()
+
+
+def test_a_control_process_whose_disk_refuses_at_the_start_goes_on_trying_and_ends_on_sigterm(programs, tmp_path):
+    program = one(programs, tmp_path, "control")
+    program.data.write_bytes(b"")  # a file where the folder is to be
+    program.start()
+    program.wait_for_log("220 ")
+    program.data.unlink()
+    program.wait_for_log("100 ")
+    program.process.send_signal(signal.SIGTERM)
+    assert program.wait() == 0
+    program.data.rename(tmp_path / "away")
+    program.data.write_bytes(b"")
+    program.start(bootstrap=False)
+    time.sleep(0.5)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.wait() == 0
+
+
+def test_a_thread_that_the_system_refuses_is_started_later(monkeypatch, caplog):
+    refusals = [RuntimeError("can't start new thread")] * 2
+    real = threading.Thread.start
+
+    def start(thread):
+        if refusals:
+            raise refusals.pop()
+        real(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start)
+    monkeypatch.setattr(threads, "RETRY_DELAY_S", 0.0)
+    ran = threading.Event()
+    threads.start_patiently(threading.Thread(target=ran.set, name="storage"))
+    assert ran.wait(5) and not refusals
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -68,6 +68,13 @@
         "Standard error was full or had no reader; written before the next line that is taken.",
         "Look at what reads the log: the process does not wait for it.",
     )
+    THREAD_REFUSED = Entry(
+        107,
+        "warning",
+        "no thread for %s: %s",
+        "The system refuses this process a thread that it cannot do without; it tries again four times a second.",
+        "Raise the limit on processes and threads, or find out which process has used it up.",
+    )
     FAULT = Entry(
         120,
         "error",
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -52,9 +52,9 @@
     """Begin what cannot wait for the program to be loaded; return further arguments of its `main`."""
     if program != "control":
         return []
-    from thistleusher.control.store_opener import start_opening
+    from thistleusher.control.store_opener import store_arguments, try_opening
 
-    return [start_opening(settings.node_settings)]
+    return [try_opening(*store_arguments(settings.node_settings))]
 
 
 def _run(program: str, arguments: list[Any], verbose: bool) -> None:
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -10,7 +10,6 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from concurrent.futures import Future
 from pathlib import Path
 from typing import Any
 
@@ -27,6 +26,7 @@
 from thistleusher.control.service import ControlService
 from thistleusher.control.storage import Storage
 from thistleusher.control.store_file import OpenedStore
+from thistleusher.control.store_opener import RETRY_DELAY_S, store_arguments, try_opening
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
@@ -238,7 +238,12 @@
         self._submit(lambda call_id: orders.deferred_evacuation_change(call_id, zone, begin), on_answer)
 
 
-async def main(settings: SettingsFile, opening: Future[OpenedStore]) -> None:
-    """Run the control program once its store is open; `python -m thistleusher.system control` calls this."""
-    store = await asyncio.wrap_future(opening)
+async def main(settings: SettingsFile, store: OpenedStore | None) -> None:
+    """Run the control program; `python -m thistleusher.system control` calls this.
+
+    `store`: the result of the first attempt to open it; further ones are made while the disk refuses.
+    """
+    while store is None:
+        await asyncio.sleep(RETRY_DELAY_S)
+        store = try_opening(*store_arguments(settings.node_settings))
     await ControlProgram(settings, store).run()
--- a/thistleusher/control/storage.py
+++ b/thistleusher/control/storage.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from thistleusher.common.events import Event, log_event
+from thistleusher.common.threads import start_patiently
 from thistleusher.control.interface import Records, StoredState
 from thistleusher.control.store_file import FOUNDERS_KEY, OpenedStore, open_store
 from thistleusher.control.store_opener import open_patiently
@@ -60,7 +61,7 @@
             log_event(Event.DISK_FAILED, f"the store is unreadable, its state is lost: {store.lost}")
         self._jobs: queue.SimpleQueue[tuple[int, Records] | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="storage", daemon=True)
-        self._thread.start()
+        start_patiently(self._thread)
 
     def read(self) -> StoredState:
         """Return the state that earlier incarnations stored.
--- a/thistleusher/control/store_opener.py
+++ b/thistleusher/control/store_opener.py
@@ -1,14 +1,14 @@
-"""Opens the control store in a thread from the start of the process on, again and again while the disk refuses.
+"""Opens the control store of a process that starts, again and again while the disk refuses.
 
-A stalled disk holds up the thread that waits for it, and nothing else: the process goes on loading and ends on SIGTERM.
+The first attempt is made before the rest of the program is loaded, as a founder's record is to be on disk as soon after
+the start as possible. It is made in the main thread: nothing can be served without a store, so a second thread would
+gain nothing, and none runs while the process still loads its libraries. Later attempts are made from the event loop.
 """
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Sequence
-from concurrent.futures import Future
 from pathlib import Path
 
 import lmdb
@@ -19,28 +19,26 @@
 RETRY_DELAY_S = 0.25
 
 
-def start_opening(settings: NodeSettings) -> Future[OpenedStore]:
-    """Return the store of a control process as a future, which never fails: attempts are repeated."""
-    opened: Future[OpenedStore] = Future()
-    threading.Thread(target=_open, args=(settings, opened), name="store opener", daemon=True).start()
-    return opened
+def store_arguments(settings: NodeSettings) -> tuple[Path, float, Sequence[str]]:
+    """Return the arguments of `try_opening` for a control process."""
+    founding_seeds = settings.core_ips if settings.bootstrap else ()
+    return Path(settings.data_dir or "."), settings.limits.disk_mb, founding_seeds
 
 
-def _open(settings: NodeSettings, opened: Future[OpenedStore]) -> None:
-    founding_seeds = settings.core_ips if settings.bootstrap else ()
-    opened.set_result(open_patiently(Path(settings.data_dir or "."), settings.limits.disk_mb, founding_seeds))
+def try_opening(folder: Path, disk_mb: float, founding_seeds: Sequence[str] = ()) -> OpenedStore | None:
+    """Open a store as `open_store` does; log the failure and return None if the disk refuses."""
+    try:
+        return open_store(folder, disk_mb, founding_seeds)
+    except (OSError, lmdb.Error) as error:
+        _log_failure(error)
+        return None
 
 
 def open_patiently(folder: Path, disk_mb: float, founding_seeds: Sequence[str] = ()) -> OpenedStore:
-    """Open a store as `open_store` does, again and again while the disk refuses."""
-    while True:
-        try:
-            store = open_store(folder, disk_mb, founding_seeds)
-        except (OSError, lmdb.Error) as error:
-            _log_failure(error)
-            time.sleep(RETRY_DELAY_S)
-        else:
-            return store
+    """Open a store, again and again while the disk refuses. Blocks its thread."""
+    while (store := try_opening(folder, disk_mb, founding_seeds)) is None:
+        time.sleep(RETRY_DELAY_S)
+    return store
 
 
 def _log_failure(error: Exception) -> None:
