--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -165,11 +165,19 @@
 
 
 THREADS_WHEN_LOADED = """
-import importlib, os, sys, threading
+import importlib, os, sys, threading, time
 sys.argv = ["thistleusher", "control"]
 from thistleusher.common import launcher
 
-real = importlib.import_module
+real, sync = importlib.import_module, os.fsync
+
+
+def slow_sync(descriptor):
+    time.sleep(0.5)
+    sync(descriptor)
+
+
+os.fsync = slow_sync
 
 def import_module(name):
     print("threads", threading.active_count(), len(os.listdir("/proc/self/task")), file=sys.__stdout__, flush=True)
