Start: the test of a single thread while loading begins with an empty disk

Cause: the test still passed on the old code, since the store was there from an earlier start and nothing was synced. Change: the store is removed before the start that is looked at.

--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import shutil
 import signal
 import socket
 import subprocess
@@ -194,6 +195,7 @@
     program.start()
     program.wait_for_log("100 ")
     program.end()
+    shutil.rmtree(program.data)  # a first start, which makes the store
     settings = {"THISTLEUSHER_NODE_FILE": str(tmp_path / "boot.conf")}
     child = subprocess.Popen(
         [sys.executable, "-c", THREADS_WHEN_LOADED], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, env=settings
