--- /dev/null
+++ b/tests/net/test_memory_budget.py
@@ -0,0 +1,123 @@
+"""The budget of the bodies in memory: who is granted how much, who waits, and that nothing is lost of it."""
+
+import random
+
+import pytest
+
+from thistleusher.net.memory_budget import (
+    EARLY_SHARE,
+    SMALL_BODY_BYTES,
+    BodyTooLargeError,
+    MemoryBudget,
+    Reservation,
+    Stage,
+    body_capacity,
+)
+
+MB = 1024 * 1024
+CAPACITY = 100 * MB
+
+
+class Bodies:
+    """A budget and the names of the reservations that it has granted after a wait."""
+
+    def __init__(self, capacity=CAPACITY):
+        self.budget, self.granted = MemoryBudget(capacity), []
+
+    def new(self, name, stage=Stage.REQUEST):
+        return Reservation(self.budget, stage, lambda: self.granted.append(name))
+
+
+def test_the_budget_is_a_part_of_the_memory():
+    assert 0 < body_capacity(300) < 150 * MB
+
+
+def test_large_bodies_wait_in_the_order_in_which_they_asked():
+    bodies = Bodies()
+    first, second, third = (bodies.new(name) for name in "abc")
+    assert first.ask(40 * MB) and not second.ask(20 * MB) and not third.ask(5 * MB)
+    assert third.is_waiting  # it would fit, but another has waited for longer
+    first.release()
+    assert bodies.granted == ["b", "c"] and bodies.budget.held == 25 * MB
+
+
+def test_a_small_body_does_not_wait_behind_large_ones():
+    bodies = Bodies()
+    assert bodies.new("a").ask(50 * MB) and not bodies.new("b").ask(10 * MB)
+    assert bodies.new("c").ask(SMALL_BODY_BYTES)
+
+
+def test_the_responses_of_held_requests_find_memory():
+    bodies = Bodies()
+    while bodies.new("request").ask(MB):
+        pass
+    assert bodies.new("response", Stage.RESPONSE).ask(30 * MB)
+
+
+@pytest.mark.parametrize("stage, size", [(Stage.REQUEST, 51 * MB), (Stage.RESPONSE, 86 * MB), (Stage.CALL, 101 * MB)])
+def test_a_body_that_never_fits_is_refused_at_once(stage, size):
+    bodies = Bodies()
+    with pytest.raises(BodyTooLargeError):
+        bodies.new("a", stage).ask(size)
+    assert bodies.budget.held == bodies.budget.waiting == 0
+
+
+def test_bytes_of_waiting_bodies_keep_nobody_out_and_are_bounded():
+    bodies = Bodies()
+    assert bodies.new("a").ask(50 * MB)
+    waiting = [bodies.new(n) for n in range(60)]
+    covered = [not each.ask(MB) and each.cover(MB // 2) for each in waiting]
+    assert sum(covered) == int(CAPACITY * EARLY_SHARE) // (MB // 2)  # the others are to be refused
+    assert bodies.new("b", Stage.RESPONSE).ask(30 * MB)
+
+
+def test_a_body_that_grows_goes_before_those_that_have_not_begun():
+    bodies = Bodies()
+    growing, other = bodies.new("growing"), bodies.new("other")
+    assert growing.ask(10 * MB) and other.ask(35 * MB)
+    assert not bodies.new("new").ask(20 * MB)
+    assert growing.ask(15 * MB) and not growing.ask(16 * MB)
+    other.release()
+    assert bodies.granted == ["growing", "new"] and growing.held == 16 * MB
+
+
+def test_one_that_waits_can_be_given_up():
+    bodies = Bodies()
+    first, second, third = (bodies.new(name) for name in "abc")
+    assert first.ask(50 * MB) and not second.ask(50 * MB) and not third.ask(MB)
+    second.release()
+    second.release()
+    first.settle(20 * MB)
+    assert bodies.granted == ["c"] and bodies.budget.held == 21 * MB
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_drawn_bodies_stay_within_the_budget_and_leave_nothing(seed):
+    rng = random.Random(seed)
+    bodies = Bodies()
+    live = []
+    for number in range(2000):
+        action = rng.random()
+        if action < 0.4 or not live:
+            reservation = bodies.new(number, rng.choice(list(Stage)))
+            reservation.ask(rng.choice((1, 1000, SMALL_BODY_BYTES, MB, 10 * MB, 40 * MB)))
+            live.append(reservation)
+        elif action < 0.5:
+            each = rng.choice(live)
+            if each.is_waiting:
+                each.cover(rng.randrange(256 * 1024))
+            else:
+                each.settle(rng.randrange(each.held + 1))
+        elif action < 0.6:
+            each = rng.choice(live)
+            if not each.is_waiting and each.held < 40 * MB:
+                each.ask(each.held + 64 * 1024)
+        else:
+            live.pop(rng.randrange(len(live))).release()
+        budget = bodies.budget
+        assert budget.granted <= CAPACITY
+        assert budget.held == sum(each.held for each in live)
+        assert budget.waiting == sum(each.is_waiting for each in live)
+    for each in live:
+        each.release()
+    assert bodies.budget.held == bodies.budget.early == bodies.budget.waiting == 0
--- a/tests/proxy/loopback_rig.py
+++ b/tests/proxy/loopback_rig.py
@@ -12,6 +12,7 @@
 from thistleusher.configuration.records import Configuration
 from thistleusher.net.backend_connection import UpstreamOptions
 from thistleusher.net.connection_pool import Endpoint
+from thistleusher.net.memory_budget import MemoryBudget
 from thistleusher.net.upstream import Upstream
 from thistleusher.proxy.decisions import Decisions
 from thistleusher.proxy.forwarding import ProxyIngress
@@ -106,9 +107,10 @@
 
 
 class Rig:
-    """A proxy's listener with two backends of one service."""
+    """A proxy's listener with two backends of one service; `capacity`: of the memory for bodies, if it is limited."""
 
-    def __init__(self, count=2):
+    def __init__(self, count=2, capacity=None):
+        self.budget = None if capacity is None else MemoryBudget(capacity)
         self.backends = [Backend(f"b{n}") for n in range(count)]
         self.serial = 0
 
@@ -117,7 +119,9 @@
         for backend in self.backends:
             await backend.start()
         self.decisions = Decisions("me", "z", "r", Bounds(retry_slack=60), random.Random(1), loop.time())
-        self.upstream = Upstream(loop, 0.5, 10.0, 50, UpstreamOptions(1 << 20, ATTEMPT_HEADER, 1.0, outcome_of))
+        self.upstream = Upstream(
+            loop, 0.5, 10.0, 50, UpstreamOptions(1 << 20, ATTEMPT_HEADER, 1.0, outcome_of, self.budget)
+        )
         self.ingress = ProxyIngress(loop, self.decisions, self.upstream, lambda charge: None)
         self.server = ProxyServer(loop, self.ingress, 50)
         self.apply_configuration(config())
@@ -184,9 +188,9 @@
         await asyncio.sleep(0)
 
 
-def play(scenario, count=2):
+def play(scenario, count=2, capacity=None):
     async def main():
-        async with Rig(count) as rig:
+        async with Rig(count, capacity) as rig:
             await scenario(rig)
 
     asyncio.run(main())
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -227,6 +227,13 @@
         "A control process acknowledged a configuration that this proxy cannot read; it was requested again once.",
         "Compare the releases of control and proxy; send the configuration without the named field.",
     )
+    BODIES_REFUSED = Entry(
+        405,
+        "warning",
+        "memory for bodies: %d of %d MB held, %d bodies wait, %d were refused in %s s",
+        "Requests could not be read as the memory for bodies was in use; they were answered 503 and have not run.",
+        "Add proxies, or raise limits.mem_mb, if it recurs; look for clients that upload or do not read large bodies.",
+    )
     STATE_HANDED_OVER = Entry(
         430,
         "info",
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -27,6 +27,7 @@
 from thistleusher.control.storage import Storage
 from thistleusher.control.store_file import OpenedStore
 from thistleusher.control.store_opener import RETRY_DELAY_S, store_arguments, try_opening
+from thistleusher.net.memory_budget import MemoryBudget, body_capacity
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
@@ -83,6 +84,7 @@
             self._handlers(),
             ClientLimits(max_body_bytes=MAX_BODY_BYTES, read_timeout_s=READ_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S),
         )
+        self.api.budget = MemoryBudget(body_capacity(node_settings.limits.mem_mb))
         self.pending_calls: dict[int, OnAnswer] = {}
         self.control_port = read_address(node_settings.binds.control)[1] if node_settings.binds.control else 0
 
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -11,6 +11,7 @@
 from thistleusher.core.events import Outcome
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.head_guard import HeadGuard
+from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
 from thistleusher.net.message_writer import write_message
 from thistleusher.services.http_responses import MAX_BODY_BYTES, Response, ResponseReader
 
@@ -30,6 +31,7 @@
     request_id_header: bytes = b""  # response header that names its request; empty if responses do not name it
     peer_timeout_s: float = 0.0  # TCP user time-out without an acknowledgement; 0: the kernel's default
     outcome_of: Callable[[Response], Outcome] | None = None  # classifies a response; None: `outcome_of` below
+    budget: MemoryBudget | None = None  # of the bodies in memory; None: not limited
 
 
 DEFAULT_OPTIONS = UpstreamOptions()
@@ -62,7 +64,9 @@
         self.pool = pool
         self.sock = sock
         self.transport: asyncio.Transport | None = None
-        self.reader = ResponseReader(pool.options.max_body_bytes)
+        reserve = self._reserve if pool.options.budget is not None else None
+        self.reader = ResponseReader(pool.options.max_body_bytes, reserve)
+        self.reading_paused = False  # the response waits for memory
         self.exchange: BackendExchange | None = None
         self.idle_since = 0.0
         self.idle_timeout_s = float("inf")  # the backend's idle time-out, from its Keep-Alive header
@@ -76,6 +80,22 @@
         """Store the transport."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass of it
 
+    def _reserve(self) -> Reservation:
+        assert self.pool.options.budget is not None
+        return Reservation(self.pool.options.budget, Stage.RESPONSE, self._read_on)
+
+    def _read_on(self) -> None:
+        """Read the rest of a response that is granted memory."""
+        if self.reading_paused and not self.closed and self.transport is not None:
+            self.reading_paused = False
+            self.transport.resume_reading()
+            self._await_more()
+
+    def _await_more(self) -> None:
+        """Fail the response if it receives no further byte for the stall time-out."""
+        if self.exchange is not None and (stall_s := self.exchange.stall_timeout()):
+            self.stall_timer = self.pool.loop.call_later(stall_s, self._response_stalled)
+
     def is_stale(self) -> bool:
         """Return whether the backend has closed the connection or has sent bytes that are not read yet."""
         if self.closed:
@@ -145,28 +165,48 @@
             self._fail("response received before the request's head was complete")
             return
         responses = self.reader.feed(data)
-        id_header = self.pool.options.request_id_header
-        own = responses
-        if id_header:  # a surplus response may arrive before the expected one
-            own = [r for r in responses if r.headers.get(id_header) == self.exchange.request_id]
-            self.has_received_stray_response = self.has_received_stray_response or len(own) < len(responses)
+        own = self._own(responses)
+        for response in responses:
+            if not own or response is not own[0]:
+                response.release()
         if own:
             is_unusable = self.has_received_stray_response or self.reader.partial or self.reader.error
             self._finish(own[0], reusable=len(own) == 1 and not is_unusable)
-        elif self.reader.error:
+        else:
+            self._go_on_reading(responses)
+
+    def _own(self, responses: list[Response]) -> list[Response]:
+        """Return the responses to the exchange; a surplus response may arrive before the expected one."""
+        id_header = self.pool.options.request_id_header
+        if not id_header or self.exchange is None:
+            return responses
+        own = [r for r in responses if r.headers.get(id_header) == self.exchange.request_id]
+        self.has_received_stray_response = self.has_received_stray_response or len(own) < len(responses)
+        return own
+
+    def _go_on_reading(self, others: list[Response]) -> None:
+        """Wait for the response to the exchange, unless it cannot come any more; `others` came in its place."""
+        id_header = self.pool.options.request_id_header
+        if self.reader.error:
             self._fail(self.reader.error)
-        elif any(id_header not in response.headers for response in responses):
+        elif any(id_header not in response.headers for response in others):
             self._fail("response without a request id header")
-        elif self.reader.partial and (stall_s := self.exchange.stall_timeout()):
-            self.stall_timer = self.pool.loop.call_later(stall_s, self._response_stalled)
+        elif self.reader.is_waiting:
+            assert self.transport is not None
+            self.reading_paused = True
+            self.transport.pause_reading()
+        elif self.reader.partial:
+            self._await_more()
 
     def _finish(self, response: Response, *, reusable: bool) -> None:
         """End the exchange with its response. A reusable connection is returned to the pool first."""
         exchange = self.exchange
         assert exchange is not None
+        assert self.transport is not None
         self.exchange = None
         exchange.connection = None
-        if reusable and response.keep_alive and not self.closed:
+        is_request_sent = not self.transport.get_write_buffer_size()  # what is not sent would be held on
+        if reusable and response.keep_alive and not self.closed and is_request_sent:
             self.has_carried_request = True
             self.idle_timeout_s = read_idle_timeout(response)
             self.pool.put_back(self)
@@ -206,6 +246,7 @@
             return
         self.closed = True
         self.exchange = None
+        self.reader.drop_body()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         if self.head_end_timer is not None:
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -15,8 +15,9 @@
 
 from thistleusher.core.request import BadRequest
 from thistleusher.net import socket_state
+from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
 from thistleusher.net.message_writer import write_message
-from thistleusher.net.request_buffer import ClientLimits, RequestBuffer
+from thistleusher.net.request_buffer import NO_MEMORY, ClientLimits, RequestBuffer
 
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
@@ -25,6 +26,8 @@
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
+NO_MEMORY_LINES = b"Retry-After: 0.2\r\n"
+
 Reply = Callable[[int, bytes, bytes], None]  # status, additional header lines, body
 
 
@@ -37,11 +40,21 @@
     closes: bool = False  # whether the connection is closed after it
 
 
+class QueuedRequest(NamedTuple):
+    """A request read ahead, or the response to send in its turn; `reservation`: the memory of its body."""
+
+    request: Any
+    keep_alive: bool
+    reservation: Reservation | None = None
+
+
 class RequestHandler(Protocol):
     """The part of a server that its connections use."""
 
     loop: asyncio.AbstractEventLoop
     limits: ClientLimits
+    budget: MemoryBudget | None
+    body_stage: Stage
     draining: bool
     activity_counter: itertools.count[int]
     connections: set[ClientConnection]
@@ -55,6 +68,9 @@
     def handle_request(self, request: Any, reply: Reply) -> None:
         """Answer a request by calling `reply` exactly once, during this call or later."""
 
+    def memory_wait_s(self, connection: ClientConnection) -> float:
+        """Return the seconds that the request whose head a connection has read may wait for memory."""
+
     def client_disconnected(self, request: Any) -> None:
         """Handle the disconnect of the client of an unanswered request."""
 
@@ -68,8 +84,17 @@
         super().__init__(server)
         self.loop = server.loop
         self.transport: asyncio.Transport | None = None
-        self.queue: deque[tuple[Any, bool]] = deque()  # requests read ahead, each with its keep-alive flag
+        self.queue: deque[QueuedRequest] = deque()  # requests read ahead
         self.current_request: Any = None  # the request that awaits its response
+        self.current_reservation: Reservation | None = None  # the memory of its body
+        self.unsent: Reservation | None = None  # the memory of responses that the client has not taken yet
+        self.unsent_bodies: deque[tuple[int, int]] = deque()  # for each of them, the offset of its end and its size
+        self.written_bytes = 0  # of all responses, handed to the transport
+        self.awaits_memory_since = 0.0  # when reading was paused until memory is granted; 0 if it is not
+        self.memory_waited_s = 0.0  # for which the incoming request has waited before
+        self.max_discarded_bytes = MAX_LINGER_BYTES
+        self.discarded_bytes = 0  # at the last check while lingering
+        self.linger_began_at = 0.0
         self.keep_alive = True  # whether the connection stays open after the current response
         self.closing = False
         self.disconnected = False
@@ -107,15 +132,18 @@
         """Unregister, drop the requests read ahead, and report the disconnect for the current request."""
         self.closing = True
         self.disconnected = True
-        self.body = bytearray()  # of a request that will not come whole
+        self.drop_body()  # of a request that will not come whole
+        self._account_for_unsent()
         self.server.connections.discard(self)
         self._abandon_requests()
 
     def _abandon_requests(self) -> None:
         """Drop the requests read ahead, and report the disconnect for the current request."""
-        self.queue.clear()
+        while self.queue:
+            release(self.queue.popleft().reservation)
         request = self.current_request
         self.current_request = None
+        self._release_current()
         if request is not None:
             self.server.client_disconnected(request)
 
@@ -123,7 +151,7 @@
         """Parse input, or discard it after a request that was rejected before it was complete."""
         if self.discarding_input:
             self.received_bytes += len(data)
-            if self.received_bytes > MAX_LINGER_BYTES:
+            if self.received_bytes > self.max_discarded_bytes:
                 self._pause_reading()
             return
         self.last_activity = next(self.server.activity_counter)
@@ -147,8 +175,33 @@
         """Answer an unreadable request with an error, after the requests before it, and close the connection."""
         self.discarding_input = True
         self.received_bytes = 0
-        self.body = bytearray()
-        self._enqueue(ImmediateResponse(status, reason), keep_alive=False)
+        self.awaits_memory_since = 0.0
+        self.drop_body()
+        lines = b""
+        if (status, reason) == NO_MEMORY:
+            lines = NO_MEMORY_LINES
+            self.max_discarded_bytes = (
+                self.server.limits.max_body_bytes
+            )  # a client may read no answer before it is sent
+            if self.server.budget is not None:
+                self.server.budget.refused += 1
+        self._enqueue(QueuedRequest(ImmediateResponse(status, reason, lines), keep_alive=False))
+
+    def on_memory_awaited(self) -> None:
+        """Pause reading: the client is held up until its body can be held."""
+        self.awaits_memory_since = self.loop.time()
+        self._pause_reading()
+
+    def on_memory_granted(self) -> None:
+        """Read on. The time for which the client was held up does not count as its own."""
+        if not self.awaits_memory_since:
+            return
+        waited_s = self.loop.time() - self.awaits_memory_since
+        self.memory_waited_s += waited_s
+        if self.request_started_at:
+            self.request_started_at += waited_s
+        self.awaits_memory_since = 0.0
+        self._read_on()
 
     def pause_writing(self) -> None:
         """Stop processing queued requests while the client does not read its responses."""
@@ -158,6 +211,7 @@
     def resume_writing(self) -> None:
         """Process the queued requests again."""
         self.writing_paused = False
+        self._account_for_unsent()
         self.process_queue()
 
     # Parser callbacks; `RequestBuffer` has the others.
@@ -166,6 +220,7 @@
         """Reset the buffer for a new request."""
         self.reset()
         self.request_started_at = self.loop.time()
+        self.memory_waited_s = 0.0
 
     def on_message_complete(self) -> None:
         """Queue the complete request, or the response to one that needs no decision."""
@@ -173,18 +228,26 @@
         self.in_head = True
         self.has_sent_request = True
         request = self.server.read_request(self)
+        reservation = self.take_reservation()
         self.body = bytearray()  # the request has it now; held here too, it would last until the next request
-        if isinstance(request, ImmediateResponse) and request.closes:  # makes a client reconnect to repeat it
-            self.reject(request.status, request.text)
-            return
+        if self.awaits_memory_since:  # the whole body came in the read that began it
+            self.awaits_memory_since = 0.0
+            self._read_on()
+        if isinstance(request, ImmediateResponse):
+            release(reservation)
+            reservation = None
+            if request.closes:  # makes a client reconnect to repeat it
+                self.reject(request.status, request.text)
+                return
         # A 503 closes the connection, so that repeated health checks do not displace the connections of served clients.
         unavailable = isinstance(request, ImmediateResponse) and request.status == 503
-        self._enqueue(request, self.parser.should_keep_alive() and not self.over_limit and not unavailable)
+        keep_alive = self.parser.should_keep_alive() and not self.over_limit and not unavailable
+        self._enqueue(QueuedRequest(request, keep_alive, reservation))
 
     # Responses, in request order.
 
-    def _enqueue(self, request: Any, keep_alive: bool) -> None:
-        self.queue.append((request, keep_alive))
+    def _enqueue(self, queued: QueuedRequest) -> None:
+        self.queue.append(queued)
         if len(self.queue) > MAX_PIPELINED_REQUESTS:
             self._pause_reading()
         if self.current_request is None:
@@ -193,20 +256,25 @@
     def process_queue(self) -> None:
         """Process the requests read ahead until one has to wait for its response."""
         while self.queue and self.current_request is None and not self.closing and not self.writing_paused:
-            request, self.keep_alive = self.queue.popleft()
+            request, self.keep_alive, reservation = self.queue.popleft()
             if isinstance(request, ImmediateResponse):
                 self._write(request.status, request.header_lines, request.text.encode())
             else:
                 self.current_request = request
+                self.current_reservation = reservation
                 self.server.handle_request(request, functools.partial(self.reply, request))
-        if (
-            self.reading_paused
-            and not self.closing
-            and not self.discarding_input
-            and len(self.queue) <= MAX_PIPELINED_REQUESTS
-        ):
+        self._read_on()
+
+    def _read_on(self) -> None:
+        """Resume reading unless something else holds it up."""
+        held_up = self.discarding_input or self.awaits_memory_since or len(self.queue) > MAX_PIPELINED_REQUESTS
+        if self.reading_paused and not self.closing and not held_up:
             self._resume_reading()
 
+    def _release_current(self) -> None:
+        release(self.current_reservation)
+        self.current_reservation = None
+
     def reply(self, request: Any, status: int, header_lines: bytes, body: bytes) -> None:
         """Write the final response to a request.
 
@@ -215,6 +283,7 @@
         if self.current_request is not request:
             return
         self.current_request = None
+        self._release_current()
         # The request was found invalid only at its decision, because its id is in flight; or the backend answered 400.
         if status == 400:
             self.discarding_input = True
@@ -237,9 +306,28 @@
             len(body),
         )
         write_message(self.transport, head, body)
+        if self.server.budget is not None:
+            self.written_bytes += len(head) + len(body)
+            self.unsent_bodies.append((self.written_bytes, len(body)))
+            self._account_for_unsent()
         if close:
             self.close()
 
+    def _account_for_unsent(self) -> None:
+        """Reserve what the transport holds: each body as a whole until its last byte is taken by the connection."""
+        if not self.unsent_bodies or self.transport is None or self.server.budget is None:
+            return
+        taken = self.written_bytes
+        if not self.disconnected:
+            taken -= self.transport.get_write_buffer_size()
+        while self.unsent_bodies and self.unsent_bodies[0][0] <= taken:
+            self.unsent_bodies.popleft()
+        size = sum(body_bytes for _, body_bytes in self.unsent_bodies)
+        if size and self.unsent is None:
+            self.unsent = Reservation(self.server.budget, Stage.RESPONSE, bool)
+        if self.unsent is not None and size != self.unsent.held:
+            self.unsent.settle(size)
+
     # Closing.
 
     def close(self) -> None:
@@ -261,7 +349,7 @@
 
     def _linger(self) -> None:
         """Abort after `LINGER_S`, whether or not the client has closed its side."""
-        self.last_progress_at = self.loop.time()
+        self.last_progress_at = self.linger_began_at = self.loop.time()
         self.loop.call_later(LINGER_S, self._end_linger, self.last_progress_at + LINGER_S)
 
     def _discard_input(self) -> None:
@@ -279,11 +367,18 @@
         now = self.loop.time()
         if now > due + PROCESS_PAUSE_S:
             self.last_progress_at = now
-        if self.transport.get_write_buffer_size() and not self.is_stalled(now):
+        is_sending = self.max_discarded_bytes > MAX_LINGER_BYTES and self._is_still_sending(now)
+        if (self.transport.get_write_buffer_size() and not self.is_stalled(now)) or is_sending:
             self.loop.call_later(LINGER_S, self._end_linger, now + LINGER_S)
         else:
             self.transport.abort()
 
+    def _is_still_sending(self, now: float) -> bool:
+        """Return whether the client sends the rest of a refused body: it may read no answer before it has sent all."""
+        progressed = self.received_bytes > self.discarded_bytes
+        self.discarded_bytes = self.received_bytes
+        return progressed and now - self.linger_began_at < self.server.limits.read_timeout_s
+
     def _pause_reading(self) -> None:
         if self.transport is not None and not self.reading_paused:
             self.reading_paused = True
@@ -297,9 +392,13 @@
     # Time-outs.
 
     def check_timeouts(self, now: float) -> None:
-        """Enforce the time-outs for a first byte, a complete request, the next request, and reading of responses."""
-        if self.closing or self.transport is None:
-            return
+        """Enforce the time-outs for a first byte, memory, a whole request, the next one, and reading of responses."""
+        self._account_for_unsent()
+        if not self.closing and self.transport is not None:
+            self._check_open(now)
+
+    def _check_open(self, now: float) -> None:
+        assert self.transport is not None
         limits = self.server.limits
         if self.reading_paused and self.has_client_left():  # a paused transport does not detect the disconnect
             self.closing = True
@@ -308,6 +407,9 @@
             if self.is_stalled(now):
                 self.closing = True
                 self.transport.abort()
+        elif self.awaits_memory_since:
+            if self.memory_waited_s + now - self.awaits_memory_since > self.server.memory_wait_s(self):
+                self.reject(*NO_MEMORY)
         elif self.request_started_at:
             late = now - self.request_started_at > limits.read_timeout_s
             if late and not self.discarding_input and not self.has_unread_bytes():
@@ -355,3 +457,9 @@
         assert self.transport is not None
         sock = self.transport.get_extra_info("socket")
         return sock is not None and socket_state.has_unread_bytes(sock)
+
+
+def release(reservation: Reservation | None) -> None:
+    """Release the memory of a body, if it has any."""
+    if reservation is not None:
+        reservation.release()
--- a/thistleusher/net/exchange.py
+++ b/thistleusher/net/exchange.py
@@ -70,16 +70,23 @@
         self.timer: asyncio.TimerHandle | None = None
         self.may_have_run = False  # whether the request's head has been written completely
         self.ended = False
+        self.keeps_response = False  # whether its owner needs the response after `on_end`, and releases it then
         self.read_count_at_start = 0  # the pool's `read_count` when the exchange started
 
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         """Report the outcome; later calls have no effect."""
         if self.ended:
+            if response is not None:
+                response.release()
             return
         self.ended = True
         if self.timer is not None:
             self.timer.cancel()
-        self.on_end(self, outcome, response)
+        try:
+            self.on_end(self, outcome, response)
+        finally:
+            if response is not None and not self.keeps_response:
+                response.release()
 
     def give_up(self, outcome: Outcome) -> None:
         """Abandon the exchange.
--- /dev/null
+++ b/thistleusher/net/memory_budget.py
@@ -0,0 +1,177 @@
+"""The memory that the bodies in flight may take together: who holds how much of it, and who waits.
+
+Each body, of a request or a response, has a `Reservation` from its head on until its bytes are gone: a request's until
+it is answered, a response's until it is handed to the client's connection, which from then on accounts for what the
+client has not read. A body whose length is known is reserved as a whole, so that bodies which have begun can be
+completed; one in chunks grows its reservation.
+
+Guarantees:
+
+- all reservations together stay within the capacity, but for the bytes of one read;
+- bodies that wait, of which some bytes came in the same read as the head, keep nobody from being granted, and are
+  refused once they hold `EARLY_SHARE` of the capacity;
+- a request that is held finds memory for its response: requests get only a part of the capacity, responses more;
+- bodies of at most `SMALL_BODY_BYTES` go before larger ones and may use the whole capacity, so they do not starve;
+- larger ones of a stage are served in the order in which they asked.
+
+Pure. Cost: constant per body, and a step per body that waits.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+
+SMALL_BODY_BYTES = 64 * 1024
+EARLY_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
+MEMORY_SHARE = (
+    0.4  # fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late
+)
+BYTES_PER_MB = 1024 * 1024
+
+
+class Stage(Enum):
+    """What a body is, with the fraction of the capacity up to which it may be taken in."""
+
+    REQUEST = 0.5
+    RESPONSE = 0.85
+    CALL = 1.0  # a request that is answered without a second body
+
+
+class BodyTooLargeError(Exception):
+    """The body would never fit: it is larger than its stage may use of an empty budget."""
+
+
+class MemoryBudget:
+    """The budget of one process."""
+
+    def __init__(self, capacity_bytes: int) -> None:
+        self.capacity = capacity_bytes
+        self.granted = 0  # bytes of the reservations that do not wait
+        self.early = 0  # bytes of those that wait
+        self.refused = 0  # bodies that were refused, for the log
+        self._small: deque[Reservation] = deque()
+        self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
+
+    @property
+    def waiting(self) -> int:
+        """The number of reservations that wait."""
+        return len(self._small) + sum(len(queue) for queue in self._large.values())
+
+    @property
+    def held(self) -> int:
+        """The bytes of all reservations."""
+        return self.granted + self.early
+
+    def has_room(self) -> bool:
+        """Return whether the bytes in memory are within their bounds."""
+        return self.early <= self.capacity * EARLY_SHARE and self.held <= self.capacity
+
+    def limit(self, stage: Stage, size: int) -> int:
+        """Return up to how many held bytes a body of this size is taken in."""
+        return self.capacity if size <= SMALL_BODY_BYTES else int(self.capacity * stage.value)
+
+    def queue(self, stage: Stage, size: int) -> deque[Reservation]:
+        """Return the queue in which a body of this size waits."""
+        return self._small if size <= SMALL_BODY_BYTES else self._large[stage]
+
+    def grant_waiting(self) -> None:
+        """Grant what fits by now: small bodies first, then responses, as each of these frees its request too."""
+        for queue in (self._small, self._large[Stage.RESPONSE], self._large[Stage.REQUEST], self._large[Stage.CALL]):
+            while queue and queue[0].fits():
+                queue.popleft().grant()
+
+
+class Reservation:
+    """The part of the budget that one body holds."""
+
+    __slots__ = ("_budget", "_stage", "_on_granted", "held", "wanted", "_queue", "_is_early")
+
+    def __init__(self, budget: MemoryBudget, stage: Stage, on_granted: Callable[[], object]) -> None:
+        """Hold nothing yet; `on_granted` is called when a request that had to wait is granted."""
+        self._budget = budget
+        self._stage = stage
+        self._on_granted = on_granted
+        self.held = 0
+        self.wanted = 0
+        self._queue: deque[Reservation] | None = None  # where it waits
+        self._is_early = False  # whether it waits and nothing was granted to it so far
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits to be granted what it asked for."""
+        return self._queue is not None
+
+    def ask(self, size: int) -> bool:
+        """Ask to hold `size` bytes in all. Return whether that is granted; if not, it waits.
+
+        Raise BodyTooLargeError if it could never be granted.
+        """
+        budget = self._budget
+        self.wanted = size
+        if size > budget.limit(self._stage, size):
+            raise BodyTooLargeError(f"{size} bytes, at most {budget.limit(self._stage, size)} can be held")
+        queue = budget.queue(self._stage, size)
+        if (self.held or not queue) and self.fits():
+            budget.granted += size - self.held
+            self.held = size
+            return True
+        if self.held:  # what it holds is free only once it is complete
+            queue.appendleft(self)
+        else:
+            queue.append(self)
+            self._is_early = True
+        self._queue = queue
+        return False
+
+    def fits(self) -> bool:
+        """Return whether what is wanted could be granted now."""
+        own = 0 if self._is_early else self.held
+        return self._budget.granted - own + self.wanted <= self._budget.limit(self._stage, self.wanted)
+
+    def grant(self) -> None:
+        """Hold what is wanted, and report it. The budget has taken it from its queue."""
+        self._queue = None
+        self._count_as_granted()
+        self._budget.granted += self.wanted - self.held
+        self.held = self.wanted
+        self._on_granted()
+
+    def _count_as_granted(self) -> None:
+        if self._is_early:
+            self._is_early = False
+            self._budget.early -= self.held
+            self._budget.granted += self.held
+
+    def cover(self, size: int) -> bool:
+        """Account for `size` bytes in all that are in memory already. Return False if there is no room for them."""
+        more = max(0, size - self.held)
+        self.held += more
+        if self._is_early:
+            self._budget.early += more
+        else:
+            self._budget.granted += more
+        return self._budget.has_room()
+
+    def settle(self, size: int) -> None:
+        """Hold exactly `size` bytes from now on, and wait for nothing."""
+        budget = self._budget
+        if self._queue is not None:
+            self._queue.remove(self)
+            self._queue = None
+        self._count_as_granted()
+        budget.granted += size - self.held
+        self.held = size
+        if budget.waiting:
+            budget.grant_waiting()
+
+    def release(self) -> None:
+        """Hold nothing any more; later calls have no effect."""
+        if self.held or self._queue is not None:
+            self.settle(0)
+
+
+def body_capacity(memory_mb: float) -> int:
+    """Return the bytes that a process with this limit of memory may hold in bodies."""
+    return int(memory_mb * MEMORY_SHARE * BYTES_PER_MB)
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from thistleusher.net.client_connection import PROCESS_PAUSE_S, ClientConnection, Reply
+from thistleusher.net.memory_budget import MemoryBudget, Stage
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.shutdown import GracefulShutdown
 
@@ -33,6 +34,8 @@
         self.loop = loop
         self.max_connections = max_connections
         self.limits = limits
+        self.budget: MemoryBudget | None = None  # of the bodies in memory; None: not limited
+        self.body_stage = Stage.CALL
         self.connections: set[ClientConnection] = set()
         self.activity_counter = itertools.count()  # orders connections by activity; the loop's clock is too coarse
         self.shutting_down = False
@@ -54,6 +57,10 @@
         """Answer a request by calling `reply` exactly once, during this call or later."""
         raise NotImplementedError
 
+    def memory_wait_s(self, connection: ClientConnection) -> float:
+        """Return the seconds that the request whose head a connection has read may wait for memory."""
+        return self.limits.read_timeout_s
+
     def client_disconnected(self, request: Any) -> None:
         """Handle the disconnect of the client of an unanswered request."""
 
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -119,7 +119,7 @@
             call.attempt = None
             call.ended_attempt_may_have_run |= exchange.may_have_run and outcome is not Outcome.FULL
             if answer is not None:
-                self._note_answer(call, backend, outcome, answer)
+                exchange.keeps_response = self._note_answer(call, backend, outcome, answer)
             on_end(AttemptResult(outcome, answer))
 
         mark = call.request.id.encode("latin-1")
@@ -129,8 +129,11 @@
         call.attempt = BackendAttempt(self.upstream, exchange)
         return call.attempt
 
-    def _note_answer(self, call: ClientRequest, backend: str, outcome: Outcome, answer: Response) -> None:
+    def _note_answer(self, call: ClientRequest, backend: str, outcome: Outcome, answer: Response) -> bool:
+        """Note what an answer says of its backend; return whether the call keeps it."""
         if answer.status == MISDIRECTED:
             self.decisions.mark_misdirected(backend)
         if outcome is Outcome.ERROR and answer.status >= 500 and answer.status not in NOT_RUN_STATUSES:
-            call.last_error = answer
+            call.keep_error(answer)
+            return True
+        return False
--- a/thistleusher/proxy/http_messages.py
+++ b/thistleusher/proxy/http_messages.py
@@ -106,6 +106,7 @@
     has_length: bool = True  # whether the forwarded request states its length
     attempt: BackendAttempt | None = None  # attempt in flight, None between attempts
     ended_attempt_may_have_run: bool = False
+    released: bool = False  # whether the request has ended for its client
 
     def may_have_run(self) -> bool:
         """Return whether a backend may have started the request, so that no rejection may be sent any more."""
@@ -129,4 +130,17 @@
         The request itself may be kept by reference cycles until the collector runs, which counts objects, not bytes.
         """
         self.body = b""
-        self.last_error = None
+        self.released = True
+        if self.last_error is not None:
+            self.last_error.release()
+            self.last_error = None
+
+    def keep_error(self, answer: Response) -> None:
+        """Keep the newest answer that reports a backend's own error, unless the request has ended."""
+        if self.last_error is not None:
+            self.last_error.release()
+            self.last_error = None
+        if self.released:
+            answer.release()
+        else:
+            self.last_error = answer
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -12,6 +12,7 @@
 from thistleusher.configuration.index import Index
 from thistleusher.core import events
 from thistleusher.net.client_connection import ClientConnection
+from thistleusher.net.memory_budget import Stage
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.server import Server
 from thistleusher.proxy.decisions import PLAN
@@ -23,6 +24,7 @@
 BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")  # methods whose requests need not state a length
 MAX_REQUEST_TIME_S = 120.0  # upper bound of the time allowed for a request
 MIN_REMAINING_S = 0.05  # requests are rejected once a graceful shutdown has no more than this time left
+MEMORY_WAIT_FRACTION = 0.3  # of the request's deadline
 MIN_TIMEOUT_S = 0.1  # lower bound of a connection's time-outs; smaller configured values are raised to it
 
 
@@ -32,6 +34,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, ingress: ProxyIngress, max_connections: int) -> None:
         """`max_connections`: maximum number of concurrent connections."""
         super().__init__(loop, max_connections)
+        self.budget = ingress.upstream.options.budget  # one for both directions
+        self.body_stage = Stage.REQUEST
         self.ingress = ingress
         self.index: Index | None = None
         self.has_backend_list = False  # whether a backend list has been applied
@@ -51,6 +55,17 @@
             max(MIN_TIMEOUT_S, limits.idle_timeout_ms / 1000),
         )
 
+    def memory_wait_s(self, connection: ClientConnection) -> float:
+        """Return the time for a request to wait for memory: clients give up after a third of the time that they have.
+
+        Otherwise it is that for a whole request, since a client that sends no deadline has no other bound.
+        """
+        wait_s = self.limits.read_timeout_s
+        for name, value in connection.headers:
+            if name.lower() == DEADLINE_HEADER and value.isdigit():
+                wait_s = min(wait_s, int(value) / 1000 * MEMORY_WAIT_FRACTION)
+        return wait_s
+
     def has_pending_work(self) -> bool:
         """Return whether a non-idempotent request in flight may be running; each of them ends by its deadline."""
         return self.ingress.driver.has_non_idempotent_in_flight()
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -25,6 +25,7 @@
 from thistleusher.common.settings_file import SettingsFile
 from thistleusher.net.backend_connection import UpstreamOptions
 from thistleusher.net.connection_pool import Endpoint
+from thistleusher.net.memory_budget import BYTES_PER_MB, MemoryBudget, body_capacity
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.upstream import Upstream
 from thistleusher.proxy.cluster_view import ClusterView, Reply
@@ -69,6 +70,7 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Limits of the listeners for the directory and for readiness checks.
 CALL_LIMITS = ClientLimits(max_body_bytes=4096, read_timeout_s=3.0, idle_timeout_s=10.0)
+REFUSALS_REPORT_INTERVAL_S = 5.0
 MAX_HAND_OVER_LINKS = 64  # concurrent connections on which other proxies send copies of the state
 
 
@@ -91,7 +93,9 @@
         )
         free = node_settings.limits.fd_limit - RESERVED_DESCRIPTORS - SPARE_DESCRIPTORS
         connections = max(MIN_CONNECTIONS, free // 2)
-        options = UpstreamOptions(MAX_ANSWER_BYTES, ATTEMPT_HEADER, UNACKNOWLEDGED_TIMEOUT_S, outcome_of)
+        self.next_refusals_report = now
+        self.budget = MemoryBudget(body_capacity(node_settings.limits.mem_mb))
+        options = UpstreamOptions(MAX_ANSWER_BYTES, ATTEMPT_HEADER, UNACKNOWLEDGED_TIMEOUT_S, outcome_of, self.budget)
         self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_TIMEOUT_S, connections, options)
         self.ingress = ProxyIngress(loop, self.decisions, self.upstream, self._charge)
         self.server = ProxyServer(loop, self.ingress, connections)
@@ -181,8 +185,19 @@
         self._connect_to_core(self.node_settings.core_ips)
 
     def tick(self) -> None:
-        """Send the heartbeats that are due."""
-        self._execute(self.cluster_view.tick(time.monotonic(), self.is_ready()))
+        """Send the heartbeats that are due, and report refused bodies."""
+        now = time.monotonic()
+        self._execute(self.cluster_view.tick(now, self.is_ready()))
+        if self.budget.refused and now >= self.next_refusals_report:
+            self.next_refusals_report = now + REFUSALS_REPORT_INTERVAL_S
+            self._report_refused_bodies()
+
+    def _report_refused_bodies(self) -> None:
+        budget = self.budget
+        held_mb, capacity_mb = budget.held // BYTES_PER_MB, budget.capacity // BYTES_PER_MB
+        figures = (held_mb, capacity_mb, budget.waiting, budget.refused, REFUSALS_REPORT_INTERVAL_S)
+        log_event(Event.BODIES_REFUSED, *figures)
+        budget.refused = 0
 
     def is_ready(self) -> bool:
         """Return whether this proxy can serve requests: it has configuration and backends and is not shutting down."""
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 import httptools
 
@@ -11,6 +12,32 @@
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # headers that determine where the body ends
 
 
+UNCOUNTED_BODY_BYTES = 16 * 1024  # shorter bodies are not reserved: each connection has one at most
+GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
+
+
+class BodyReservation(Protocol):
+    """The memory of one body (`net.memory_budget.Reservation`)."""
+
+    held: int
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits to be granted what it asked for."""
+
+    def ask(self, size: int) -> bool:
+        """Ask to hold `size` bytes in all; return whether that is granted. Raise if it never could be."""
+
+    def cover(self, size: int) -> bool:
+        """Account for `size` bytes that are in memory already. Return False if there is no room for them."""
+
+    def settle(self, size: int) -> None:
+        """Hold exactly `size` bytes, and wait for nothing."""
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+
+
 class Response(NamedTuple):
     """A complete response; header names are in lower case."""
 
@@ -18,6 +45,12 @@
     headers: dict[bytes, bytes]
     body: bytes | bytearray
     keep_alive: bool  # the connection may carry another request
+    reservation: BodyReservation | None = None  # the memory of the body
+
+    def release(self) -> None:
+        """Release the memory of the body, which is not needed any more."""
+        if self.reservation is not None:
+            self.reservation.release()
 
 
 class InvalidResponseError(Exception):
@@ -31,9 +64,14 @@
     the reason why nothing more can be read from this connection.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self, max_body_bytes: int = MAX_BODY_BYTES, reserve: Callable[[], BodyReservation] | None = None
+    ) -> None:
+        """`reserve` returns a reservation for a body; None if the memory of bodies is not limited."""
         self.parser = httptools.HttpResponseParser(self)
         self.max_body_bytes = max_body_bytes
+        self.reserve = reserve
+        self.reservation: BodyReservation | None = None  # of the incoming body
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.responses: list[Response] = []
@@ -56,12 +94,24 @@
         self.responses = []
         return responses
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the incoming body waits for memory: no more of it is to be read."""
+        return self.reservation is not None and self.reservation.is_waiting
+
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self.headers = {}
-        self.body = bytearray()
+        self.drop_body()
         self.partial = True
 
+    def drop_body(self) -> None:
+        """Drop the incoming body, and its reservation."""
+        self.body = bytearray()
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; raises InvalidResponseError if a framing header occurs twice."""
         key = name.lower()
@@ -83,12 +133,34 @@
             raise InvalidResponseError("transfer-encoding: expected chunked")
         if length is not None and int(length) > self.max_body_bytes:
             raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
+        if length is not None and int(length) > UNCOUNTED_BODY_BYTES:
+            self._ask_for_memory(int(length))
+
+    def _ask_for_memory(self, size: int) -> None:
+        """Reserve memory for `size` bytes of the body, which may have to wait; raise if they can never be held."""
+        if self.reserve is None:
+            return
+        if self.reservation is None:
+            self.reservation = self.reserve()
+        self.reservation.ask(size)
+
+    def _account_for_body(self) -> None:
+        """Reserve memory for a body that is longer than what is reserved."""
+        size = len(self.body)
+        if not self.is_waiting:
+            self._ask_for_memory(-(-size // GROWTH_BYTES) * GROWTH_BYTES)
+        reservation = self.reservation
+        if reservation is not None and size > reservation.held and not reservation.cover(size):
+            raise InvalidResponseError("no memory for the body")
 
     def on_body(self, data: bytes) -> None:
         """Append to the body; raises InvalidResponseError if it exceeds the limit."""
         if len(self.body) + len(data) > self.max_body_bytes:
             raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
         self.body += data
+        reserved = UNCOUNTED_BODY_BYTES if self.reservation is None else self.reservation.held
+        if self.reserve is not None and len(self.body) > reserved:
+            self._account_for_body()
 
     def on_message_complete(self) -> None:
         """Add the complete response to those to return; interim (1xx) responses are dropped."""
@@ -97,6 +169,9 @@
         if status < 200:
             return
         self.bytes_read = 0
-        body = self.body
+        body, reservation = self.body, self.reservation
         self.body = bytearray()  # held here too, it would last until the connection's next response
-        self.responses.append(Response(status, self.headers, body, self.parser.should_keep_alive()))
+        self.reservation = None
+        if reservation is not None:
+            reservation.settle(len(body))
+        self.responses.append(Response(status, self.headers, body, self.parser.should_keep_alive(), reservation))
