--- a/tests/log/test_standard_streams.py
+++ b/tests/log/test_standard_streams.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from thistleusher.common import standard_streams
-from thistleusher.common.standard_streams import MAX_WRITE_BYTES, NonBlockingStream
+from thistleusher.log import standard_streams
+from thistleusher.log.standard_streams import MAX_WRITE_BYTES, NonBlockingStream
 
 SMALLEST_PIPE_BYTES = 4096
 F_SETPIPE_SZ = 1031
@@ -71,7 +71,7 @@
 
 def test_a_crash_in_native_code_leaves_its_stacks():
     source = (
-        "from thistleusher.common import standard_streams; standard_streams.install()\n"
+        "from thistleusher.log import standard_streams; standard_streams.install()\n"
         "import os, signal\n"
         "os.kill(os.getpid(), signal.SIGILL)\n"
     )
@@ -84,7 +84,7 @@
     source = (
         "import os\n"
         "for number in (0, 1, 2): os.close(number)\n"
-        "from thistleusher.common import standard_streams; standard_streams.install()\n"
+        "from thistleusher.log import standard_streams; standard_streams.install()\n"
         "assert os.open('/dev/null', os.O_RDONLY) > 2\n"
         "import sys; print('lost', file=sys.stderr)\n"
     )
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from thistleusher.common.standard_streams import DROPPED_NUMBER, DROPPED_TEXT
+from thistleusher.log.standard_streams import DROPPED_NUMBER, DROPPED_TEXT
 
 NO_ACTION = "none"
 
--- a/thistleusher/common/launcher.py
+++ b/thistleusher/common/launcher.py
@@ -11,8 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from thistleusher.common import signals, standard_streams
+from thistleusher.common import signals
 from thistleusher.common.settings_file import SettingsFile
+from thistleusher.log import standard_streams
 
 EXIT_CANNOT_SERVE = 1
 EXIT_BAD_SETTINGS = 2
@@ -23,8 +24,8 @@
 def start(program: str, path: Path | None = None, verbose: bool = False) -> int:
     """Run `thistleusher.<program>.program` with the settings file at `path`, by default that of `node_settings_path`.
 
-    Return the exit code: `signals.EXIT_OK` after a graceful shutdown, `EXIT_CANNOT_SERVE` if a port cannot be opened,
-    `EXIT_BAD_SETTINGS` if the settings file is missing or invalid.
+    Return the exit code: `signals.EXIT_OK` after a graceful shutdown, `EXIT_CANNOT_SERVE` if a port cannot be opened or
+    a library cannot be loaded, `EXIT_BAD_SETTINGS` if the settings file is missing or invalid.
     """
     signals.install()
     standard_streams.install()
@@ -37,9 +38,11 @@
         for fault in group.exceptions:
             print(f"settings: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    arguments = [settings, *_begin(program, settings)]
     try:
-        _run(program, arguments, verbose)
+        _run(program, [settings, *_begin(program, settings)], verbose)
+    except ImportError as error:
+        print(f"cannot load: {error}; `python3 deploy/build.py` installs what this machine needs", file=sys.stderr)
+        return EXIT_CANNOT_SERVE
     except OSError as error:
         print(f"cannot serve: {error}", file=sys.stderr)
         return EXIT_CANNOT_SERVE
--- a/thistleusher/common/signals.py
+++ b/thistleusher/common/signals.py
@@ -12,7 +12,7 @@
 import os
 import signal
 
-from thistleusher.common import standard_streams
+from thistleusher.log import standard_streams
 
 TYPE_CHECKING = False  # as in `typing`, which is not loaded here
 if TYPE_CHECKING:
--- a/thistleusher/log/setup.py
+++ b/thistleusher/log/setup.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from thistleusher.common.standard_streams import STANDARD_ERROR, NonBlockingStream, open_missing
+from thistleusher.log.standard_streams import STANDARD_ERROR, NonBlockingStream, open_missing
 
 PLAIN_FORMAT = "%(asctime)s %(name)s %(levelname)s %(message)s"
 
--- a/thistleusher/system.py
+++ b/thistleusher/system.py
@@ -11,7 +11,8 @@
 STARTS_PROGRAM = len(sys.argv) == 2 and sys.argv[1] in PROGRAMS
 
 if STARTS_PROGRAM:  # before the slow imports, because a signal ends a process that has no handler for it
-    from thistleusher.common import signals, standard_streams
+    from thistleusher.common import signals
+    from thistleusher.log import standard_streams
 
     signals.install()
     standard_streams.install()
