Bodies: requests read ahead count with their heads

Cause: reading pauses at 16 requests read ahead on one connection, but one read holds more of them, and only bodies were counted: heads of up to 16 KiB each added up over the connections. Change: a request that waits for the one before on its connection is reserved with its head and 4 KiB; without room it is refused (503, it has not run) and the rest of the read is not parsed. The new case of tests/proxy/test_memory_budget.py fails without the change.

--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -269,3 +269,25 @@
         await settle(rig)
 
     play(scenario, capacity=CAPACITY)
+
+
+def test_the_heads_of_requests_read_ahead_are_within_the_budget():
+    async def scenario(rig):
+        for backend in rig.backends:
+            backend.script = ["wait"] * 40
+        clients = [await rig.client() for _ in range(20)]
+        pad = b"X-Pad: " + b"p" * 14_000 + b"\r\n"
+        for number, client in enumerate(clients):
+            for n in range(16):
+                client.writer.write(
+                    b"GET /p/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: h%d-%d\r\n%sX-Deadline-Ms: 1500\r\n"
+                    b"Authorization: Token k1\r\n\r\n" % (number, n, pad)
+                )
+        await asyncio.sleep(0.5)
+        queued = [each.request for connection in rig.server.connections for each in connection.queue]
+        assert queued and sum(len(call.start) for call in queued if hasattr(call, "start")) <= 2 * MB
+        for client in clients:
+            client.writer.transport.abort()
+        await settle(rig)
+
+    play(scenario, capacity=2 * MB)
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -19,7 +19,8 @@
 from thistleusher.net.message_writer import write_message
 from thistleusher.net.request_buffer import NO_MEMORY, ClientLimits, RequestBuffer
 
-MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection
+MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection, beyond which no more is read
+QUEUED_REQUEST_BYTES = 4096  # memory of a request read ahead, besides its head and body
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
 MAX_LINGER_BYTES = 256 * 1024  # input that is read and discarded while lingering
 PROCESS_PAUSE_S = 1.0  # a timer that fires later than this shows that the process was suspended
@@ -227,6 +228,8 @@
         self.request_started_at = 0.0
         self.in_head = True
         self.has_sent_request = True
+        if self.current_request is not None:
+            self._account_for_read_ahead()
         request = self.server.read_request(self)
         reservation = self.take_reservation()
         self.body = bytearray()  # the request has it now; held here too, it would last until the next request
@@ -244,6 +247,20 @@
         keep_alive = self.parser.should_keep_alive() and not self.over_limit and not unavailable
         self._enqueue(QueuedRequest(request, keep_alive, reservation))
 
+    def _account_for_read_ahead(self) -> None:
+        """Reserve memory for a request that has to wait for the one before; a single read may hold thousands of them.
+
+        Raise BadRequest if there is none.
+        """
+        if self.server.budget is None:
+            return
+        if self.reservation is None:
+            self.reservation = Reservation(self.server.budget, self.server.body_stage, bool)
+        head_bytes = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        self.read_ahead_bytes = head_bytes + QUEUED_REQUEST_BYTES
+        if not self.reservation.cover(len(self.body) + self.read_ahead_bytes):
+            raise BadRequest(*NO_MEMORY)
+
     # Responses, in request order.
 
     def _enqueue(self, queued: QueuedRequest) -> None:
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -54,6 +54,7 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
+        self.read_ahead_bytes = 0  # memory of the request besides its body, if it was read ahead
         self.received_bytes = 0  # size of a head received in several reads; then size of discarded input
         self.in_head = True
         self.is_first_read = True
@@ -126,7 +127,7 @@
         """Return the reservation of a body that has come whole, for its request to release."""
         reservation, self.reservation = self.reservation, None
         if reservation is not None:
-            reservation.settle(len(self.body))
+            reservation.settle(len(self.body) + self.read_ahead_bytes)
         return reservation
 
     def drop_body(self) -> None:
