Bodies: their budget leaves room for what the process itself takes

Cause: 0.4 of mem_mb for bodies assumes a small process; at the target of two years a proxy's own state takes 212 MB (docs/CAPACITY.md), which with 120 MB of bodies is over 300. Change: once a second the budget is sized by the resident memory without bodies: at most 0.6 of what that leaves. A real process of that size was not run.

--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -28,8 +28,20 @@
         return Reservation(self.budget, stage, lambda: self.granted.append(name))
 
 
-def test_the_budget_is_a_part_of_the_memory():
-    assert 0 < body_capacity(300) < 150 * MB
+def test_the_budget_is_a_part_of_the_memory_and_of_what_the_process_leaves():
+    assert body_capacity(300) == body_capacity(300, 40 * MB) == 120 * MB
+    for own_mb in (100, 150, 212, 280, 400):  # 212: docs/CAPACITY.md, the state of the target in two years
+        capacity = body_capacity(300, own_mb * MB)
+        assert capacity + own_mb * MB <= 300 * MB or capacity == 4 * MB
+
+
+def test_a_budget_that_grows_grants_and_one_that_shrinks_takes_nothing_back():
+    bodies = Bodies()
+    assert bodies.new("a").ask(50 * MB) and not bodies.new("b").ask(10 * MB)
+    bodies.budget.resize(10 * MB)
+    assert bodies.budget.held == 50 * MB and not bodies.granted
+    bodies.budget.resize(120 * MB)
+    assert bodies.granted == ["b"]
 
 
 def test_large_bodies_wait_in_the_order_in_which_they_asked():
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from thistleusher.common.body_memory import BodyMemory
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import log_event
 from thistleusher.common.listening import listening
@@ -27,7 +28,6 @@
 from thistleusher.control.storage import Storage
 from thistleusher.control.store_file import OpenedStore
 from thistleusher.control.store_opener import RETRY_DELAY_S, store_arguments, try_opening
-from thistleusher.net.memory_budget import MemoryBudget, body_capacity
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
@@ -84,7 +84,8 @@
             self._handlers(),
             ClientLimits(max_body_bytes=MAX_BODY_BYTES, read_timeout_s=READ_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S),
         )
-        self.api.budget = MemoryBudget(body_capacity(node_settings.limits.mem_mb))
+        self.body_memory = BodyMemory(node_settings.limits.mem_mb)
+        self.api.budget = self.body_memory.budget
         self.pending_calls: dict[int, OnAnswer] = {}
         self.control_port = read_address(node_settings.binds.control)[1] if node_settings.binds.control else 0
 
@@ -135,7 +136,9 @@
         for ip in self.service.node.known_peers():
             if ip not in self.outgoing:
                 self.outgoing[ip] = self._connect(ip)
-        self._execute(self.service.tick(time.monotonic()))
+        now = time.monotonic()
+        self._execute(self.service.tick(now))
+        self.body_memory.update(now)
 
     def _connect(self, ip: str) -> ReconnectingLink:
         port = self.node_settings.port(CONTROL)
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -28,6 +28,8 @@
 MEMORY_SHARE = (
     0.4  # fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late
 )
+FREE_SHARE = 0.6  # fraction for bodies of what the process itself leaves free, where that is less
+MIN_CAPACITY_BYTES = 4 * 1024 * 1024
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -54,6 +56,13 @@
         self._small: deque[Reservation] = deque()
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
 
+    def resize(self, capacity_bytes: int) -> None:
+        """Set the capacity. A lower one takes nothing back from those who hold."""
+        grows = capacity_bytes > self.capacity
+        self.capacity = capacity_bytes
+        if grows:
+            self.grant_waiting()
+
     @property
     def waiting(self) -> int:
         """The number of reservations that wait."""
@@ -172,6 +181,7 @@
             self.settle(0)
 
 
-def body_capacity(memory_mb: float) -> int:
-    """Return the bytes that a process with this limit of memory may hold in bodies."""
-    return int(memory_mb * MEMORY_SHARE * BYTES_PER_MB)
+def body_capacity(memory_mb: float, own_bytes: int = 0) -> int:
+    """Return the bytes that a process may hold in bodies; `own_bytes`: what it takes otherwise."""
+    limit_bytes = memory_mb * BYTES_PER_MB
+    return int(max(MIN_CAPACITY_BYTES, min(limit_bytes * MEMORY_SHARE, (limit_bytes - own_bytes) * FREE_SHARE)))
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from thistleusher.common.background import start_background
+from thistleusher.common.body_memory import BodyMemory
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import Event, log_event
 from thistleusher.common.incarnations import new_incarnation
@@ -25,7 +26,7 @@
 from thistleusher.common.settings_file import SettingsFile
 from thistleusher.net.backend_connection import UpstreamOptions
 from thistleusher.net.connection_pool import Endpoint
-from thistleusher.net.memory_budget import BYTES_PER_MB, MemoryBudget, body_capacity
+from thistleusher.net.memory_budget import BYTES_PER_MB
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.upstream import Upstream
 from thistleusher.proxy.cluster_view import ClusterView, Reply
@@ -94,7 +95,8 @@
         free = node_settings.limits.fd_limit - RESERVED_DESCRIPTORS - SPARE_DESCRIPTORS
         connections = max(MIN_CONNECTIONS, free // 2)
         self.next_refusals_report = now
-        self.budget = MemoryBudget(body_capacity(node_settings.limits.mem_mb))
+        self.body_memory = BodyMemory(node_settings.limits.mem_mb)
+        self.budget = self.body_memory.budget
         options = UpstreamOptions(MAX_ANSWER_BYTES, ATTEMPT_HEADER, UNACKNOWLEDGED_TIMEOUT_S, outcome_of, self.budget)
         self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_TIMEOUT_S, connections, options)
         self.ingress = ProxyIngress(loop, self.decisions, self.upstream, self._charge)
@@ -188,6 +190,7 @@
         """Send the heartbeats that are due, and report refused bodies."""
         now = time.monotonic()
         self._execute(self.cluster_view.tick(now, self.is_ready()))
+        self.body_memory.update(now)
         if self.budget.refused and now >= self.next_refusals_report:
             self.next_refusals_report = now + REFUSALS_REPORT_INTERVAL_S
             self._report_refused_bodies()
