Bodies: answers that need no decision count while they wait, too

Cause: a request read ahead that is answered at once (404, 401) waits for the answer before it, and was not counted; neither was one that came while its client read nothing. Change: each entry of a connection's queue holds its reservation until it is answered. The memory of unsent responses has a class of its own, net.unsent_responses.

--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -271,21 +271,26 @@
     play(scenario, capacity=CAPACITY)
 
 
-def test_the_heads_of_requests_read_ahead_are_within_the_budget():
+@pytest.mark.parametrize("path, pad_bytes", [("/p/", 14_000), ("/p/", 0), ("/none/", 0)])
+def test_requests_read_ahead_are_within_the_budget(path, pad_bytes):
+    """One read may hold thousands of small ones, whether or not a backend is needed for their answers."""
+
     async def scenario(rig):
         for backend in rig.backends:
             backend.script = ["wait"] * 40
         clients = [await rig.client() for _ in range(20)]
-        pad = b"X-Pad: " + b"p" * 14_000 + b"\r\n"
+        pad = b"X-Pad: " + b"p" * pad_bytes + b"\r\n"
         for number, client in enumerate(clients):
-            for n in range(16):
-                client.writer.write(
-                    b"GET /p/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: h%d-%d\r\n%sX-Deadline-Ms: 1500\r\n"
-                    b"Authorization: Token k1\r\n\r\n" % (number, n, pad)
-                )
+            requests = [
+                b"GET %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: h%d-%d\r\n%sX-Deadline-Ms: 1500\r\n"
+                b"Authorization: Token k1\r\n\r\n" % (path.encode() if n else b"/p/", number, n, pad)
+                for n in range(240_000 // (pad_bytes + 150))
+            ]
+            client.writer.write(b"".join(requests))
         await asyncio.sleep(0.5)
-        queued = [each.request for connection in rig.server.connections for each in connection.queue]
-        assert queued and sum(len(call.start) for call in queued if hasattr(call, "start")) <= 2 * MB
+        # A refusal follows the requests of each connection, which holds no request.
+        queued = sum(len(connection.queue) - 1 for connection in rig.server.connections)
+        assert 0 < queued * (pad_bytes + client_connection.QUEUED_REQUEST_BYTES) <= 2 * MB
         for client in clients:
             client.writer.transport.abort()
         await settle(rig)
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -18,6 +18,7 @@
 from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
 from thistleusher.net.message_writer import write_message
 from thistleusher.net.request_buffer import NO_MEMORY, ClientLimits, RequestBuffer
+from thistleusher.net.unsent_responses import UnsentResponses
 
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection, beyond which no more is read
 QUEUED_REQUEST_BYTES = 4096  # memory of a request read ahead, besides its head and body
@@ -88,9 +89,7 @@
         self.queue: deque[QueuedRequest] = deque()  # requests read ahead
         self.current_request: Any = None  # the request that awaits its response
         self.current_reservation: Reservation | None = None  # the memory of its body
-        self.unsent: Reservation | None = None  # the memory of responses that the client has not taken yet
-        self.unsent_bodies: deque[tuple[int, int]] = deque()  # for each of them, the offset of its end and its size
-        self.written_bytes = 0  # of all responses, handed to the transport
+        self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
         self.awaits_memory_since = 0.0  # when reading was paused until memory is granted; 0 if it is not
         self.memory_waited_s = 0.0  # for which the incoming request has waited before
         self.max_discarded_bytes = MAX_LINGER_BYTES
@@ -181,9 +180,8 @@
         lines = b""
         if (status, reason) == NO_MEMORY:
             lines = NO_MEMORY_LINES
-            self.max_discarded_bytes = (
-                self.server.limits.max_body_bytes
-            )  # a client may read no answer before it is sent
+            # A client may read no answer before it has sent its whole body.
+            self.max_discarded_bytes = self.server.limits.max_body_bytes
             if self.server.budget is not None:
                 self.server.budget.refused += 1
         self._enqueue(QueuedRequest(ImmediateResponse(status, reason, lines), keep_alive=False))
@@ -228,7 +226,7 @@
         self.request_started_at = 0.0
         self.in_head = True
         self.has_sent_request = True
-        if self.current_request is not None:
+        if self.current_request is not None or self.queue or self.writing_paused:
             self._account_for_read_ahead()
         request = self.server.read_request(self)
         reservation = self.take_reservation()
@@ -237,9 +235,10 @@
             self.awaits_memory_since = 0.0
             self._read_on()
         if isinstance(request, ImmediateResponse):
-            release(reservation)
-            reservation = None
+            if reservation is not None:
+                reservation.settle(self.read_ahead_bytes)  # its body is not needed
             if request.closes:  # makes a client reconnect to repeat it
+                release(reservation)
                 self.reject(request.status, request.text)
                 return
         # A 503 closes the connection, so that repeated health checks do not displace the connections of served clients.
@@ -276,6 +275,7 @@
             request, self.keep_alive, reservation = self.queue.popleft()
             if isinstance(request, ImmediateResponse):
                 self._write(request.status, request.header_lines, request.text.encode())
+                release(reservation)
             else:
                 self.current_request = request
                 self.current_reservation = reservation
@@ -323,27 +323,16 @@
             len(body),
         )
         write_message(self.transport, head, body)
-        if self.server.budget is not None:
-            self.written_bytes += len(head) + len(body)
-            self.unsent_bodies.append((self.written_bytes, len(body)))
+        if self.unsent is not None:
+            self.unsent.add(len(head), len(body))
             self._account_for_unsent()
         if close:
             self.close()
 
     def _account_for_unsent(self) -> None:
-        """Reserve what the transport holds: each body as a whole until its last byte is taken by the connection."""
-        if not self.unsent_bodies or self.transport is None or self.server.budget is None:
-            return
-        taken = self.written_bytes
-        if not self.disconnected:
-            taken -= self.transport.get_write_buffer_size()
-        while self.unsent_bodies and self.unsent_bodies[0][0] <= taken:
-            self.unsent_bodies.popleft()
-        size = sum(body_bytes for _, body_bytes in self.unsent_bodies)
-        if size and self.unsent is None:
-            self.unsent = Reservation(self.server.budget, Stage.RESPONSE, bool)
-        if self.unsent is not None and size != self.unsent.held:
-            self.unsent.settle(size)
+        """Account for the memory of the responses that the client has not taken yet."""
+        if self.unsent is not None and self.transport is not None:
+            self.unsent.update(0 if self.disconnected else self.transport.get_write_buffer_size())
 
     # Closing.
 
