Bodies: the largest one that the limits allow is taken in, beside small ones

Cause: requests may use half of the budget, 60 MiB of a process with 300 MB, and a body of more was refused for good, though max_body_bytes allows 64 MiB. Change: a body beyond its stage's part is taken in while the others hold less than a tenth of the capacity.

--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -25,9 +25,9 @@
 
 SMALL_BODY_BYTES = 64 * 1024
 EARLY_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
-MEMORY_SHARE = (
-    0.4  # fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late
-)
+ALONE_SHARE = 0.1  # fraction of the capacity that may be in use when a body beyond its stage's part is taken in
+# Fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late.
+MEMORY_SHARE = 0.4
 FREE_SHARE = 0.6  # fraction for bodies of what the process itself leaves free, where that is less
 MIN_CAPACITY_BYTES = 4 * 1024 * 1024
 BYTES_PER_MB = 1024 * 1024
@@ -42,7 +42,7 @@
 
 
 class BodyTooLargeError(Exception):
-    """The body would never fit: it is larger than its stage may use of an empty budget."""
+    """The body would never fit: it is larger than the whole budget."""
 
 
 class MemoryBudget:
@@ -119,8 +119,8 @@
         """
         budget = self._budget
         self.wanted = size
-        if size > budget.limit(self._stage, size):
-            raise BodyTooLargeError(f"{size} bytes, at most {budget.limit(self._stage, size)} can be held")
+        if size > budget.capacity:
+            raise BodyTooLargeError(f"{size} bytes, at most {budget.capacity} can be held")
         queue = budget.queue(self._stage, size)
         if (self.held or not queue) and self.fits():
             budget.granted += size - self.held
@@ -136,8 +136,12 @@
 
     def fits(self) -> bool:
         """Return whether what is wanted could be granted now."""
-        own = 0 if self._is_early else self.held
-        return self._budget.granted - own + self.wanted <= self._budget.limit(self._stage, self.wanted)
+        budget = self._budget
+        others = budget.granted - (0 if self._is_early else self.held)
+        if others + self.wanted <= budget.limit(self._stage, self.wanted):
+            return True
+        # One body that is larger than its stage's part is taken in beside small ones only.
+        return others <= budget.capacity * ALONE_SHARE and others + self.wanted <= budget.capacity
 
     def grant(self) -> None:
         """Hold what is wanted, and report it. The budget has taken it from its queue."""
