--- a/tests/system/programs.py
+++ b/tests/system/programs.py
@@ -97,3 +97,10 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+
+
+def one(programs: list[Program], folder: Path, name: str) -> Program:
+    """Add a program on an address of its own, which is its own only seed."""
+    (ip,) = addresses(1)
+    programs.append(Program(folder, name, ip, (ip,)))
+    return programs[-1]
--- a/tests/system/test_logs.py
+++ b/tests/system/test_logs.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.system.programs import PORT, Program, addresses
+from tests.system.programs import PORT, one
 
 PROGRAMS = ("control", "registry", "proxy")
 # An address that each program opens: its own of the settings file, or the registry's port for other processes.
@@ -16,21 +16,6 @@
 RUNS_S = 1.2  # the processes without a log have ended by then before the fix
 
 
-@pytest.fixture
-def programs():
-    """A list of programs that are ended with the test."""
-    started = []
-    yield started
-    for program in started:
-        program.end()
-
-
-def one(programs, folder, name):
-    (ip,) = addresses(1)
-    programs.append(Program(folder, name, ip, (ip,)))
-    return programs[-1]
-
-
 def wait_until_it_answers(program):
     """Wait until the process accepts a connection and reacts to its end, so that its loop runs."""
     end = time.monotonic() + 20
--- a/tests/system/test_starts.py
+++ b/tests/system/test_starts.py
@@ -14,28 +14,12 @@
 import pytest
 
 from standins.caller import Caller
-from tests.system.programs import PORT, Program, addresses
+from tests.system.programs import PORT, Program, addresses, one
 from thistleusher.common import threads
 
 PROGRAMS = ("control", "registry", "proxy")
 
 
-@pytest.fixture
-def programs():
-    """A list of programs that are ended with the test."""
-    started = []
-    yield started
-    for program in started:
-        program.end()
-
-
-def one(programs, folder, name):
-    """Return one program on an address of its own."""
-    (ip,) = addresses(1)
-    programs.append(Program(folder, name, ip, (ip,)))
-    return programs[-1]
-
-
 def wait_until_handled(program):
     """Wait until the process has installed its handlers."""
     status = f"/proc/{program.process.pid}/status"
