--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -5,8 +5,8 @@
 import pytest
 
 from thistleusher.net.memory_budget import (
-    EARLY_SHARE,
     SMALL_BODY_BYTES,
+    WAITING_SHARE,
     BodyTooLargeError,
     MemoryBudget,
     Reservation,
@@ -97,7 +97,7 @@
     assert bodies.new("a").ask(50 * MB)
     waiting = [bodies.new(n) for n in range(60)]
     covered = [not each.ask(MB) and each.cover(MB // 2) for each in waiting]
-    assert sum(covered) == int(CAPACITY * EARLY_SHARE) // (MB // 2)  # the others are to be refused
+    assert sum(covered) == int(CAPACITY * WAITING_SHARE) // (MB // 2)  # the others are to be refused
     assert bodies.new("b", Stage.RESPONSE).ask(30 * MB)
 
 
@@ -117,7 +117,7 @@
     assert first.ask(50 * MB) and not second.ask(50 * MB) and not third.ask(MB)
     second.release()
     second.release()
-    first.settle(20 * MB)
+    first.resize(20 * MB)
     assert bodies.granted == ["c"] and bodies.budget.held == 21 * MB
 
 
@@ -137,7 +137,7 @@
             if each.is_waiting:
                 each.cover(rng.randrange(256 * 1024))
             else:
-                each.settle(rng.randrange(each.held + 1))
+                each.resize(rng.randrange(each.held + 1))
         elif action < 0.6:
             each = rng.choice(live)
             if not each.is_waiting and each.held < 40 * MB:
@@ -145,9 +145,9 @@
         else:
             live.pop(rng.randrange(len(live))).release()
         budget = bodies.budget
-        assert budget.granted <= CAPACITY
+        assert budget.granted_bytes <= CAPACITY
         assert budget.held == sum(each.held for each in live)
         assert budget.waiting == sum(each.is_waiting for each in live)
     for each in live:
         each.release()
-    assert bodies.budget.held == bodies.budget.early == bodies.budget.waiting == 0
+    assert bodies.budget.held == bodies.budget.waiting_bytes == bodies.budget.waiting == 0
--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -7,7 +7,7 @@
 
 from standins import http
 from tests.proxy.loopback_rig import answer, config, play, until
-from thistleusher.net import client_connection
+from thistleusher.net import client_connection, request_buffer
 from thistleusher.net.shutdown import GracefulShutdown
 
 MB = 1024 * 1024
@@ -290,7 +290,7 @@
         await asyncio.sleep(0.5)
         # A refusal follows the requests of each connection, which holds no request.
         queued = sum(len(connection.queue) - 1 for connection in rig.server.connections)
-        assert 0 < queued * (pad_bytes + client_connection.QUEUED_REQUEST_BYTES) <= 2 * MB
+        assert 0 < queued * (pad_bytes + request_buffer.QUEUED_REQUEST_BYTES) <= 2 * MB
         for client in clients:
             client.writer.transport.abort()
         await settle(rig)
--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -68,7 +68,7 @@
         "Standard error was full or had no reader; written before the next line that is taken.",
         "Look at what reads the log: the process does not wait for it.",
     )
-    THREAD_REFUSED = Entry(
+    THREAD_UNAVAILABLE = Entry(
         107,
         "warning",
         "no thread for %s: %s",
@@ -227,10 +227,10 @@
         "A control process acknowledged a configuration that this proxy cannot read; it was requested again once.",
         "Compare the releases of control and proxy; send the configuration without the named field.",
     )
-    BODIES_REFUSED = Entry(
+    BODIES_REJECTED = Entry(
         405,
         "warning",
-        "memory for bodies: %d of %d MB held, %d bodies wait, %d were refused in %s s",
+        "memory for bodies: %d of %d MB held, %d bodies wait, %d were rejected in %s s",
         "Requests could not be read as the memory for bodies was in use; they were answered 503 and have not run.",
         "Add proxies, or raise limits.mem_mb, if it recurs; look for clients that upload or do not read large bodies.",
     )
--- a/thistleusher/common/threads.py
+++ b/thistleusher/common/threads.py
@@ -16,7 +16,7 @@
         try:
             thread.start()
         except RuntimeError as error:
-            log_event(Event.THREAD_REFUSED, thread.name, error)
+            log_event(Event.THREAD_UNAVAILABLE, thread.name, error)
             time.sleep(RETRY_DELAY_S)
         else:
             return
--- a/thistleusher/log/standard_streams.py
+++ b/thistleusher/log/standard_streams.py
@@ -3,8 +3,8 @@
 Guarantees, whatever a process is started with:
 
 - descriptors 0 to 2 are open, so that no socket or file gets one of these numbers;
-- a log line neither blocks nor fails: what its reader does not take at once is dropped, counted, and told with the next
-  line that is taken;
+- a log line neither blocks nor fails: one that cannot be written at once is dropped and counted, and the count is
+  logged before the next line that is written;
 - a crash in native code writes the stacks of all threads to the log.
 
 Imports little, because it is loaded before everything else.
@@ -21,9 +21,9 @@
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 MAX_WRITE_BYTES = 4096  # PIPE_BUF: a pipe takes as many bytes whole or not at all
-MAX_PENDING_CHARACTERS = 64 * 1024  # of a line whose end has not been written yet
+MAX_PENDING_CHARACTERS = 64 * 1024  # Upper bound of an incomplete line; a longer one is written in parts.
 DROPPED_NUMBER = 106  # `Event.LOG_LINES_DROPPED`
-DROPPED_TEXT = "%d earlier log lines were dropped, as their reader did not take them"
+DROPPED_TEXT = "%d earlier log lines were dropped: standard error was full or had no reader"
 
 
 def open_missing() -> None:
@@ -32,7 +32,7 @@
         try:
             os.fstat(descriptor)
         except OSError:
-            os.open(os.devnull, os.O_RDWR)  # gets the lowest free number, which is this one
+            os.open(os.devnull, os.O_RDWR)  # The lowest free number is `descriptor`.
 
 
 class NonBlockingStream:
@@ -44,7 +44,7 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor, self._may_block = _without_waiting(descriptor)
         self._pending = ""
-        self._dropped = 0  # lines since the last one that was written
+        self._dropped_lines = 0
 
     def write(self, text: str) -> int:
         """Write the complete lines; keep the rest. Never raise."""
@@ -55,21 +55,21 @@
         return len(text)
 
     def _write_line(self, line: str) -> None:
-        if self._dropped:
-            line = f"{DROPPED_NUMBER} {DROPPED_TEXT % self._dropped}\n{line}"
+        if self._dropped_lines:
+            line = f"{DROPPED_NUMBER} {DROPPED_TEXT % self._dropped_lines}\n{line}"
         data = line.encode(self.encoding, self.errors)
         for start in range(0, len(data), MAX_WRITE_BYTES):
             if not self._try_write(data[start : start + MAX_WRITE_BYTES]):
-                self._dropped += 1
+                self._dropped_lines += 1
                 return
-        self._dropped = 0
+        self._dropped_lines = 0
 
     def _try_write(self, data: bytes) -> bool:
         try:
             if self._may_block and not _is_writable(self._descriptor):
                 return False
             os.write(self._descriptor, data)
-        except OSError:  # full, its reader is gone, or its disk refuses
+        except OSError:  # The pipe is full, its reader is gone, or the disk rejects writes.
             return False
         return True
 
@@ -96,13 +96,13 @@
     if stat.S_ISFIFO(mode):
         try:
             return os.open(f"/proc/self/fd/{descriptor}", os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC), False
-        except OSError:  # of another user, without a reader, or no /proc
+        except OSError:  # The pipe belongs to another user or has no reader, or there is no /proc.
             return descriptor, True
     return descriptor, True
 
 
 def _is_writable(descriptor: int) -> bool:
-    import select  # not needed for files and pipes
+    import select  # Files and pipes do not need it.
 
     poll = select.poll()
     poll.register(descriptor, select.POLLOUT)
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -31,7 +31,7 @@
     request_id_header: bytes = b""  # response header that names its request; empty if responses do not name it
     peer_timeout_s: float = 0.0  # TCP user time-out without an acknowledgement; 0: the kernel's default
     outcome_of: Callable[[Response], Outcome] | None = None  # classifies a response; None: `outcome_of` below
-    budget: MemoryBudget | None = None  # of the bodies in memory; None: not limited
+    budget: MemoryBudget | None = None  # memory of the bodies; None: not limited
 
 
 DEFAULT_OPTIONS = UpstreamOptions()
@@ -66,7 +66,7 @@
         self.transport: asyncio.Transport | None = None
         reserve = self._reserve if pool.options.budget is not None else None
         self.reader = ResponseReader(pool.options.max_body_bytes, reserve)
-        self.reading_paused = False  # the response waits for memory
+        self.reading_paused = False  # Whether the response waits for memory.
         self.exchange: BackendExchange | None = None
         self.idle_since = 0.0
         self.idle_timeout_s = float("inf")  # the backend's idle time-out, from its Keep-Alive header
@@ -205,7 +205,7 @@
         assert self.transport is not None
         self.exchange = None
         exchange.connection = None
-        is_request_sent = not self.transport.get_write_buffer_size()  # what is not sent would be held on
+        is_request_sent = not self.transport.get_write_buffer_size()  # An unsent body would stay in memory.
         if reusable and response.keep_alive and not self.closed and is_request_sent:
             self.has_carried_request = True
             self.idle_timeout_s = read_idle_timeout(response)
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -5,77 +5,26 @@
 import asyncio
 import contextlib
 import functools
-import http
-import itertools
 from collections import deque
-from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol, cast
+from typing import Any, cast
 
 import httptools
 
 from thistleusher.core.request import BadRequest
 from thistleusher.net import socket_state
-from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
-from thistleusher.net.message_writer import write_message
-from thistleusher.net.request_buffer import NO_MEMORY, ClientLimits, RequestBuffer
+from thistleusher.net.memory_budget import Reservation, release
+from thistleusher.net.message_writer import response_head, write_message
+from thistleusher.net.request_buffer import BodyRejectedError, RequestBuffer
+from thistleusher.net.request_handler import ImmediateResponse, QueuedRequest, RequestHandler
 from thistleusher.net.unsent_responses import UnsentResponses
 
-MAX_PIPELINED_REQUESTS = 16  # requests read ahead on one connection, beyond which no more is read
-QUEUED_REQUEST_BYTES = 4096  # memory of a request read ahead, besides its head and body
+MAX_PIPELINED_REQUESTS = 16  # Upper bound of requests read ahead on one connection, but for those of one read.
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
 MAX_LINGER_BYTES = 256 * 1024  # input that is read and discarded while lingering
 PROCESS_PAUSE_S = 1.0  # a timer that fires later than this shows that the process was suspended
 
-REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
-
 NO_MEMORY_LINES = b"Retry-After: 0.2\r\n"
 
-Reply = Callable[[int, bytes, bytes], None]  # status, additional header lines, body
-
-
-class ImmediateResponse(NamedTuple):
-    """A response that needs no admission decision."""
-
-    status: int
-    text: str
-    header_lines: bytes = b""
-    closes: bool = False  # whether the connection is closed after it
-
-
-class QueuedRequest(NamedTuple):
-    """A request read ahead, or the response to send in its turn; `reservation`: the memory of its body."""
-
-    request: Any
-    keep_alive: bool
-    reservation: Reservation | None = None
-
-
-class RequestHandler(Protocol):
-    """The part of a server that its connections use."""
-
-    loop: asyncio.AbstractEventLoop
-    limits: ClientLimits
-    budget: MemoryBudget | None
-    body_stage: Stage
-    draining: bool
-    activity_counter: itertools.count[int]
-    connections: set[ClientConnection]
-
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Register a new connection."""
-
-    def read_request(self, connection: ClientConnection) -> Any:
-        """Return the complete request, to be passed to `handle_request`, or an `ImmediateResponse`."""
-
-    def handle_request(self, request: Any, reply: Reply) -> None:
-        """Answer a request by calling `reply` exactly once, during this call or later."""
-
-    def memory_wait_s(self, connection: ClientConnection) -> float:
-        """Return the seconds that the request whose head a connection has read may wait for memory."""
-
-    def client_disconnected(self, request: Any) -> None:
-        """Handle the disconnect of the client of an unanswered request."""
-
 
 class ClientConnection(RequestBuffer, asyncio.Protocol):
     """One client connection. Its requests are answered in order."""
@@ -88,12 +37,12 @@
         self.transport: asyncio.Transport | None = None
         self.queue: deque[QueuedRequest] = deque()  # requests read ahead
         self.current_request: Any = None  # the request that awaits its response
-        self.current_reservation: Reservation | None = None  # the memory of its body
+        self.current_reservation: Reservation | None = None
         self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
-        self.awaits_memory_since = 0.0  # when reading was paused until memory is granted; 0 if it is not
-        self.memory_waited_s = 0.0  # for which the incoming request has waited before
+        self.awaits_memory_since = 0.0  # Time on the loop's clock; 0 if the incoming body does not wait.
+        self.memory_waited_s = 0.0  # Seconds of earlier waits of the incoming request.
         self.max_discarded_bytes = MAX_LINGER_BYTES
-        self.discarded_bytes = 0  # at the last check while lingering
+        self.discarded_bytes = 0  # Value of `received_bytes` at the last check while lingering.
         self.linger_began_at = 0.0
         self.keep_alive = True  # whether the connection stays open after the current response
         self.closing = False
@@ -132,7 +81,7 @@
         """Unregister, drop the requests read ahead, and report the disconnect for the current request."""
         self.closing = True
         self.disconnected = True
-        self.drop_body()  # of a request that will not come whole
+        self.drop_body()  # The request will not be completed.
         self._account_for_unsent()
         self.server.connections.discard(self)
         self._abandon_requests()
@@ -160,7 +109,9 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             cause = error.__context__
-            if isinstance(cause, BadRequest):
+            if isinstance(cause, BodyRejectedError):
+                self.reject_for_memory()
+            elif isinstance(cause, BadRequest):
                 self.reject(int(cause.args[0]), str(cause.args[1]))
             else:
                 self.reject(400, "malformed HTTP")
@@ -171,20 +122,22 @@
             if self.received_bytes > self.server.limits.max_head_bytes:
                 self.reject(431, "the head is too long")
 
-    def reject(self, status: int, reason: str) -> None:
+    def reject(self, status: int, reason: str, header_lines: bytes = b"") -> None:
         """Answer an unreadable request with an error, after the requests before it, and close the connection."""
         self.discarding_input = True
         self.received_bytes = 0
         self.awaits_memory_since = 0.0
         self.drop_body()
-        lines = b""
-        if (status, reason) == NO_MEMORY:
-            lines = NO_MEMORY_LINES
-            # A client may read no answer before it has sent its whole body.
-            self.max_discarded_bytes = self.server.limits.max_body_bytes
-            if self.server.budget is not None:
-                self.server.budget.refused += 1
-        self._enqueue(QueuedRequest(ImmediateResponse(status, reason, lines), keep_alive=False))
+        response = ImmediateResponse(status, reason, header_lines)
+        self._enqueue(QueuedRequest(response, keep_alive=False))
+
+    def reject_for_memory(self) -> None:
+        """Reject a request that there is no memory for; it was not read, so it has not run."""
+        # A client may read no answer before it has sent its whole body.
+        self.max_discarded_bytes = self.server.limits.max_body_bytes
+        if self.server.budget is not None:
+            self.server.budget.rejected += 1
+        self.reject(503, "no memory for this body now", NO_MEMORY_LINES)
 
     def on_memory_awaited(self) -> None:
         """Pause reading: the client is held up until its body can be held."""
@@ -227,16 +180,16 @@
         self.in_head = True
         self.has_sent_request = True
         if self.current_request is not None or self.queue or self.writing_paused:
-            self._account_for_read_ahead()
+            self.account_for_read_ahead()
         request = self.server.read_request(self)
         reservation = self.take_reservation()
         self.body = bytearray()  # the request has it now; held here too, it would last until the next request
-        if self.awaits_memory_since:  # the whole body came in the read that began it
+        if self.awaits_memory_since:  # The body was completed by the read that began it.
             self.awaits_memory_since = 0.0
             self._read_on()
         if isinstance(request, ImmediateResponse):
             if reservation is not None:
-                reservation.settle(self.read_ahead_bytes)  # its body is not needed
+                reservation.resize(self.read_ahead_bytes)  # The body is not needed.
             if request.closes:  # makes a client reconnect to repeat it
                 release(reservation)
                 self.reject(request.status, request.text)
@@ -246,20 +199,6 @@
         keep_alive = self.parser.should_keep_alive() and not self.over_limit and not unavailable
         self._enqueue(QueuedRequest(request, keep_alive, reservation))
 
-    def _account_for_read_ahead(self) -> None:
-        """Reserve memory for a request that has to wait for the one before; a single read may hold thousands of them.
-
-        Raise BadRequest if there is none.
-        """
-        if self.server.budget is None:
-            return
-        if self.reservation is None:
-            self.reservation = Reservation(self.server.budget, self.server.body_stage, bool)
-        head_bytes = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
-        self.read_ahead_bytes = head_bytes + QUEUED_REQUEST_BYTES
-        if not self.reservation.cover(len(self.body) + self.read_ahead_bytes):
-            raise BadRequest(*NO_MEMORY)
-
     # Responses, in request order.
 
     def _enqueue(self, queued: QueuedRequest) -> None:
@@ -316,12 +255,7 @@
         close = not self.keep_alive or self.server.draining
         if close:
             header_lines += b"Connection: close\r\n"
-        head = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (
-            status,
-            REASON_PHRASES.get(status, b"-"),
-            header_lines,
-            len(body),
-        )
+        head = response_head(status, header_lines, len(body))
         write_message(self.transport, head, body)
         if self.unsent is not None:
             self.unsent.add(len(head), len(body))
@@ -415,7 +349,7 @@
                 self.transport.abort()
         elif self.awaits_memory_since:
             if self.memory_waited_s + now - self.awaits_memory_since > self.server.memory_wait_s(self):
-                self.reject(*NO_MEMORY)
+                self.reject_for_memory()
         elif self.request_started_at:
             late = now - self.request_started_at > limits.read_timeout_s
             if late and not self.discarding_input and not self.has_unread_bytes():
@@ -463,9 +397,3 @@
         assert self.transport is not None
         sock = self.transport.get_extra_info("socket")
         return sock is not None and socket_state.has_unread_bytes(sock)
-
-
-def release(reservation: Reservation | None) -> None:
-    """Release the memory of a body, if it has any."""
-    if reservation is not None:
-        reservation.release()
--- a/thistleusher/net/ingress.py
+++ b/thistleusher/net/ingress.py
@@ -15,8 +15,8 @@
 from thistleusher.core.settings import Settings
 from thistleusher.net.backend_list import BackendList
 from thistleusher.net.client_call import Call, WaitingCall
-from thistleusher.net.client_connection import Reply
 from thistleusher.net.exchange import BackendExchange
+from thistleusher.net.request_handler import Reply
 from thistleusher.net.upstream import Upstream
 from thistleusher.services.http_responses import Response
 
--- a/thistleusher/net/ingress_server.py
+++ b/thistleusher/net/ingress_server.py
@@ -7,8 +7,9 @@
 
 from thistleusher.core.request import BadRequest, NoSuchPathError, RequestReader, customer_of
 from thistleusher.net.client_call import Call
-from thistleusher.net.client_connection import ClientConnection, ImmediateResponse
+from thistleusher.net.client_connection import ClientConnection
 from thistleusher.net.ingress import Ingress
+from thistleusher.net.request_handler import ImmediateResponse
 from thistleusher.net.server import Server
 
 RETRY_AFTER = b"Retry-After: 1\r\n"
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -9,7 +9,7 @@
 
 - all reservations together stay within the capacity, but for the bytes of one read;
 - bodies that wait, of which some bytes came in the same read as the head, keep nobody from being granted, and are
-  refused once they hold `EARLY_SHARE` of the capacity;
+  rejected once they hold `WAITING_SHARE` of the capacity;
 - a request that is held finds memory for its response: requests get only a part of the capacity, responses more;
 - bodies of at most `SMALL_BODY_BYTES` go before larger ones and may use the whole capacity, so they do not starve;
 - larger ones of a stage are served in the order in which they asked.
@@ -24,7 +24,8 @@
 from enum import Enum
 
 SMALL_BODY_BYTES = 64 * 1024
-EARLY_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
+GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
+WAITING_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
 ALONE_SHARE = 0.1  # fraction of the capacity that may be in use when a body beyond its stage's part is taken in
 # Fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late.
 MEMORY_SHARE = 0.4
@@ -46,13 +47,18 @@
 
 
 class MemoryBudget:
-    """The budget of one process."""
+    """The budget of one process.
+
+    granted_bytes: held by the reservations to which memory was granted, whether they ask for more or not
+    waiting_bytes: held by those that wait and were granted nothing yet
+    rejected: bodies rejected for lack of memory since the last report
+    """
 
     def __init__(self, capacity_bytes: int) -> None:
         self.capacity = capacity_bytes
-        self.granted = 0  # bytes of the reservations that do not wait
-        self.early = 0  # bytes of those that wait
-        self.refused = 0  # bodies that were refused, for the log
+        self.granted_bytes = 0
+        self.waiting_bytes = 0
+        self.rejected = 0
         self._small: deque[Reservation] = deque()
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
 
@@ -71,11 +77,11 @@
     @property
     def held(self) -> int:
         """The bytes of all reservations."""
-        return self.granted + self.early
+        return self.granted_bytes + self.waiting_bytes
 
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Return whether the bytes in memory are within their bounds."""
-        return self.early <= self.capacity * EARLY_SHARE and self.held <= self.capacity
+        return self.waiting_bytes <= self.capacity * WAITING_SHARE and self.held <= self.capacity
 
     def limit(self, stage: Stage, size: int) -> int:
         """Return up to how many held bytes a body of this size is taken in."""
@@ -95,17 +101,20 @@
 class Reservation:
     """The part of the budget that one body holds."""
 
-    __slots__ = ("_budget", "_stage", "_on_granted", "held", "wanted", "_queue", "_is_early")
+    __slots__ = ("_budget", "_stage", "_on_granted", "held", "wanted", "_queue", "_counts_as_waiting")
 
     def __init__(self, budget: MemoryBudget, stage: Stage, on_granted: Callable[[], object]) -> None:
-        """Hold nothing yet; `on_granted` is called when a request that had to wait is granted."""
+        """Hold nothing yet; `on_granted` is called when a request that had to wait is granted.
+
+        `_queue` is the queue in which it waits. `_counts_as_waiting`: its bytes belong to `waiting_bytes`.
+        """
         self._budget = budget
         self._stage = stage
         self._on_granted = on_granted
         self.held = 0
         self.wanted = 0
-        self._queue: deque[Reservation] | None = None  # where it waits
-        self._is_early = False  # whether it waits and nothing was granted to it so far
+        self._queue: deque[Reservation] | None = None
+        self._counts_as_waiting = False
 
     @property
     def is_waiting(self) -> bool:
@@ -123,21 +132,29 @@
             raise BodyTooLargeError(f"{size} bytes, at most {budget.capacity} can be held")
         queue = budget.queue(self._stage, size)
         if (self.held or not queue) and self.fits():
-            budget.granted += size - self.held
+            budget.granted_bytes += size - self.held
             self.held = size
             return True
         if self.held:  # what it holds is free only once it is complete
             queue.appendleft(self)
         else:
             queue.append(self)
-            self._is_early = True
+            self._counts_as_waiting = True
         self._queue = queue
         return False
 
+    def grow(self, size: int) -> None:
+        """Ask for a body of unknown length that has grown to `size` bytes, in steps of `GROWTH_BYTES`, unless it waits.
+
+        Raise BodyTooLargeError if it could never be granted.
+        """
+        if size > self.held and not self.is_waiting:
+            self.ask(-(-size // GROWTH_BYTES) * GROWTH_BYTES)
+
     def fits(self) -> bool:
         """Return whether what is wanted could be granted now."""
         budget = self._budget
-        others = budget.granted - (0 if self._is_early else self.held)
+        others = budget.granted_bytes - (0 if self._counts_as_waiting else self.held)
         if others + self.wanted <= budget.limit(self._stage, self.wanted):
             return True
         # One body that is larger than its stage's part is taken in beside small ones only.
@@ -147,34 +164,36 @@
         """Hold what is wanted, and report it. The budget has taken it from its queue."""
         self._queue = None
         self._count_as_granted()
-        self._budget.granted += self.wanted - self.held
+        self._budget.granted_bytes += self.wanted - self.held
         self.held = self.wanted
         self._on_granted()
 
     def _count_as_granted(self) -> None:
-        if self._is_early:
-            self._is_early = False
-            self._budget.early -= self.held
-            self._budget.granted += self.held
+        if self._counts_as_waiting:
+            self._counts_as_waiting = False
+            self._budget.waiting_bytes -= self.held
+            self._budget.granted_bytes += self.held
 
     def cover(self, size: int) -> bool:
         """Account for `size` bytes in all that are in memory already. Return False if there is no room for them."""
-        more = max(0, size - self.held)
+        more = size - self.held
+        if more <= 0:
+            return True
         self.held += more
-        if self._is_early:
-            self._budget.early += more
+        if self._counts_as_waiting:
+            self._budget.waiting_bytes += more
         else:
-            self._budget.granted += more
-        return self._budget.has_room()
+            self._budget.granted_bytes += more
+        return self._budget.has_capacity()
 
-    def settle(self, size: int) -> None:
+    def resize(self, size: int) -> None:
         """Hold exactly `size` bytes from now on, and wait for nothing."""
         budget = self._budget
         if self._queue is not None:
             self._queue.remove(self)
             self._queue = None
         self._count_as_granted()
-        budget.granted += size - self.held
+        budget.granted_bytes += size - self.held
         self.held = size
         if budget.waiting:
             budget.grant_waiting()
@@ -182,7 +201,13 @@
     def release(self) -> None:
         """Hold nothing any more; later calls have no effect."""
         if self.held or self._queue is not None:
-            self.settle(0)
+            self.resize(0)
+
+
+def release(reservation: Reservation | None) -> None:
+    """Release the memory of a body, if it has any."""
+    if reservation is not None:
+        reservation.release()
 
 
 def body_capacity(memory_mb: float, own_bytes: int = 0) -> int:
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple, Protocol
 
 import httptools
 
 from thistleusher.core.request import BadRequest
-from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage
+from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage, release
 from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES
 
 READ_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
-GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
-NO_MEMORY = (503, "no memory for this body now")  # status and reason; the request was not read, so it has not run
+QUEUED_REQUEST_BYTES = 4096  # Estimated memory of a request read ahead, in addition to its head and body.
+
+
+class BodyRejectedError(BadRequest):
+    """There is no memory for a request now."""
 
 
 class ClientLimits(NamedTuple):
@@ -46,7 +51,7 @@
     def __init__(self, server: HasLimits) -> None:
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
-        self.reservation: Reservation | None = None  # of the incoming body, if there is a budget
+        self.reservation: Reservation | None = None  # Memory of the incoming body, if there is a budget.
         self.reset()
 
     def reset(self) -> None:
@@ -54,7 +59,7 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
-        self.read_ahead_bytes = 0  # memory of the request besides its body, if it was read ahead
+        self.read_ahead_bytes = 0  # Memory of the request in addition to its body, if it was read ahead.
         self.received_bytes = 0  # size of a head received in several reads; then size of discarded input
         self.in_head = True
         self.is_first_read = True
@@ -96,7 +101,7 @@
         if length != 0 and self.server.budget is not None:
             self.reservation = Reservation(self.server.budget, self.server.body_stage, self.on_memory_granted)
             if length is not None:
-                self._ask_for_memory(length)
+                self._reserve(partial(self.reservation.ask, length))
 
     def on_memory_granted(self) -> None:
         """Read on: the body that has waited for memory is granted it."""
@@ -104,38 +109,54 @@
     def on_memory_awaited(self) -> None:
         """Read no further until the body is granted memory, and not longer than it may wait."""
 
-    def _ask_for_memory(self, size: int) -> None:
-        """Reserve memory for `size` bytes of the body; raise BadRequest if they can never be held."""
+    def _reserve(self, ask: Callable[[], object]) -> None:
+        """Call a method of the reservation that asks for memory, and wait if it has to wait from now on.
+
+        Raise BodyRejectedError if there never can be enough.
+        """
         assert self.reservation is not None
+        was_waiting = self.reservation.is_waiting
         try:
-            if not self.reservation.ask(size):
-                self.on_memory_awaited()
+            ask()
         except BodyTooLargeError as error:
-            raise BadRequest(*NO_MEMORY) from error
+            raise BodyRejectedError from error
+        if self.reservation.is_waiting and not was_waiting:
+            self.on_memory_awaited()
 
     def _account_for_body(self) -> None:
         """Reserve memory for a body that is longer than what is reserved."""
-        reservation = self.reservation
-        assert reservation is not None
+        assert self.reservation is not None
         size = len(self.body)
-        if not reservation.is_waiting and size <= self.server.limits.max_body_bytes:
-            self._ask_for_memory(-(-size // GROWTH_BYTES) * GROWTH_BYTES)
-        if size > reservation.held and not reservation.cover(size):
-            raise BadRequest(*NO_MEMORY)
+        self._reserve(partial(self.reservation.grow, size))
+        if not self.reservation.cover(size):
+            raise BodyRejectedError
+
+    def account_for_read_ahead(self) -> None:
+        """Reserve memory for a request that has to wait for the one before; a single read may hold thousands of them.
+
+        Raise BodyRejectedError if there is none.
+        """
+        if self.server.budget is None:
+            return
+        if self.reservation is None:
+            self.reservation = Reservation(self.server.budget, self.server.body_stage, bool)
+        head_bytes = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        self.read_ahead_bytes = head_bytes + QUEUED_REQUEST_BYTES
+        if not self.reservation.cover(len(self.body) + self.read_ahead_bytes):
+            raise BodyRejectedError
 
     def take_reservation(self) -> Reservation | None:
         """Return the reservation of a body that has come whole, for its request to release."""
         reservation, self.reservation = self.reservation, None
         if reservation is not None:
-            reservation.settle(len(self.body) + self.read_ahead_bytes)
+            reservation.resize(len(self.body) + self.read_ahead_bytes)
         return reservation
 
     def drop_body(self) -> None:
         """Drop a body that is not needed any more, and its reservation."""
         self.body = bytearray()
-        if self.reservation is not None:
-            self.reservation.release()
-            self.reservation = None
+        release(self.reservation)
+        self.reservation = None
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -7,9 +7,10 @@
 from collections.abc import Awaitable
 from typing import Any
 
-from thistleusher.net.client_connection import PROCESS_PAUSE_S, ClientConnection, Reply
+from thistleusher.net.client_connection import PROCESS_PAUSE_S, ClientConnection
 from thistleusher.net.memory_budget import MemoryBudget, Stage
 from thistleusher.net.request_buffer import ClientLimits
+from thistleusher.net.request_handler import Reply
 from thistleusher.net.shutdown import GracefulShutdown
 
 SWEEP_INTERVAL_S = 0.25  # interval of the checks of all connections' time-outs
@@ -34,7 +35,7 @@
         self.loop = loop
         self.max_connections = max_connections
         self.limits = limits
-        self.budget: MemoryBudget | None = None  # of the bodies in memory; None: not limited
+        self.budget: MemoryBudget | None = None  # Memory of the bodies; None: not limited.
         self.body_stage = Stage.CALL
         self.connections: set[ClientConnection] = set()
         self.activity_counter = itertools.count()  # orders connections by activity; the loop's clock is too coarse
--- a/thistleusher/net/unsent_responses.py
+++ b/thistleusher/net/unsent_responses.py
@@ -15,8 +15,8 @@
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._reservation = Reservation(budget, Stage.RESPONSE, bool)
-        self._written_bytes = 0  # of all responses, since the connection was opened
-        self._bodies: deque[tuple[int, int]] = deque()  # offset of a response's end, and the size of its body
+        self._written_bytes = 0  # Offset of the newest response's end since the connection was opened.
+        self._bodies: deque[tuple[int, int]] = deque()  # Offset of a response's end, and the size of its body.
 
     def add(self, head_bytes: int, body_bytes: int) -> None:
         """Add a response that was written to the transport; `update` is to follow."""
@@ -32,4 +32,4 @@
             self._bodies.popleft()
         size = sum(body_bytes for _, body_bytes in self._bodies)
         if size != self._reservation.held:
-            self._reservation.settle(size)
+            self._reservation.resize(size)
--- a/thistleusher/proxy/forwarding.py
+++ b/thistleusher/proxy/forwarding.py
@@ -10,9 +10,9 @@
 from thistleusher.core.events import Outcome
 from thistleusher.core.in_flight_request import InFlightRequest
 from thistleusher.core.ports import AttemptResult, Final, Verdict
-from thistleusher.net.client_connection import Reply
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.ingress import BackendAttempt, Ingress
+from thistleusher.net.request_handler import Reply
 from thistleusher.net.upstream import Upstream
 from thistleusher.proxy.decisions import Decisions
 from thistleusher.proxy.http_messages import MISDIRECTED, NOT_RUN_STATUSES, ClientRequest, answer_lines
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -24,7 +24,7 @@
 BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")  # methods whose requests need not state a length
 MAX_REQUEST_TIME_S = 120.0  # upper bound of the time allowed for a request
 MIN_REMAINING_S = 0.05  # requests are rejected once a graceful shutdown has no more than this time left
-MEMORY_WAIT_FRACTION = 0.3  # of the request's deadline
+MEMORY_WAIT_FRACTION = 0.3  # Upper bound of the wait for memory, as a fraction of the request's deadline.
 MIN_TIMEOUT_S = 0.1  # lower bound of a connection's time-outs; smaller configured values are raised to it
 
 
@@ -34,7 +34,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, ingress: ProxyIngress, max_connections: int) -> None:
         """`max_connections`: maximum number of concurrent connections."""
         super().__init__(loop, max_connections)
-        self.budget = ingress.upstream.options.budget  # one for both directions
+        self.budget = ingress.upstream.options.budget  # One budget for both directions.
         self.body_stage = Stage.REQUEST
         self.ingress = ingress
         self.index: Index | None = None
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -71,7 +71,7 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Limits of the listeners for the directory and for readiness checks.
 CALL_LIMITS = ClientLimits(max_body_bytes=4096, read_timeout_s=3.0, idle_timeout_s=10.0)
-REFUSALS_REPORT_INTERVAL_S = 5.0
+REJECTIONS_REPORT_INTERVAL_S = 5.0
 MAX_HAND_OVER_LINKS = 64  # concurrent connections on which other proxies send copies of the state
 
 
@@ -94,7 +94,7 @@
         )
         free = node_settings.limits.fd_limit - RESERVED_DESCRIPTORS - SPARE_DESCRIPTORS
         connections = max(MIN_CONNECTIONS, free // 2)
-        self.next_refusals_report = now
+        self.next_rejections_report = now
         self.body_memory = BodyMemory(node_settings.limits.mem_mb)
         self.budget = self.body_memory.budget
         options = UpstreamOptions(MAX_ANSWER_BYTES, ATTEMPT_HEADER, UNACKNOWLEDGED_TIMEOUT_S, outcome_of, self.budget)
@@ -187,20 +187,20 @@
         self._connect_to_core(self.node_settings.core_ips)
 
     def tick(self) -> None:
-        """Send the heartbeats that are due, and report refused bodies."""
+        """Send the heartbeats that are due, and report rejected bodies."""
         now = time.monotonic()
         self._execute(self.cluster_view.tick(now, self.is_ready()))
         self.body_memory.update(now)
-        if self.budget.refused and now >= self.next_refusals_report:
-            self.next_refusals_report = now + REFUSALS_REPORT_INTERVAL_S
-            self._report_refused_bodies()
+        if self.budget.rejected and now >= self.next_rejections_report:
+            self.next_rejections_report = now + REJECTIONS_REPORT_INTERVAL_S
+            self._report_rejected_bodies()
 
-    def _report_refused_bodies(self) -> None:
+    def _report_rejected_bodies(self) -> None:
         budget = self.budget
         held_mb, capacity_mb = budget.held // BYTES_PER_MB, budget.capacity // BYTES_PER_MB
-        figures = (held_mb, capacity_mb, budget.waiting, budget.refused, REFUSALS_REPORT_INTERVAL_S)
-        log_event(Event.BODIES_REFUSED, *figures)
-        budget.refused = 0
+        figures = (held_mb, capacity_mb, budget.waiting, budget.rejected, REJECTIONS_REPORT_INTERVAL_S)
+        log_event(Event.BODIES_REJECTED, *figures)
+        budget.rejected = 0
 
     def is_ready(self) -> bool:
         """Return whether this proxy can serve requests: it has configuration and backends and is not shutting down."""
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -12,8 +12,7 @@
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # headers that determine where the body ends
 
 
-UNCOUNTED_BODY_BYTES = 16 * 1024  # shorter bodies are not reserved: each connection has one at most
-GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
+UNCOUNTED_BODY_BYTES = 16 * 1024  # Upper bound of a body that is not reserved; a connection holds one.
 
 
 class BodyReservation(Protocol):
@@ -28,10 +27,13 @@
     def ask(self, size: int) -> bool:
         """Ask to hold `size` bytes in all; return whether that is granted. Raise if it never could be."""
 
+    def grow(self, size: int) -> None:
+        """Ask for a body of unknown length that has grown to `size` bytes. Raise if it never could be granted."""
+
     def cover(self, size: int) -> bool:
         """Account for `size` bytes that are in memory already. Return False if there is no room for them."""
 
-    def settle(self, size: int) -> None:
+    def resize(self, size: int) -> None:
         """Hold exactly `size` bytes, and wait for nothing."""
 
     def release(self) -> None:
@@ -71,7 +73,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.max_body_bytes = max_body_bytes
         self.reserve = reserve
-        self.reservation: BodyReservation | None = None  # of the incoming body
+        self.reservation: BodyReservation | None = None  # Memory of the incoming body.
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.responses: list[Response] = []
@@ -133,24 +135,16 @@
             raise InvalidResponseError("transfer-encoding: expected chunked")
         if length is not None and int(length) > self.max_body_bytes:
             raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
-        if length is not None and int(length) > UNCOUNTED_BODY_BYTES:
-            self._ask_for_memory(int(length))
-
-    def _ask_for_memory(self, size: int) -> None:
-        """Reserve memory for `size` bytes of the body, which may have to wait; raise if they can never be held."""
-        if self.reserve is None:
-            return
-        if self.reservation is None:
+        if length is not None and int(length) > UNCOUNTED_BODY_BYTES and self.reserve is not None:
             self.reservation = self.reserve()
-        self.reservation.ask(size)
+            self.reservation.ask(int(length))
 
-    def _account_for_body(self) -> None:
+    def _account_for_body(self, reserve: Callable[[], BodyReservation]) -> None:
         """Reserve memory for a body that is longer than what is reserved."""
-        size = len(self.body)
-        if not self.is_waiting:
-            self._ask_for_memory(-(-size // GROWTH_BYTES) * GROWTH_BYTES)
-        reservation = self.reservation
-        if reservation is not None and size > reservation.held and not reservation.cover(size):
+        if self.reservation is None:
+            self.reservation = reserve()
+        self.reservation.grow(len(self.body))
+        if not self.reservation.cover(len(self.body)):
             raise InvalidResponseError("no memory for the body")
 
     def on_body(self, data: bytes) -> None:
@@ -160,7 +154,7 @@
         self.body += data
         reserved = UNCOUNTED_BODY_BYTES if self.reservation is None else self.reservation.held
         if self.reserve is not None and len(self.body) > reserved:
-            self._account_for_body()
+            self._account_for_body(self.reserve)
 
     def on_message_complete(self) -> None:
         """Add the complete response to those to return; interim (1xx) responses are dropped."""
@@ -173,5 +167,5 @@
         self.body = bytearray()  # held here too, it would last until the connection's next response
         self.reservation = None
         if reservation is not None:
-            reservation.settle(len(body))
+            reservation.resize(len(body))
         self.responses.append(Response(status, self.headers, body, self.parser.should_keep_alive(), reservation))
--- a/thistleusher/transport/call_server.py
+++ b/thistleusher/transport/call_server.py
@@ -10,8 +10,9 @@
 
 from thistleusher.common.errors import RESPONSES, ErrorKind, ServiceError, retry_after_header
 from thistleusher.common.events import Event, log_event
-from thistleusher.net.client_connection import ClientConnection, ImmediateResponse, Reply
+from thistleusher.net.client_connection import ClientConnection
 from thistleusher.net.request_buffer import ClientLimits
+from thistleusher.net.request_handler import ImmediateResponse, Reply
 from thistleusher.net.server import Server
 from thistleusher.transport.calls import CALLS, CallAnswer, ReplaceConfiguration, Resolve
 
