--- a/thistleusher/common/events.py
+++ b/thistleusher/common/events.py
@@ -234,6 +234,13 @@
         "Requests could not be read as the memory for bodies was in use; they were answered 503 and have not run.",
         "Add proxies, or raise limits.mem_mb, if it recurs; look for clients that upload or do not read large bodies.",
     )
+    ANSWERS_INVALID = Entry(
+        406,
+        "warning",
+        "backend %s: %d answers cut off in %s s, the last one: %s",
+        "A backend sent bytes that are no answer, or more of them than the named limit; the connections were closed.",
+        "Look at what runs at the backend's address. Its requests may have run; they count as failed for its health.",
+    )
     STATE_HANDED_OVER = Entry(
         430,
         "info",
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -32,6 +32,8 @@
     peer_timeout_s: float = 0.0  # TCP user time-out without an acknowledgement; 0: the kernel's default
     outcome_of: Callable[[Response], Outcome] | None = None  # classifies a response; None: `outcome_of` below
     budget: MemoryBudget | None = None  # memory of the bodies; None: not limited
+    # Called with the backend and the reason when an answer is cut off because it is none.
+    on_invalid_answer: Callable[[str, str], None] | None = None
 
 
 DEFAULT_OPTIONS = UpstreamOptions()
@@ -188,6 +190,8 @@
         """Wait for the response to the exchange, unless it cannot come any more; `others` came in its place."""
         id_header = self.pool.options.request_id_header
         if self.reader.error:
+            if self.pool.options.on_invalid_answer is not None:
+                self.pool.options.on_invalid_answer(self.pool.backend, self.reader.error)
             self._fail(self.reader.error)
         elif any(id_header not in response.headers for response in others):
             self._fail("response without a request id header")
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -47,6 +47,7 @@
 from thistleusher.proxy.forwarding import ProxyIngress
 from thistleusher.proxy.hand_over import send_hand_over
 from thistleusher.proxy.http_messages import ATTEMPT_HEADER, outcome_of
+from thistleusher.proxy.invalid_answers import REPORT_INTERVAL_S, InvalidAnswers
 from thistleusher.proxy.listener import ProxyServer
 from thistleusher.proxy.requests import ChargeTenant
 from thistleusher.proxy.ring_socket import RingSocket
@@ -97,7 +98,15 @@
         self.next_rejections_report = now
         self.body_memory = BodyMemory(node_settings.limits.mem_mb)
         self.budget = self.body_memory.budget
-        options = UpstreamOptions(MAX_ANSWER_BYTES, ATTEMPT_HEADER, UNACKNOWLEDGED_TIMEOUT_S, outcome_of, self.budget)
+        self.invalid_answers = InvalidAnswers(now)
+        options = UpstreamOptions(
+            MAX_ANSWER_BYTES,
+            ATTEMPT_HEADER,
+            UNACKNOWLEDGED_TIMEOUT_S,
+            outcome_of,
+            self.budget,
+            self.invalid_answers.record,
+        )
         self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_TIMEOUT_S, connections, options)
         self.ingress = ProxyIngress(loop, self.decisions, self.upstream, self._charge)
         self.server = ProxyServer(loop, self.ingress, connections)
@@ -187,13 +196,15 @@
         self._connect_to_core(self.node_settings.core_ips)
 
     def tick(self) -> None:
-        """Send the heartbeats that are due, and report rejected bodies."""
+        """Send the heartbeats that are due, and report rejected bodies and invalid answers."""
         now = time.monotonic()
         self._execute(self.cluster_view.tick(now, self.is_ready()))
         self.body_memory.update(now)
         if self.budget.rejected and now >= self.next_rejections_report:
             self.next_rejections_report = now + REJECTIONS_REPORT_INTERVAL_S
             self._report_rejected_bodies()
+        for report in self.invalid_answers.due(now):
+            log_event(Event.ANSWERS_INVALID, report.backend, report.count, REPORT_INTERVAL_S, report.reason)
 
     def _report_rejected_bodies(self) -> None:
         budget = self.budget
