--- a/soak/service_readers.py
+++ b/soak/service_readers.py
@@ -14,7 +14,8 @@
 from thistleusher.net.backend_list import parse_backend_list_text
 from thistleusher.net.discovery import DiscoveryConnection
 from thistleusher.services.counter_connection import CounterConnection, PendingAdd
-from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseReader
+from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_RESPONSE_HEAD_BYTES, ResponseReader
+from thistleusher.services.message_limits import SLICE_BYTES
 
 
 def check_backend_answer(data: bytes, rng: random.Random) -> Hashable:
@@ -25,7 +26,7 @@
     for a in answers:
         if len(a.body) > MAX_BODY_BYTES or not 200 <= a.status <= 999:
             raise RuleBrokenError(f"answer accepted with invalid values: status {a.status}, {len(a.body)} bytes")
-    if len(reader.body) > MAX_BODY_BYTES or reader.bytes_read > 3 * MAX_BODY_BYTES + 3 * MAX_HEAD_BYTES + 65536:
+    if len(reader.body) > MAX_BODY_BYTES or reader.meter.bytes_since_body > MAX_RESPONSE_HEAD_BYTES + SLICE_BYTES:
         raise RuleBrokenError("reader buffers more than its limits")
     return tuple(a.status for a in answers[:3]), reader.error[:30], reader.partial
 
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -7,8 +7,11 @@
 
 import httptools
 
+from thistleusher.services.message_limits import MessageLimitError, MessageMeter
+
 MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
+MAX_HEAD_BYTES = 16 * 1024  # of a request
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024  # of a response, with its interim responses; its trailers may take as much again
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # headers that determine where the body ends
 
 
@@ -59,6 +62,10 @@
     """The received data is not a valid HTTP response, or exceeds the size limits."""
 
 
+class BodyLimitError(InvalidResponseError):
+    """The body is larger than it may be."""
+
+
 class ResponseReader:
     """Incremental parser of responses. A response that is delimited only by the end of the connection is an error.
 
@@ -75,27 +82,34 @@
         self.reserve = reserve
         self.reservation: BodyReservation | None = None  # Memory of the incoming body.
         self.headers: dict[bytes, bytes] = {}
+        self.in_trailers = False
         self.body = bytearray()
         self.responses: list[Response] = []
         self.error = ""
         self.partial = False  # whether a response has begun and is not complete
-        self.bytes_read = 0  # bytes since the last complete response
+        self.meter = MessageMeter(MAX_RESPONSE_HEAD_BYTES)
+        self.limit_exceeded = False  # whether `error` is that a response exceeds a limit
 
     def feed(self, data: bytes) -> list[Response]:
         """Parse more bytes and return the responses that they complete."""
         if not self.error:
-            self.bytes_read += len(data)
             try:
-                self.parser.feed_data(data)
+                self.meter.feed(self.parser, data)
+            except MessageLimitError as error:
+                self._end(f"response with {error}", limit_exceeded=True)
             except httptools.HttpParserError as error:
-                self.error = str(error.__context__ or error)
-            if self.bytes_read > 2 * self.max_body_bytes + MAX_HEAD_BYTES:
-                # The parser buffers an endless head in memory.
-                self.error = self.error or "response too long"
+                self._end(str(error.__context__ or error), isinstance(error.__context__, BodyLimitError))
         responses = self.responses
         self.responses = []
         return responses
 
+    def _end(self, reason: str, limit_exceeded: bool) -> None:
+        """Read no further, and keep nothing of an incomplete response."""
+        self.error = reason
+        self.limit_exceeded = limit_exceeded
+        self.headers = {}
+        self.drop_body()
+
     @property
     def is_waiting(self) -> bool:
         """Whether the incoming body waits for memory: no more of it is to be read."""
@@ -104,6 +118,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self.headers = {}
+        self.in_trailers = False
         self.drop_body()
         self.partial = True
 
@@ -115,7 +130,13 @@
             self.reservation = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; raises InvalidResponseError if a framing header occurs twice."""
+        """Store a header; raises InvalidResponseError if a framing header occurs twice.
+
+        A trailer field is dropped: it may not take the place of a header, and nothing reads it.
+        """
+        self.meter.count_field()
+        if self.in_trailers:
+            return
         key = name.lower()
         if key in FRAMING_HEADERS and key in self.headers:
             raise InvalidResponseError(f"duplicate header {key.decode()}")
@@ -126,6 +147,7 @@
 
         Raises InvalidResponseError.
         """
+        self.in_trailers = True
         if self.parser.get_status_code() < 200:
             return
         length, coding = (self.headers.get(key) for key in FRAMING_HEADERS)
@@ -134,7 +156,7 @@
         if coding is not None and coding.lower() != b"chunked":
             raise InvalidResponseError("transfer-encoding: expected chunked")
         if length is not None and int(length) > self.max_body_bytes:
-            raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
+            raise BodyLimitError(f"body is larger than {self.max_body_bytes} bytes")
         if length is not None and int(length) > UNCOUNTED_BODY_BYTES and self.reserve is not None:
             self.reservation = self.reserve()
             self.reservation.ask(int(length))
@@ -149,8 +171,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body; raises InvalidResponseError if it exceeds the limit."""
+        self.meter.count_body(len(data))
         if len(self.body) + len(data) > self.max_body_bytes:
-            raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
+            raise BodyLimitError(f"body is larger than {self.max_body_bytes} bytes")
         self.body += data
         reserved = UNCOUNTED_BODY_BYTES if self.reservation is None else self.reservation.held
         if self.reserve is not None and len(self.body) > reserved:
@@ -161,8 +184,9 @@
         self.partial = False
         status = self.parser.get_status_code()
         if status < 200:
+            self.meter.count_interim_response()
             return
-        self.bytes_read = 0
+        self.meter.end_message()
         body, reservation = self.body, self.reservation
         self.body = bytearray()  # held here too, it would last until the connection's next response
         self.reservation = None
