--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -13,6 +13,7 @@
 from thistleusher.net.head_guard import HeadGuard
 from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
 from thistleusher.net.message_writer import write_message
+from thistleusher.services.fair_reads import FairReads
 from thistleusher.services.http_responses import MAX_BODY_BYTES, Response, ResponseReader
 
 log = logging.getLogger(__name__)
@@ -59,11 +60,12 @@
         """Remove a closed connection."""
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(FairReads):
     """One connection to a backend. It carries one exchange at a time."""
 
     def __init__(self, pool: ConnectionOwner, sock: socket.socket) -> None:
         self.pool = pool
+        self.loop = pool.loop
         self.sock = sock
         self.transport: asyncio.Transport | None = None
         reserve = self._reserve if pool.options.budget is not None else None
@@ -177,6 +179,10 @@
         else:
             self._go_on_reading(responses)
 
+    def wants_data(self) -> bool:
+        """Return whether the connection is open and reading is not paused."""
+        return not self.closed and not self.reading_paused
+
     def _own(self, responses: list[Response]) -> list[Response]:
         """Return the responses to the exchange; a surplus response may arrive before the expected one."""
         id_header = self.pool.options.request_id_header
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -17,6 +17,7 @@
 from thistleusher.net.request_buffer import BodyRejectedError, RequestBuffer
 from thistleusher.net.request_handler import ImmediateResponse, QueuedRequest, RequestHandler
 from thistleusher.net.unsent_responses import UnsentResponses
+from thistleusher.services.fair_reads import FairReads
 
 MAX_PIPELINED_REQUESTS = 16  # Upper bound of requests read ahead on one connection, but for those of one read.
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
@@ -26,7 +27,7 @@
 NO_MEMORY_LINES = b"Retry-After: 0.2\r\n"
 
 
-class ClientConnection(RequestBuffer, asyncio.Protocol):
+class ClientConnection(RequestBuffer, FairReads):
     """One client connection. Its requests are answered in order."""
 
     server: RequestHandler
@@ -122,6 +123,12 @@
             if self.received_bytes > self.server.limits.max_head_bytes:
                 self.reject(431, "the head is too long")
 
+    def wants_data(self) -> bool:
+        """Return whether the connection is open and reading is not paused."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return not self.reading_paused and not self.disconnected
+
     def reject(self, status: int, reason: str, header_lines: bytes = b"") -> None:
         """Answer an unreadable request with an error, after the requests before it, and close the connection."""
         self.discarding_input = True
--- a/thistleusher/net/discovery.py
+++ b/thistleusher/net/discovery.py
@@ -11,6 +11,7 @@
 
 from thistleusher.net.backend_list import BackendList, parse_backend_list_text
 from thistleusher.services.addresses import Address
+from thistleusher.services.fair_reads import FairReads
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +23,7 @@
 MAX_LINE_BYTES = 8 * 1024 * 1024
 
 
-class DiscoveryConnection(asyncio.Protocol):
+class DiscoveryConnection(FairReads):
     """One connection to discovery: reads the complete list first if no version is known, then a watch of its changes.
 
     Changes are JSON objects, one per line. `ended` is set to the reason once the connection is no longer usable.
@@ -62,6 +63,10 @@
         except httptools.HttpParserError as error:
             self.end(str(error.__context__ or error))
 
+    def wants_data(self) -> bool:
+        """Return whether the connection is still usable."""
+        return not self.ended.done()
+
     def on_headers_complete(self) -> None:
         """End the connection on any status other than 200."""
         if self.parser.get_status_code() != 200:
--- a/thistleusher/services/counter_connection.py
+++ b/thistleusher/services/counter_connection.py
@@ -11,6 +11,7 @@
 
 from thistleusher.core import events
 from thistleusher.core.events import Outcome
+from thistleusher.services.fair_reads import FairReads
 from thistleusher.services.http_responses import Response, ResponseReader
 
 log = logging.getLogger(__name__)
@@ -50,7 +51,7 @@
         """Open another connection if this was the current one."""
 
 
-class CounterConnection(asyncio.Protocol):
+class CounterConnection(FairReads):
     """One connection to the counter. Responses arrive in the order of the calls."""
 
     def __init__(self, channel: ConnectionOwner) -> None:
@@ -93,6 +94,10 @@
         elif self.reader.partial and not self.closed:
             self.stall_timer = self.loop.call_later(RESPONSE_STALL_S, self.end, "response stalled", True)
 
+    def wants_data(self) -> bool:
+        """Return whether the connection is open."""
+        return not self.closed
+
     def _handle_response(self, response: Response) -> None:
         """Report the outcome of the oldest pending call."""
         if self.closed:
--- a/thistleusher/transport/links.py
+++ b/thistleusher/transport/links.py
@@ -22,6 +22,7 @@
 from thistleusher.common.background import start_background
 from thistleusher.common.events import Event, log_event
 from thistleusher.net.socket_state import enable_dead_peer_detection
+from thistleusher.services.fair_reads import FairReads
 from thistleusher.transport.codec import Deframer, MalformedMessageError, frame
 from thistleusher.transport.errors import UnexpectedMessageError
 from thistleusher.transport.messages import AnyMessage, HandOver, Hello, KeepAlive, Message, SubscribeRequest
@@ -38,7 +39,7 @@
 KEEP_ALIVE_FRAME = frame(KeepAlive())
 
 
-class Link(asyncio.Protocol):
+class Link(FairReads):
     """One connection, of either side."""
 
     def __init__(
@@ -89,6 +90,10 @@
             log_event(Event.FAULT, f"a message of {self.name or self.peer_address}", repr(error))
             self.close(repr(error))
 
+    def wants_data(self) -> bool:
+        """Return whether the connection is open."""
+        return self.open
+
     def send(self, message: Message) -> None:
         """Send one message; drop it if the connection has ended."""
         self.write(frame(message))
