--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -18,6 +18,7 @@
 from thistleusher.net.request_handler import ImmediateResponse, QueuedRequest, RequestHandler
 from thistleusher.net.unsent_responses import UnsentResponses
 from thistleusher.services.fair_reads import FairReads
+from thistleusher.services.message_limits import MessageLimitError
 
 MAX_PIPELINED_REQUESTS = 16  # Upper bound of requests read ahead on one connection, but for those of one read.
 LINGER_S = 0.5  # time for a client to close its side after the last response has been written
@@ -42,6 +43,7 @@
         self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
         self.awaits_memory_since = 0.0  # Time on the loop's clock; 0 if the incoming body does not wait.
         self.memory_waited_s = 0.0  # Seconds of earlier waits of the incoming request.
+        self.received_bytes = 0  # Size of the input that was discarded.
         self.max_discarded_bytes = MAX_LINGER_BYTES
         self.discarded_bytes = 0  # Value of `received_bytes` at the last check while lingering.
         self.linger_began_at = 0.0
@@ -107,7 +109,9 @@
         self.last_activity = next(self.server.activity_counter)
         self.request_started_at = self.request_started_at or self.loop.time()
         try:
-            self.parser.feed_data(data)
+            self.meter.feed(self.parser, data)
+        except MessageLimitError as error:
+            self.reject(431, f"a request with {error}")
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BodyRejectedError):
@@ -116,12 +120,6 @@
                 self.reject(int(cause.args[0]), str(cause.args[1]))
             else:
                 self.reject(400, "malformed HTTP")
-            return
-        if self.in_head and self.request_started_at:  # the parser itself does not bound the size of a head
-            self.received_bytes += 0 if self.is_first_read else len(data)
-            self.is_first_read = False
-            if self.received_bytes > self.server.limits.max_head_bytes:
-                self.reject(431, "the head is too long")
 
     def wants_data(self) -> bool:
         """Return whether the connection is open and reading is not paused."""
@@ -185,6 +183,7 @@
         """Queue the complete request, or the response to one that needs no decision."""
         self.request_started_at = 0.0
         self.in_head = True
+        self.meter.end_message()
         self.has_sent_request = True
         if self.current_request is not None or self.queue or self.writing_paused:
             self.account_for_read_ahead()
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -11,9 +11,12 @@
 from thistleusher.core.request import BadRequest
 from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage, release
 from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from thistleusher.services.message_limits import MessageMeter
 
 READ_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
+# Of a head's bytes, the method, the version and the line ends do not count towards `max_head_bytes`.
+UNCOUNTED_HEAD_BYTES = 256
 QUEUED_REQUEST_BYTES = 4096  # Estimated memory of a request read ahead, in addition to its head and body.
 
 
@@ -51,6 +54,7 @@
     def __init__(self, server: HasLimits) -> None:
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
+        self.meter = MessageMeter(server.limits.max_head_bytes + UNCOUNTED_HEAD_BYTES)
         self.reservation: Reservation | None = None  # Memory of the incoming body, if there is a budget.
         self.reset()
 
@@ -60,9 +64,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.read_ahead_bytes = 0  # Memory of the request in addition to its body, if it was read ahead.
-        self.received_bytes = 0  # size of a head received in several reads; then size of discarded input
         self.in_head = True
-        self.is_first_read = True
+        self.meter.max_head_bytes = self.server.limits.max_head_bytes + UNCOUNTED_HEAD_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -72,6 +75,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields after a chunked body are dropped."""
+        self.meter.count_field()
         if self.in_head:
             self.headers.append((name, value))
 
@@ -160,6 +164,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self.meter.count_body(len(data))
         if len(self.body) + len(data) > self.server.limits.max_body_bytes:
             raise BadRequest(413, f"a body holds at most {self.server.limits.max_body_bytes} bytes")
         self.body += data
