--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -1,6 +1,7 @@
 """Links over loopback: reconnection, and rejected messages."""
 
 import asyncio
+import contextlib
 import struct
 
 import msgspec
@@ -174,3 +175,30 @@
 
     assert asyncio.run(first_two_messages(fail, first_message)) == [Hello("x")] * 2
     assert logged[0] == "FAULT"
+
+
+def test_a_message_that_does_not_come_whole_in_time_ends_its_link(monkeypatch):
+    """Each byte shows that the peer is up, so that a message sent byte by byte would be held for good."""
+    monkeypatch.setattr(links, "MESSAGE_TIMEOUT_S", 0.5)
+
+    async def play() -> bool:
+        listener = Listener(asyncio.get_running_loop(), lambda link, message: None, lambda link: None)
+        await listener.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
+        writer.write(frame(Hello("x")) + struct.pack(">I", 1_000_000))
+        try:
+            async with asyncio.timeout(10.0):
+                while True:
+                    writer.write(b"x")
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(0.1):
+                            while await reader.read(1000):
+                                pass
+                            return True
+        except ConnectionError:
+            return True
+        finally:
+            writer.close()
+            listener.close()
+
+    assert asyncio.run(play())
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -39,6 +39,7 @@
     ReadConfiguration,
     ReplaceConfiguration,
 )
+from thistleusher.transport.frame_memory import FrameMemory
 from thistleusher.transport.links import Link, Listener, ReconnectingLink
 from thistleusher.transport.messages import AnyMessage, Hello
 
@@ -78,7 +79,8 @@
         # Each control process opens its own connection to every other one, and sends messages on that connection only.
         self.outgoing: dict[str, ReconnectingLink] = {}  # keyed by address
         self.incoming: dict[str, Link] = {}  # keyed by the name in the peer's Hello
-        self.listener = Listener(self.loop, self._received, self._disconnected)
+        self.frame_memory = FrameMemory.of_process(node_settings.limits.mem_mb)
+        self.listener = Listener(self.loop, self._received, self._disconnected, memory=self.frame_memory)
         self.api = CallServer(
             self.loop,
             self._handlers(),
@@ -142,7 +144,9 @@
 
     def _connect(self, ip: str) -> ReconnectingLink:
         port = self.node_settings.port(CONTROL)
-        return ReconnectingLink(self.loop, ip, port, lambda: self._hello(ip), self._received_on_outgoing)
+        return ReconnectingLink(
+            self.loop, ip, port, lambda: self._hello(ip), self._received_on_outgoing, memory=self.frame_memory
+        )
 
     def _hello(self, ip: str) -> Hello:
         """Return the first message on a new connection. The service is notified after the message has been sent."""
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -55,8 +55,10 @@
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
 from thistleusher.transport.calls import Addresses, Readiness, Ready, Resolve
+from thistleusher.transport.codec import MAX_BYTES as MAX_MESSAGE_BYTES
 from thistleusher.transport.core_links import CoreLinks
 from thistleusher.transport.errors import UnexpectedMessageError
+from thistleusher.transport.frame_memory import FrameMemory
 from thistleusher.transport.links import Link, Listener, ReconnectingLink
 from thistleusher.transport.messages import AnyMessage, HandOver, HandOverAccepted, RingHeartbeat
 
@@ -129,16 +131,29 @@
             now,
         )
         self.ring_socket = RingSocket(self._on_heartbeat)
+        frame_memory = FrameMemory.of_process(node_settings.limits.mem_mb)
         self.control = CoreLinks(
-            loop, lambda: self.node_settings.port(CONTROL), self.cluster_view.subscribe_to_control, self._from_control
+            loop,
+            lambda: self.node_settings.port(CONTROL),
+            self.cluster_view.subscribe_to_control,
+            self._from_control,
+            memory=frame_memory,
         )
         self.registries = CoreLinks(
             loop,
             lambda: self.node_settings.port(REGISTRY),
             self.cluster_view.subscribe_to_registry,
             self._from_registry,
+            memory=frame_memory,
+        )
+        self.hand_over_listener = Listener(
+            loop,
+            self._on_hand_over,
+            lambda link: None,
+            max_links=MAX_HAND_OVER_LINKS,
+            memory=frame_memory,
+            first_bytes=MAX_MESSAGE_BYTES,
         )
-        self.hand_over_listener = Listener(loop, self._on_hand_over, lambda link: None, max_links=MAX_HAND_OVER_LINKS)
         self.hand_overs: set[asyncio.Task[None]] = set()
         self.shutting_down = False
         self.executors: dict[type, Callable[[Any], None]] = {
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -25,6 +25,7 @@
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.core_links import CoreLinks
 from thistleusher.transport.errors import UnexpectedMessageError
+from thistleusher.transport.frame_memory import FrameMemory
 from thistleusher.transport.links import Link, Listener, ReconnectingLink
 from thistleusher.transport.messages import AnyMessage, SubscribeRequest
 
@@ -51,11 +52,13 @@
             self.node_settings.bootstrap,
         )
         self.platform_call: asyncio.Task[None] | None = None
+        memory = FrameMemory.of_process(self.node_settings.limits.mem_mb)
         self.control = CoreLinks(
             self.loop,
             lambda: self.node_settings.port(CONTROL),
             self.registry.control_state.subscribe_request,
             self._receive_from_control,
+            memory=memory,
         )
         self.peers = CoreLinks(
             self.loop,
@@ -63,8 +66,9 @@
             self.registry.list.subscribe_request,
             self._receive_from_peer,
             own_address=self.node_settings.ip,
+            memory=memory,
         )
-        self.listener = Listener(self.loop, self._receive_from_subscriber, self._remove_subscriber)
+        self.listener = Listener(self.loop, self._receive_from_subscriber, self._remove_subscriber, memory=memory)
         self.subscribers: dict[str, Link] = {}
 
     async def run(self) -> None:
--- a/thistleusher/transport/codec.py
+++ b/thistleusher/transport/codec.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from thistleusher.transport.frame_memory import MAX_FIRST_BYTES, FrameMemory
 from thistleusher.transport.messages import AnyMessage, Message
 
 MAX_BYTES = 64 * 1024 * 1024
@@ -66,14 +67,14 @@
     return LENGTH.pack(len(packed) | COMPRESSED) + packed
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes, max_bytes: int) -> bytes:
     decompressor = zlib.decompressobj()
     try:
-        decompressed = decompressor.decompress(data, MAX_BYTES)
+        decompressed = decompressor.decompress(data, max_bytes)
     except zlib.error as error:
         raise MalformedMessageError(str(error)) from None
     if not decompressor.eof:
-        raise MalformedMessageError(f"compressed message truncated, or larger than {MAX_BYTES} bytes")
+        raise MalformedMessageError(f"compressed message truncated, or larger than {max_bytes} bytes")
     return decompressed
 
 
@@ -82,10 +83,25 @@
 
 
 class Deframer:
-    """Splits a stream of bytes, which may arrive in fragments of any size, into messages."""
+    """Splits a stream of bytes, which may arrive in fragments of any size, into messages.
 
-    def __init__(self) -> None:
+    `identified`: whether the sender is known; if not, `first_bytes` bounds its message, however small it is packed.
+    """
+
+    def __init__(
+        self, memory: FrameMemory | None = None, *, identified: bool = True, first_bytes: int = MAX_FIRST_BYTES
+    ) -> None:
+        """`memory`: what the incomplete messages of all links of the process may take; None: one whole message."""
+        self._memory = memory or FrameMemory(MAX_BYTES)
+        self.held_bytes = 0  # Bytes of an incomplete message.
         self._buffer = bytearray()
+        self.identified = identified
+        self._first_bytes = first_bytes
+
+    @property
+    def max_bytes(self) -> int:
+        """The upper bound of the next message."""
+        return MAX_BYTES if self.identified else self._first_bytes
 
     def feed(self, data: bytes) -> Iterator[AnyMessage]:
         """Add received data and yield the complete messages. Raise MalformedMessageError, which ends the stream."""
@@ -93,11 +109,25 @@
         while len(self._buffer) >= LENGTH.size:
             (head,) = LENGTH.unpack_from(self._buffer)
             length = head & ~COMPRESSED
-            if length > MAX_BYTES:
-                raise MalformedMessageError(f"{length} bytes, {MAX_BYTES} at most")
+            if length > self.max_bytes:
+                raise MalformedMessageError(f"{length} bytes, {self.max_bytes} at most")
             end = LENGTH.size + length
             if len(self._buffer) < end:
-                return
+                break
             body = bytes(self._buffer[LENGTH.size : end])
             del self._buffer[:end]
-            yield decode(_decompress(body) if head & COMPRESSED else body)
+            yield decode(_decompress(body, self.max_bytes) if head & COMPRESSED else body)
+        self._hold(len(self._buffer))
+
+    def _hold(self, size: int) -> None:
+        """Account for an incomplete message. Raise MalformedMessageError if there is no memory for it."""
+        if size == self.held_bytes:
+            return
+        if not self._memory.take(size - self.held_bytes, identified=self.identified):
+            raise MalformedMessageError(f"no memory for an incomplete message of {size} bytes and more")
+        self.held_bytes = size
+
+    def close(self) -> None:
+        """Drop an incomplete message. No more data may follow."""
+        self._buffer = bytearray()
+        self._hold(0)
--- a/thistleusher/transport/core_links.py
+++ b/thistleusher/transport/core_links.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from thistleusher.transport.frame_memory import FrameMemory
 from thistleusher.transport.links import ReconnectingLink
 from thistleusher.transport.messages import AnyMessage, Message
 
@@ -23,8 +24,13 @@
         first_message: Callable[[], Message],
         on_message: Callable[[ReconnectingLink, AnyMessage], None],
         own_address: str = "",
+        memory: FrameMemory | None = None,
     ) -> None:
-        """Create an object without links; it never connects to `own_address`."""
+        """Create an object without links; it never connects to `own_address`.
+
+        `memory`: what the incomplete messages of all links of the process may take.
+        """
+        self.memory = memory
         self.loop = loop
         self.port = port
         self.first_message = first_message
@@ -37,7 +43,7 @@
         for address in addresses:
             if address != self.own_address and address not in self.links:
                 self.links[address] = ReconnectingLink(
-                    self.loop, address, self.port(), self.first_message, self.on_message
+                    self.loop, address, self.port(), self.first_message, self.on_message, memory=self.memory
                 )
 
     def send(self, address: str, message: Message) -> None:
--- a/thistleusher/transport/links.py
+++ b/thistleusher/transport/links.py
@@ -25,6 +25,7 @@
 from thistleusher.services.fair_reads import FairReads
 from thistleusher.transport.codec import Deframer, MalformedMessageError, frame
 from thistleusher.transport.errors import UnexpectedMessageError
+from thistleusher.transport.frame_memory import MAX_FIRST_BYTES, FrameMemory
 from thistleusher.transport.messages import AnyMessage, HandOver, Hello, KeepAlive, Message, SubscribeRequest
 
 KEEP_ALIVE_INTERVAL_S = 0.4
@@ -36,6 +37,7 @@
 MAX_UNSENT_BYTES = 16 * 1024 * 1024  # With more unsent data, the peer is considered not to read: the link is closed.
 MAX_LINKS = 1024
 BACKLOG = 256
+MESSAGE_TIMEOUT_S = 20.0  # Time for one message to arrive: a complete state, from another region, beside others.
 KEEP_ALIVE_FRAME = frame(KeepAlive())
 
 
@@ -48,6 +50,7 @@
         on_open: Callable[[Link], None],
         on_message: Callable[[Link, AnyMessage], None],
         on_end: Callable[[Link, str], None],
+        deframer: Deframer | None = None,
     ) -> None:
         """Create a link that is not connected yet; `on_end` is called once, with the reason."""
         self.loop = loop
@@ -55,9 +58,10 @@
         self.on_message = on_message
         self.on_end = on_end
         self.transport: asyncio.Transport | None = None
-        self.deframer = Deframer()
+        self.deframer = deframer or Deframer()
         self.last_received = loop.time()
         self.last_sent = self.last_received
+        self.message_due_at = self.last_received + MESSAGE_TIMEOUT_S  # End of the time for the incoming message.
         self.name = ""  # The peer's name, once known.
         self.peer_address = ""
         self.open = False
@@ -76,11 +80,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Deliver the complete messages; an error in one of them closes the connection."""
-        self.last_received = self.loop.time()
+        now = self.last_received = self.loop.time()
+        if not self.deframer.held_bytes:
+            self.message_due_at = now + MESSAGE_TIMEOUT_S
         try:
             for message in self.deframer.feed(data):
                 if not self.open:
                     return
+                self.message_due_at = now + MESSAGE_TIMEOUT_S
                 if not isinstance(message, KeepAlive):
                     self.on_message(self, message)
         except (MalformedMessageError, UnexpectedMessageError) as error:
@@ -117,6 +124,9 @@
         if now - self.last_received > RECEIVE_TIMEOUT_S:
             self.close("silent")
             return
+        if self.deframer.held_bytes and now > self.message_due_at:
+            self.close("a message has not come whole in time")
+            return
         if now - self.last_sent >= KEEP_ALIVE_INTERVAL_S * 0.9:
             self.write(KEEP_ALIVE_FRAME)
         self.keep_alive_timer = self.loop.call_later(KEEP_ALIVE_INTERVAL_S, self._keep_alive)
@@ -140,6 +150,7 @@
         self._ended()
 
     def _ended(self) -> None:
+        self.deframer.close()
         if self.open:
             self.open = False
             self._cancel_keep_alive()
@@ -161,8 +172,13 @@
         first_message: Callable[[], Message],
         on_message: Callable[[ReconnectingLink, AnyMessage], None],
         on_end: Callable[[ReconnectingLink], None] | None = None,
+        memory: FrameMemory | None = None,
     ) -> None:
-        """Start connecting; `first_message` returns the first message to send on each connection."""
+        """Start connecting; `first_message` returns the first message to send on each connection.
+
+        `memory`: what the incomplete messages of all links of the process may take.
+        """
+        self.memory = memory
         self.loop = loop
         self.host = host
         self.port = port
@@ -223,7 +239,7 @@
             self.on_end(self)
 
     async def _open(self, on_end: Callable[[Link, str], None], timeout_s: float) -> Link:
-        link = Link(self.loop, lambda opened: None, self._message, on_end)
+        link = Link(self.loop, lambda opened: None, self._message, on_end, Deframer(self.memory))
         try:
             async with asyncio.timeout(timeout_s):
                 await self.loop.create_connection(lambda: link, self.host, self.port)
@@ -275,8 +291,16 @@
         on_message: Callable[[Link, AnyMessage], None],
         on_end: Callable[[Link], None],
         max_links: int = MAX_LINKS,
+        memory: FrameMemory | None = None,
+        first_bytes: int = MAX_FIRST_BYTES,
     ) -> None:
-        """Create a listener whose port is not open yet; `on_end` is called only for named links."""
+        """Create a listener whose port is not open yet; `on_end` is called only for named links.
+
+        `memory`: what the incomplete messages of all links of the process may take. `first_bytes`: upper bound of the
+        first message on a link.
+        """
+        self.memory = memory
+        self.first_bytes = first_bytes
         self.loop = loop
         self.on_message = on_message
         self.on_end = on_end
@@ -287,9 +311,15 @@
     async def listen(self, host: str, port: int) -> None:
         """Open the port. Raise OSError if it cannot be opened."""
         self.server = await self.loop.create_server(
-            lambda: Link(self.loop, self._opened, self._message, self._ended), host, port, backlog=BACKLOG
+            lambda: Link(self.loop, self._opened, self._message, self._ended, self._deframer()),
+            host,
+            port,
+            backlog=BACKLOG,
         )
 
+    def _deframer(self) -> Deframer:
+        return Deframer(self.memory, identified=False, first_bytes=self.first_bytes)
+
     def _opened(self, link: Link) -> None:
         self.links.add(link)
         assert link.transport is not None
@@ -301,6 +331,7 @@
     def _message(self, link: Link, message: AnyMessage) -> None:
         if not link.name and isinstance(message, Hello | SubscribeRequest | HandOver):
             link.name = message.sender
+            link.deframer.identified = True
         self.on_message(link, message)
 
     def _ended(self, link: Link, reason: str) -> None:
