--- a/tests/registry/test_backend_poller.py
+++ b/tests/registry/test_backend_poller.py
@@ -118,3 +118,38 @@
     assert changes["i1"]["cold"] == 3500
     now, changes = read(poller, now + 4.0, page(entry(1)))
     assert changes["i1"]["cold"] == 0
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        page({**entry(1), "id": "i" * 300}),
+        page({**entry(1), "address": "h" * 300 + ":80"}),
+        page({**entry(1), "zone": ["z"] * 100}),
+        page(entry(1), token="t" * 5000),
+        page({**entry(1), "capacity": float("inf")}),
+        page(*({**entry(1), "id": f"i{n}"} for n in range(20_001))),
+        b'{"instances":' + b"[" * 100_000,
+    ],
+    ids=["id", "address", "zone", "token", "capacity", "backends", "depth"],
+)
+def test_what_the_platform_lists_is_bounded_before_it_is_published(body):
+    """FAULT: a list of any size went to all proxies; some values ended the call without a word to the poller."""
+    poller = BackendPoller(0.0, 47.0)
+    assert poller.begin_call(0.0) is not None
+    with pytest.raises(UnreadableAnswerError) as raised:
+        poller.receive_page(0.0, body)
+    assert len(str(raised.value)) < 500
+    assert poller.begin_call(10.0) == "/instances"  # Asked again, from the first page.
+
+
+def test_the_list_of_the_target_in_two_years_is_read():
+    poller = BackendPoller(0.0, 47.0)
+    _, changes = read(poller, 0.0, page(*({**entry(1), "id": f"i-{n:08x}"} for n in range(10_000))))
+    assert len(changes) == 10_000
+
+
+def test_a_capacity_beyond_all_sense_is_published_as_the_largest():
+    poller = BackendPoller(0.0, 47.0)
+    _, changes = read(poller, 0.0, page({**entry(1), "capacity": 10**400}))
+    assert changes["i1"]["c"] == 1_000_000  # a larger one could not be encoded
--- a/thistleusher/registry/backend_poller.py
+++ b/thistleusher/registry/backend_poller.py
@@ -21,6 +21,10 @@
 REQUIRED_EMPTY_READINGS = 5
 WARM_UP_TOLERANCE_S = 0.4  # End times of a warm-up that differ by less than this are treated as equal.
 MAX_PAGES = 200
+MAX_BACKENDS = 20_000  # twice the target's (docs/CAPACITY.md)
+MAX_TEXT_LENGTH = 256  # characters of an id, an address or another text of a backend
+MAX_TOKEN_LENGTH = 4096  # characters of a page token, which goes into a request's target
+MAX_CAPACITY = 1_000_000  # requests at once that one backend may claim to take
 TOO_MANY_REQUESTS = 429
 
 # A published backend: s(ervice), a(ddress), z(one), c(apacity), p(hase), cold (remaining warm-up in ms).
@@ -38,16 +42,24 @@
         host, _, port = raw["address"].rpartition(":")
         if not host or not 0 < int(port) < 65536 or not raw["id"]:
             raise ValueError("address or id")  # noqa: TRY301
-        return str(raw["id"]), {
-            "s": str(raw["target"]),
-            "a": raw["address"],
-            "z": str(raw["zone"]),
-            "c": max(1, int(raw.get("capacity") or 1)),
-            "p": str(raw.get("phase", "ready")),
+        return _read_text(raw["id"]), {
+            "s": _read_text(raw["target"]),
+            "a": _read_text(raw["address"]),
+            "z": _read_text(raw["zone"]),
+            "c": min(MAX_CAPACITY, max(1, int(raw.get("capacity") or 1))),
+            "p": _read_text(raw.get("phase", "ready")),
             "cold": max(0.0, float(raw.get("cold_left_ms") or 0.0)),
         }
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise UnreadableAnswerError(f"invalid instance: {error!r}") from None
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise UnreadableAnswerError(f"invalid instance: {error!r:.200}") from None
+
+
+def _read_text(value: object) -> str:
+    """Return a value as text. Raise ValueError if it is longer than any that is published to all proxies may be."""
+    text = str(value)
+    if len(text) > MAX_TEXT_LENGTH:
+        raise ValueError(f"text of {len(text)} characters, {MAX_TEXT_LENGTH} at most")
+    return text
 
 
 class BackendPoller:
@@ -96,10 +108,14 @@
         try:
             table = json.loads(body)
             rows, token = table["instances"], table.get("next_token")
+            if token and len(str(token)) > MAX_TOKEN_LENGTH:
+                raise ValueError(f"page token longer than {MAX_TOKEN_LENGTH} characters")  # noqa: TRY301
             for row in rows:
                 name, backend = read_backend(row)
                 self.reading[name] = backend
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+                if len(self.reading) > MAX_BACKENDS:
+                    raise ValueError(f"more than {MAX_BACKENDS} backends")  # noqa: TRY301
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             self.call_failed(now)
             raise UnreadableAnswerError(str(error)) from None
         self.in_flight = False
--- a/thistleusher/services/fair_reads.py
+++ b/thistleusher/services/fair_reads.py
@@ -1,8 +1,8 @@
 """Reading from a socket in turns: what one peer sends takes a bounded part of the event loop's time and memory.
 
-An event loop hands a protocol a read of up to 256 KiB, and reads a fast peer's socket dozens of times before it looks at
-another one. A `FairReads` protocol takes at most `READ_BYTES` at a time. If there is more, it goes on after the other
-sockets have had their turn; meanwhile the kernel holds the rest, and so the peer back.
+An event loop hands a protocol a read of up to 256 KiB, and reads a fast peer's socket dozens of times before it looks
+at another one. A `FairReads` protocol takes at most `READ_BYTES` at a time. If there is more, it goes on after the
+other sockets have had their turn; meanwhile the kernel holds the rest, and so the peer back.
 """
 
 from __future__ import annotations
