--- a/thistleusher/net/discovery.py
+++ b/thistleusher/net/discovery.py
@@ -12,6 +12,8 @@
 from thistleusher.net.backend_list import BackendList, parse_backend_list_text
 from thistleusher.services.addresses import Address
 from thistleusher.services.fair_reads import FairReads
+from thistleusher.services.http_responses import MAX_RESPONSE_HEAD_BYTES
+from thistleusher.services.message_limits import MessageLimitError, MessageMeter
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +37,7 @@
         self.address = address
         self.version = version
         self.parser = httptools.HttpResponseParser(self)
+        self.meter = MessageMeter(MAX_RESPONSE_HEAD_BYTES)
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
@@ -59,7 +62,9 @@
             return
         self.last_received_at = self.loop.time()
         try:
-            self.parser.feed_data(data)
+            self.meter.feed(self.parser, data)
+        except MessageLimitError as error:
+            self.end(f"response with {error}")
         except httptools.HttpParserError as error:
             self.end(str(error.__context__ or error))
 
@@ -67,6 +72,10 @@
         """Return whether the connection is still usable."""
         return not self.ended.done()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Count a header or trailer field; none is needed."""
+        self.meter.count_field()
+
     def on_headers_complete(self) -> None:
         """End the connection on any status other than 200."""
         if self.parser.get_status_code() != 200:
@@ -74,14 +83,19 @@
 
     def on_body(self, data: bytes) -> None:
         """Process the complete lines of a watch; buffer a complete list until its response ends."""
+        self.meter.count_body(len(data))
+        if self.ended.done():
+            return
+        if len(self.buffer) + len(data) > MAX_LINE_BYTES:
+            self.buffer = bytearray()
+            self.end(f"message longer than {MAX_LINE_BYTES} bytes")
+            return
         self.buffer += data
-        if self.version is not None:
+        if self.version is not None and b"\n" in data:  # split once a line, which may come in many pieces
             *lines, rest = self.buffer.split(b"\n")
             self.buffer = bytearray(rest)
             for line in lines:
                 self._apply_message(bytes(line))
-        if len(self.buffer) > MAX_LINE_BYTES:
-            self.end(f"message longer than {MAX_LINE_BYTES} bytes")
 
     def _apply_message(self, text: bytes) -> None:
         """Apply one message; an empty line is a keep-alive."""
@@ -93,6 +107,7 @@
 
     def on_message_complete(self) -> None:
         """Apply the complete list, and start a watch of the changes since its version."""
+        self.meter.end_message()
         if self.version is not None:
             self.end("watch ended by discovery")
             return
