--- a/tests/services/test_counter_client.py
+++ b/tests/services/test_counter_client.py
@@ -191,3 +191,16 @@
         assert not w.counter.pending
 
     run(main())
+
+
+@pytest.mark.parametrize("body", [b"9" * 400, b"0." + b"1" * 60_000])
+def test_a_total_of_any_number_of_digits_is_malformed(body):
+    """A total that is read as infinite would count as everything spent, for good."""
+
+    async def main():
+        service = await Peer.start(ok(body))
+        w = RecordingClient(service.port)
+        w.counter.add(1, 1.0, 3.0)
+        assert [r.outcome for r in await w.wait_for_replies(1)] == [Outcome.ERROR]
+
+    run(main())
--- a/thistleusher/services/counter_connection.py
+++ b/thistleusher/services/counter_connection.py
@@ -18,7 +18,8 @@
 
 RESPONSE_STALL_S = 0.05  # a connection is replaced after this time without data in the middle of a response
 RETIRE_TIMEOUT_S = 1.5  # time for which a replaced connection waits for pending responses
-TOTAL = re.compile(rb"-?\d+(\.\d+)?([eE][+-]?\d{1,2})?")  # excludes nan and inf; settled units can make it negative
+# Excludes nan and inf, which hundreds of digits would read as; settled units can make it negative.
+TOTAL = re.compile(rb"-?\d{1,40}(\.\d{1,40})?([eE][+-]?\d{1,2})?")
 NOT_ADDED_STATUSES = (400, 404)
 
 
