--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -7,7 +7,7 @@
 
 from tests.configuration.documents import body
 from thistleusher.configuration.records import read_checked_configuration
-from thistleusher.configuration.validation import read_configuration
+from thistleusher.configuration.validation import MAX_FAULTS, MAX_LISTED_VALUES, read_configuration
 
 
 def faults_of(data):
@@ -122,3 +122,14 @@
         table["routes"]["r2"]["target"] = "nobody"
 
     assert len(faults_of(body(invalidate))) == 2
+
+
+def test_the_errors_of_a_document_are_bounded():
+    """FAULT: a document of 41 MB, each entry of the wrong type, took 6.5 GB for its list of errors."""
+    names = range(MAX_LISTED_VALUES // 8)
+    assert len(faults_of(body(lambda t: t["tenants"].update({f"x{n}": 0 for n in names})))) == MAX_FAULTS
+    few = faults_of(body(lambda t: t["routes"].update({f"x{n}": {**t["routes"]["r1"], "target": ""} for n in names})))
+    assert 1 <= len(few) <= MAX_FAULTS
+    many = range(MAX_LISTED_VALUES + 1)
+    assert len(faults_of(body(lambda t: t["routes"].update({f"x{n}": 0 for n in many})))) == 1
+    assert len(faults_of(b"[" + b"1e999," * 5000 + b"1]")) <= MAX_FAULTS
--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -268,3 +268,13 @@
     leader = leader_with_configuration(7)
     changed = changed_items(leader.state, 8, document(8, "b"))
     assert set(changed) == {"config", "route:r", "taken:2"}
+
+
+def test_a_document_that_would_not_fit_in_memory_once_parsed_is_refused():
+    """FAULT: 57 MB of empty lists, sent as a configuration, took 2.2 GB of control's memory."""
+    memory_bytes = 100_000 * orders.VALUE_BYTES
+    orders.check_size(document(1), memory_bytes)
+    for text in (b"[]," * 60_000, b"{}," * 60_000, b"1," * 110_000):
+        with pytest.raises(ServiceError) as caught:
+            orders.check_size(b'{"x":[' + text + b"1]}", memory_bytes)
+        assert caught.value.kind is ErrorKind.BODY_TOO_LARGE
--- a/tests/services/test_counter_client.py
+++ b/tests/services/test_counter_client.py
@@ -193,7 +193,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("body", [b"9" * 400, b"0." + b"1" * 60_000])
+@pytest.mark.parametrize("body", [b"9" * 400, b"0." + b"1" * 60_000], ids=["digits", "fraction"])
 def test_a_total_of_any_number_of_digits_is_malformed(body):
     """A total that is read as infinite would count as everything spent, for good."""
 
--- a/thistleusher/configuration/validation.py
+++ b/thistleusher/configuration/validation.py
@@ -5,8 +5,9 @@
 values are defined only here. The control process that acknowledges a configuration and the command that checks one
 offline both use them.
 
-All errors are reported at once, one line each: the field, the expected value and the value found. pydantic lists the
-errors of a document that the reader cannot read.
+All errors are reported at once, one line each: the field, the expected value and the value found; at most `MAX_FAULTS`,
+as each takes more memory than the value that it names. pydantic lists the errors of a document that the reader cannot
+read; of one with more than `MAX_LISTED_VALUES` values only the reader's first error is reported.
 
 JSON is read strictly. A duplicate name in an object, a number that is not finite and text that is not Unicode are
 errors, even in fields that are unknown to this release, because different readers would interpret them differently.
@@ -18,6 +19,7 @@
 import math
 import re
 from collections.abc import Iterable, Iterator, Mapping
+from itertools import chain, islice
 from typing import Any, NamedTuple
 
 from pydantic import TypeAdapter, ValidationError
@@ -33,6 +35,8 @@
 MAX_NAME_BYTES = 400  # maximum name of a route, service or tenant; names are storage keys, limited to 511 bytes
 # Largest number, in size: beyond it, readers that hold numbers as doubles read other integers (RFC 8259, section 6).
 MAX_NUMBER = 2**53 - 1
+MAX_FAULTS = 1000
+MAX_LISTED_VALUES = 20_000
 CONFIGURATION_ADAPTER: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
@@ -45,6 +49,15 @@
 
     value: Any
     faults: list[str]
+    values: int = 0  # an upper bound of the number of its values
+
+
+def count_values(body: bytes) -> int:
+    """Return an upper bound of the values in a JSON text, at the cost of three searches for a byte.
+
+    Each takes some 200 bytes once it is parsed and checked, however short its text is.
+    """
+    return 1 + body.count(b",") + body.count(b"[") + body.count(b"{")
 
 
 def parse_json(body: bytes) -> ParsedJson:
@@ -56,13 +69,13 @@
 
     def table(members: list[tuple[str, Any]]) -> dict[str, Any]:
         found = dict(members)
-        if len(found) < len(members):
+        if len(found) < len(members) and len(faults) < MAX_FAULTS:
             faults.append(f"body: duplicate name in one object, among {', '.join(found)[:MAX_SHOWN]!r}")
         return found
 
     def number(text: str) -> float:
         found = float(text)
-        if not math.isfinite(found):
+        if not math.isfinite(found) and len(faults) < MAX_FAULTS:
             faults.append(f"body: {text[:MAX_SHOWN]} is not a finite number")
         return found
 
@@ -70,7 +83,7 @@
         value = json.loads(body, object_pairs_hook=table, parse_float=number, parse_constant=number)
     except (ValueError, RecursionError) as error:
         raise ExceptionGroup("configuration", [InvalidConfigurationError(f"body: invalid JSON: {error}")]) from None
-    return ParsedJson(value, faults)
+    return ParsedJson(value, faults, count_values(body))
 
 
 def read_configuration(body: bytes) -> Configuration:
@@ -90,8 +103,9 @@
     try:
         config = read_checked_configuration(stored)
     except InvalidTableError as error:
-        raise _error_group(_type_faults(document.value) or [str(error)]) from None
-    faults = [*_number_faults(config, ""), *_faults(config)]
+        listed = _type_faults(document.value) if document.values <= MAX_LISTED_VALUES else []
+        raise _error_group(listed or [str(error)]) from None
+    faults = list(islice(chain(_number_faults(config, ""), _faults(config)), MAX_FAULTS))
     if faults:
         raise _error_group(faults)
     return config
@@ -102,7 +116,7 @@
     try:
         CONFIGURATION_ADAPTER.validate_python(known_fields_only(Configuration, value))
     except ValidationError as error:
-        return list(fault_lines(error, "body"))
+        return list(islice(fault_lines(error, "body"), MAX_FAULTS))
     return []
 
 
--- a/thistleusher/control/orders.py
+++ b/thistleusher/control/orders.py
@@ -45,6 +45,7 @@
 
 MAX_ZONE_BYTES = 400  # the zone's name is part of a key on disk, which may have at most 511 bytes
 DIGEST_DIGITS_LOGGED = 12
+VALUE_BYTES = 200  # memory of one value of a configuration while it is checked
 MAX_REASON_LENGTH = 400  # maximum length of the message of a rejection, in characters
 
 
@@ -72,6 +73,13 @@
 # Configurations.
 
 
+def check_size(document: bytes, memory_bytes: int) -> None:
+    """Raise ServiceError if a document would take more memory than there is for it, once it is parsed."""
+    max_values = memory_bytes // VALUE_BYTES
+    if validation_module().count_values(document) > max_values:
+        raise ServiceError(ErrorKind.BODY_TOO_LARGE, f"body: more than {max_values} values")
+
+
 def parse(document: bytes, state: State | None = None) -> ParsedOrder:
     """Parse and fully validate a document.
 
--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -231,7 +231,11 @@
         return isinstance(answer, bytes)
 
     def replace(self, call: ReplaceConfiguration, on_answer: OnAnswer) -> None:
-        """Replace the configuration; the leader answers INVALID_CONFIGURATION with all faults in one line."""
+        """Replace the configuration; the leader answers INVALID_CONFIGURATION with all faults in one line.
+
+        A document that would not fit into this process's memory once it is parsed is refused.
+        """
+        orders.check_size(call.document, self.body_memory.budget.capacity)
         self._submit(lambda call_id: orders.deferred_configuration_change(call_id, call.document), on_answer)
 
     def read(self, call: ReadConfiguration, on_answer: OnAnswer) -> None:
