--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -54,12 +54,14 @@
     traffic = Traffic()
     ports: dict[int, str] = {}
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_open: Any, on_message: Any, on_end: Any) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_open: Any, on_message: Any, on_end: Any, deframer: Any = None
+    ) -> None:
         def count_message(link: links.Link, message: Any) -> None:
             self.traffic.add(self.program, "in", 0, 1)
             on_message(link, message)
 
-        super().__init__(loop, on_open, count_message, on_end)
+        super().__init__(loop, on_open, count_message, on_end, deframer)
         self.program = "peer"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/thistleusher/proxy/invalid_answers.py
+++ b/thistleusher/proxy/invalid_answers.py
@@ -15,7 +15,7 @@
     """The invalid answers of one backend since the last report."""
 
     backend: str
-    count: int
+    answers: int
     reason: str  # of the newest one
 
 
@@ -31,7 +31,7 @@
         earlier = self._counts.get(backend)
         if earlier is None and len(self._counts) >= MAX_BACKENDS:
             return
-        self._counts[backend] = Report(backend, 1 + (earlier.count if earlier is not None else 0), reason)
+        self._counts[backend] = Report(backend, 1 + (earlier.answers if earlier is not None else 0), reason)
 
     def due(self, now: float) -> list[Report]:
         """Return what is to be reported now, at most every `REPORT_INTERVAL_S`, and start to count anew."""
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -219,7 +219,7 @@
             self.next_rejections_report = now + REJECTIONS_REPORT_INTERVAL_S
             self._report_rejected_bodies()
         for report in self.invalid_answers.due(now):
-            log_event(Event.ANSWERS_INVALID, report.backend, report.count, REPORT_INTERVAL_S, report.reason)
+            log_event(Event.ANSWERS_INVALID, report.backend, report.answers, REPORT_INTERVAL_S, report.reason)
 
     def _report_rejected_bodies(self) -> None:
         budget = self.budget
