--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -110,8 +110,12 @@
         self.request_started_at = self.request_started_at or self.loop.time()
         try:
             self.meter.feed(self.parser, data)
+            if self.request_started_at:
+                self.account_for_head(self.meter.kept_bytes)
         except MessageLimitError as error:
             self.reject(431, f"a request with {error}")
+        except BodyRejectedError:
+            self.reject_for_memory()
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BodyRejectedError):
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -11,12 +11,13 @@
 from thistleusher.core.request import BadRequest
 from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage, release
 from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES
-from thistleusher.services.message_limits import MessageMeter
+from thistleusher.services.message_limits import FIELD_BYTES, MessageMeter
 
 READ_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
 # Of a head's bytes, the method, the version and the line ends do not count towards `max_head_bytes`.
 UNCOUNTED_HEAD_BYTES = 256
+UNCOUNTED_HEAD_MEMORY_BYTES = 4096  # Upper bound of a head that is not reserved; a connection holds one.
 QUEUED_REQUEST_BYTES = 4096  # Estimated memory of a request read ahead, in addition to its head and body.
 
 
@@ -56,6 +57,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.meter = MessageMeter(server.limits.max_head_bytes + UNCOUNTED_HEAD_BYTES)
         self.reservation: Reservation | None = None  # Memory of the incoming body, if there is a budget.
+        self.head_reservation: Reservation | None = None  # Memory of a large head, or of trailers.
         self.reset()
 
     def reset(self) -> None:
@@ -100,8 +102,10 @@
                 length = None
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
-        if len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers) > limits.max_head_bytes:
+        head_bytes = len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers)
+        if head_bytes > limits.max_head_bytes:
             raise BadRequest(431, "the head is too long")
+        self.account_for_head(head_bytes + FIELD_BYTES * len(self.headers))
         if length != 0 and self.server.budget is not None:
             self.reservation = Reservation(self.server.budget, self.server.body_stage, self.on_memory_granted)
             if length is not None:
@@ -135,6 +139,15 @@
         if not self.reservation.cover(size):
             raise BodyRejectedError
 
+    def account_for_head(self, size: int) -> None:
+        """Reserve memory for what is kept of a request apart from its body. Raise BodyRejectedError if there is none."""
+        if size <= UNCOUNTED_HEAD_MEMORY_BYTES or self.server.budget is None:
+            return
+        if self.head_reservation is None:
+            self.head_reservation = Reservation(self.server.budget, self.server.body_stage, bool)
+        if not self.head_reservation.cover(size):
+            raise BodyRejectedError
+
     def account_for_read_ahead(self) -> None:
         """Reserve memory for a request that has to wait for the one before; a single read may hold thousands of them.
 
@@ -150,17 +163,24 @@
             raise BodyRejectedError
 
     def take_reservation(self) -> Reservation | None:
-        """Return the reservation of a body that has come whole, for its request to release."""
+        """Return the reservation of a request that has come whole, for its end to release."""
         reservation, self.reservation = self.reservation, None
+        head, self.head_reservation = self.head_reservation, None
+        head_bytes = head.held if head is not None else 0
+        if reservation is None:
+            reservation = head
+        else:
+            release(head)
         if reservation is not None:
-            reservation.resize(len(self.body) + self.read_ahead_bytes)
+            reservation.resize(len(self.body) + max(self.read_ahead_bytes, head_bytes))
         return reservation
 
     def drop_body(self) -> None:
         """Drop a body that is not needed any more, and its reservation."""
         self.body = bytearray()
         release(self.reservation)
-        self.reservation = None
+        release(self.head_reservation)
+        self.reservation = self.head_reservation = None
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -114,6 +114,7 @@
         self.server = ProxyServer(loop, self.ingress, connections)
         self.directory = CallServer(loop, [Handler(Resolve, self.resolve)], CALL_LIMITS)
         self.readiness = CallServer(loop, [Handler(Readiness, self.ready)], CALL_LIMITS)
+        self.directory.budget = self.readiness.budget = self.budget
         attributes = {
             "front": node_settings.binds.front,
             "ip": node_settings.ip,
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -14,8 +14,8 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024  # of a response, with its interim responses; its trailers may take as much again
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # headers that determine where the body ends
 
-
 UNCOUNTED_BODY_BYTES = 16 * 1024  # Upper bound of a body that is not reserved; a connection holds one.
+UNCOUNTED_HEAD_BYTES = 4096  # The same for the memory of a head.
 
 
 class BodyReservation(Protocol):
@@ -81,6 +81,7 @@
         self.max_body_bytes = max_body_bytes
         self.reserve = reserve
         self.reservation: BodyReservation | None = None  # Memory of the incoming body.
+        self.head_reservation: BodyReservation | None = None  # Memory of a large head, or of trailers.
         self.headers: dict[bytes, bytes] = {}
         self.in_trailers = False
         self.body = bytearray()
@@ -95,8 +96,12 @@
         if not self.error:
             try:
                 self.meter.feed(self.parser, data)
+                if self.partial and self.reserve is not None:
+                    self._account_for_head(self.reserve)
             except MessageLimitError as error:
                 self._end(f"response with {error}", limit_exceeded=True)
+            except InvalidResponseError as error:
+                self._end(str(error), limit_exceeded=True)
             except httptools.HttpParserError as error:
                 self._end(str(error.__context__ or error), isinstance(error.__context__, BodyLimitError))
         responses = self.responses
@@ -123,11 +128,12 @@
         self.partial = True
 
     def drop_body(self) -> None:
-        """Drop the incoming body, and its reservation."""
+        """Drop the incoming body, and the reservations of the response."""
         self.body = bytearray()
-        if self.reservation is not None:
-            self.reservation.release()
-            self.reservation = None
+        for reservation in (self.reservation, self.head_reservation):
+            if reservation is not None:
+                reservation.release()
+        self.reservation = self.head_reservation = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; raises InvalidResponseError if a framing header occurs twice.
@@ -161,6 +167,16 @@
             self.reservation = self.reserve()
             self.reservation.ask(int(length))
 
+    def _account_for_head(self, reserve: Callable[[], BodyReservation]) -> None:
+        """Reserve memory for what is kept of a response apart from its body."""
+        size = self.meter.kept_bytes
+        if size <= UNCOUNTED_HEAD_BYTES:
+            return
+        if self.head_reservation is None:
+            self.head_reservation = reserve()
+        if not self.head_reservation.cover(size):
+            raise InvalidResponseError("no memory for the head")
+
     def _account_for_body(self, reserve: Callable[[], BodyReservation]) -> None:
         """Reserve memory for a body that is longer than what is reserved."""
         if self.reservation is None:
@@ -187,9 +203,20 @@
             self.meter.count_interim_response()
             return
         self.meter.end_message()
-        body, reservation = self.body, self.reservation
+        body = self.body
         self.body = bytearray()  # held here too, it would last until the connection's next response
-        self.reservation = None
+        keep_alive = self.parser.should_keep_alive()
+        self.responses.append(Response(status, self.headers, body, keep_alive, self._take_reservation(len(body))))
+
+    def _take_reservation(self, body_bytes: int) -> BodyReservation | None:
+        """Return the reservation of a response that has come whole, for its owner to release."""
+        head, reservation = self.head_reservation, self.reservation
+        self.head_reservation = self.reservation = None
+        head_bytes = head.held if head is not None else 0
+        if reservation is None:
+            reservation = head
+        elif head is not None:
+            head.release()
         if reservation is not None:
-            reservation.resize(len(body))
-        self.responses.append(Response(status, self.headers, body, self.parser.should_keep_alive(), reservation))
+            reservation.resize(body_bytes + head_bytes)
+        return reservation
--- a/thistleusher/services/message_limits.py
+++ b/thistleusher/services/message_limits.py
@@ -20,6 +20,7 @@
 SLICE_BYTES = 16 * 1024  # A read may hold more; what is checked between two slices is not exceeded by more than one.
 MAX_FIELDS = 1024  # header and trailer fields of one message
 MAX_INTERIM_RESPONSES = 32
+FIELD_BYTES = 160  # memory of a header field in addition to its bytes
 CHUNK_OVERHEAD = 16  # bytes around a body in chunks per byte of the body; a chunk of one byte takes five or more
 
 
@@ -70,6 +71,11 @@
         if self._other_bytes > self.max_head_bytes + SLICE_BYTES + CHUNK_OVERHEAD * self._body_bytes:
             raise MessageLimitError(f"more than {CHUNK_OVERHEAD} bytes around each byte of its body")
 
+    @property
+    def kept_bytes(self) -> int:
+        """An estimate of the memory that the message takes apart from its body."""
+        return self.bytes_since_body + FIELD_BYTES * self.fields
+
     def count_field(self) -> None:
         """Count a header or trailer field."""
         self.fields += 1
