--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -10,6 +10,7 @@
     BodyTooLargeError,
     MemoryBudget,
     Reservation,
+    ReservationGroup,
     Stage,
     body_capacity,
 )
@@ -151,3 +152,92 @@
     for each in live:
         each.release()
     assert bodies.budget.held == bodies.budget.waiting_bytes == bodies.budget.waiting == 0
+
+
+class TwoBackends(Bodies):
+    """The responses of two backends."""
+
+    def __init__(self):
+        super().__init__()
+        self.groups = {name: ReservationGroup(self.budget) for name in "ab"}
+
+    def response(self, backend):
+        return Reservation(
+            self.budget, Stage.RESPONSE, lambda: self.granted.append(backend), group=self.groups[backend]
+        )
+
+
+@pytest.mark.parametrize("grows", [True, False], ids=["in chunks", "by length"])
+def test_one_backend_does_not_hold_the_memory_of_all_responses(grows):
+    """FAULT: one faulty backend could hold the memory of all bodies."""
+    backends = TwoBackends()
+    faulty = [backends.response("a") for _ in range(40)]
+    if grows:
+        for step in range(1, 65):
+            for body in faulty:
+                body.grow(step * MB)
+    else:
+        for body in faulty:
+            body.ask(20 * MB)
+    assert backends.groups["a"].held <= CAPACITY // 2
+    assert any(body.is_waiting for body in faulty)
+    for _ in range(3):  # a large one of the other backend does not wait behind them
+        other = backends.response("b")
+        assert other.ask(10 * MB)
+        other.release()
+    for body in faulty:
+        body.release()
+    assert backends.budget.held == backends.budget.waiting == 0 and not backends.groups["a"].waiting
+    assert backends.groups["a"].held == 0
+
+
+def test_the_responses_of_a_backend_follow_one_another_within_its_part():
+    backends = TwoBackends()
+    others = backends.response("b")
+    assert others.ask(50 * MB)
+    first, second, third = (backends.response("a") for _ in range(3))
+    assert first.ask(30 * MB)  # one body that is larger than the part
+    assert not second.ask(20 * MB) and not third.ask(5 * MB)
+    first.release()
+    assert backends.granted == ["a", "a"] and backends.groups["a"].held == 25 * MB
+
+
+def test_a_backend_that_has_the_memory_to_itself_may_hold_more_than_its_part():
+    backends = TwoBackends()
+    assert all(backends.response("a").ask(10 * MB) for _ in range(5))
+
+
+def test_drawn_series_of_responses_leave_nothing_held_and_nobody_waiting():
+    rng = random.Random(88)
+    for _ in range(200):
+        backends, bodies = TwoBackends(), []
+        for _ in range(60):
+            if bodies and rng.random() < 0.4:
+                bodies.pop(rng.randrange(len(bodies))).release()
+            else:
+                bodies.append(backends.response(rng.choice("ab")))
+                rng.choice([bodies[-1].ask, bodies[-1].grow])(rng.randrange(1, 60) * MB)
+            held = sum(body.held for body in bodies)
+            assert backends.budget.held == held == sum(group.held for group in backends.groups.values())
+            assert held <= CAPACITY
+        while bodies:  # those that hold end; each that waits is granted by then
+            holding = [body for body in bodies if not body.is_waiting]
+            assert holding
+            for body in holding:
+                bodies.remove(body)
+                body.release()
+        assert backends.budget.held == backends.budget.waiting == 0
+
+
+def test_responses_that_wait_for_their_group_go_on_when_another_backend_has_ended():
+    backends = TwoBackends()
+    growing = [backends.response("a") for _ in range(2)]
+    for body in growing:
+        body.grow(20 * MB)
+    other = backends.response("b")
+    assert other.ask(20 * MB)
+    for body in growing:
+        body.grow(21 * MB)
+    assert all(body.is_waiting for body in growing)
+    other.release()
+    assert not any(body.is_waiting for body in growing)
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -11,7 +11,7 @@
 from thistleusher.core.events import Outcome
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.head_guard import HeadGuard
-from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
+from thistleusher.net.memory_budget import MemoryBudget, Reservation, ReservationGroup, Stage
 from thistleusher.net.message_writer import write_message
 from thistleusher.services.fair_reads import FairReads
 from thistleusher.services.http_responses import MAX_BODY_BYTES, Response, ResponseReader
@@ -47,6 +47,7 @@
     loop: asyncio.AbstractEventLoop
     guard: HeadGuard
     options: UpstreamOptions
+    memory_group: ReservationGroup | None
     read_count: int
 
     @property
@@ -86,7 +87,7 @@
 
     def _reserve(self) -> Reservation:
         assert self.pool.options.budget is not None
-        return Reservation(self.pool.options.budget, Stage.RESPONSE, self._read_on)
+        return Reservation(self.pool.options.budget, Stage.RESPONSE, self._read_on, self.pool.memory_group)
 
     def _read_on(self) -> None:
         """Read the rest of a response that is granted memory."""
--- a/thistleusher/net/connection_pool.py
+++ b/thistleusher/net/connection_pool.py
@@ -9,6 +9,7 @@
 from thistleusher.net.backend_connection import DEFAULT_OPTIONS, BackendConnection, UpstreamOptions
 from thistleusher.net.exchange import BackendExchange
 from thistleusher.net.head_guard import HeadGuard
+from thistleusher.net.memory_budget import ReservationGroup
 from thistleusher.services.addresses import Address
 
 
@@ -40,6 +41,7 @@
         self.guard = guard
         self.reopen = reopen
         self.options = options
+        self.memory_group = ReservationGroup(options.budget) if options.budget is not None else None
         self.idle: list[BackendConnection] = []
         self.retired = False  # the backend's endpoint has changed: connections are closed after their exchange
         self.read_count = 0  # reads from this backend; orders events, since the loop's clock is too coarse for that
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -12,7 +12,9 @@
   rejected once they hold `WAITING_SHARE` of the capacity;
 - a request that is held finds memory for its response: requests get only a part of the capacity, responses more;
 - bodies of at most `SMALL_BODY_BYTES` go before larger ones and may use the whole capacity, so they do not starve;
-- larger ones of a stage are served in the order in which they asked.
+- larger ones of a stage are served in the order in which they asked;
+- the bodies of one group, the responses of one backend, hold at most `GROUP_SHARE` of the capacity once less than
+  `FREE_FOR_ALL_SHARE` of it is free, but for one body that is larger; what does not fit waits for its group alone.
 
 Pure. Cost: constant per body, and a step per body that waits.
 """
@@ -27,6 +29,8 @@
 GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
 WAITING_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
 ALONE_SHARE = 0.1  # fraction of the capacity that may be in use when a body beyond its stage's part is taken in
+GROUP_SHARE = 0.25  # fraction of the capacity for the bodies of one group
+FREE_FOR_ALL_SHARE = 0.5  # fraction of the capacity up to which a group may hold more than its share
 # Fraction of a process's memory for bodies; the rest is for the process, heads and what is freed late.
 MEMORY_SHARE = 0.4
 FREE_SHARE = 0.6  # fraction for bodies of what the process itself leaves free, where that is less
@@ -61,6 +65,7 @@
         self.rejected = 0
         self._small: deque[Reservation] = deque()
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
+        self.waiting_groups: list[ReservationGroup] = []  # those in which a reservation waits
 
     def resize(self, capacity_bytes: int) -> None:
         """Set the capacity. A lower one takes nothing back from those who hold."""
@@ -72,7 +77,8 @@
     @property
     def waiting(self) -> int:
         """The number of reservations that wait."""
-        return len(self._small) + sum(len(queue) for queue in self._large.values())
+        queued = len(self._small) + sum(len(queue) for queue in self._large.values())
+        return queued + sum(len(group.waiting) for group in self.waiting_groups)
 
     @property
     def held(self) -> int:
@@ -93,19 +99,62 @@
 
     def grant_waiting(self) -> None:
         """Grant what fits by now: small bodies first, then responses, as each of these frees its request too."""
+        self._grant_from_queues()
+        while any([group.take_up_waiting() for group in list(self.waiting_groups)]):
+            self._grant_from_queues()
+
+    def _grant_from_queues(self) -> None:
         for queue in (self._small, self._large[Stage.RESPONSE], self._large[Stage.REQUEST], self._large[Stage.CALL]):
-            while queue and queue[0].fits():
-                queue.popleft().grant()
+            while queue and (not queue[0].group_has_room() or queue[0].fits()):
+                reservation = queue.popleft()
+                if reservation.group_has_room():
+                    reservation.grant()
+                else:
+                    reservation.wait_for_group()
+
+
+class ReservationGroup:
+    """The reservations of one peer, so that one that sends without end does not hold the memory of all others."""
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
+        self.held = 0
+        self.waiting: deque[Reservation] = deque()
+
+    def has_room(self, wanted: int, others_of_group: int, others_of_budget: int) -> bool:
+        """Return whether one of the group may hold `wanted` bytes beside what the others hold."""
+        capacity = self._budget.capacity
+        if not others_of_group or others_of_group + wanted <= capacity * GROUP_SHARE:
+            return True
+        return others_of_budget + wanted <= capacity * FREE_FOR_ALL_SHARE
+
+    def take_up_waiting(self) -> bool:
+        """Let those that have room in the group by now wait for the budget as others do. Return whether any has."""
+        takes_up = False
+        while self.waiting and self.waiting[0].group_has_room():
+            self.waiting.popleft().wait_for_budget()
+            takes_up = True
+        if not self.waiting:
+            self._budget.waiting_groups.remove(self)
+        return takes_up
 
 
 class Reservation:
     """The part of the budget that one body holds."""
 
-    __slots__ = ("_budget", "_stage", "_on_granted", "held", "wanted", "_queue", "_counts_as_waiting")
+    __slots__ = ("_budget", "_stage", "_on_granted", "held", "wanted", "_queue", "_counts_as_waiting", "_group")
 
-    def __init__(self, budget: MemoryBudget, stage: Stage, on_granted: Callable[[], object]) -> None:
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        stage: Stage,
+        on_granted: Callable[[], object],
+        group: ReservationGroup | None = None,
+    ) -> None:
         """Hold nothing yet; `on_granted` is called when a request that had to wait is granted.
 
+        `group`: the other reservations of the same peer.
+
         `_queue` is the queue in which it waits. `_counts_as_waiting`: its bytes belong to `waiting_bytes`.
         """
         self._budget = budget
@@ -115,6 +164,7 @@
         self.wanted = 0
         self._queue: deque[Reservation] | None = None
         self._counts_as_waiting = False
+        self._group = group
 
     @property
     def is_waiting(self) -> bool:
@@ -131,17 +181,45 @@
         if size > budget.capacity:
             raise BodyTooLargeError(f"{size} bytes, at most {budget.capacity} can be held")
         queue = budget.queue(self._stage, size)
+        if not self.group_has_room():
+            self.wait_for_group()
+            return False
         if (self.held or not queue) and self.fits():
             budget.granted_bytes += size - self.held
-            self.held = size
+            self._set_held(size)
             return True
-        if self.held:  # what it holds is free only once it is complete
+        self._wait_in(queue)
+        return False
+
+    def wait_for_budget(self) -> None:
+        """Wait as those do that have room in their group."""
+        self._wait_in(self._budget.queue(self._stage, self.wanted))
+
+    def _wait_in(self, queue: deque[Reservation]) -> None:
+        if self.held and not self._counts_as_waiting:  # what it holds is free only once it is complete
             queue.appendleft(self)
         else:
             queue.append(self)
             self._counts_as_waiting = True
         self._queue = queue
-        return False
+
+    def group_has_room(self) -> bool:
+        """Return whether what is wanted is within the part of its group."""
+        group = self._group
+        return group is None or group.has_room(self.wanted, group.held - self.held, self._held_by_others())
+
+    def wait_for_group(self) -> None:
+        """Wait until others of its group hold less."""
+        group = self._group
+        assert group is not None
+        if not group.waiting:
+            self._budget.waiting_groups.append(group)
+        self._wait_in(group.waiting)
+
+    def _set_held(self, size: int) -> None:
+        if self._group is not None:
+            self._group.held += size - self.held
+        self.held = size
 
     def grow(self, size: int) -> None:
         """Ask for a body of unknown length that has grown to `size` bytes, in steps of `GROWTH_BYTES`, unless it waits.
@@ -154,18 +232,21 @@
     def fits(self) -> bool:
         """Return whether what is wanted could be granted now."""
         budget = self._budget
-        others = budget.granted_bytes - (0 if self._counts_as_waiting else self.held)
+        others = self._held_by_others()
         if others + self.wanted <= budget.limit(self._stage, self.wanted):
             return True
         # One body that is larger than its stage's part is taken in beside small ones only.
         return others <= budget.capacity * ALONE_SHARE and others + self.wanted <= budget.capacity
 
+    def _held_by_others(self) -> int:
+        return self._budget.granted_bytes - (0 if self._counts_as_waiting else self.held)
+
     def grant(self) -> None:
         """Hold what is wanted, and report it. The budget has taken it from its queue."""
         self._queue = None
         self._count_as_granted()
         self._budget.granted_bytes += self.wanted - self.held
-        self.held = self.wanted
+        self._set_held(self.wanted)
         self._on_granted()
 
     def _count_as_granted(self) -> None:
@@ -179,7 +260,7 @@
         more = size - self.held
         if more <= 0:
             return True
-        self.held += more
+        self._set_held(size)
         if self._counts_as_waiting:
             self._budget.waiting_bytes += more
         else:
@@ -192,9 +273,11 @@
         if self._queue is not None:
             self._queue.remove(self)
             self._queue = None
+            if self._group is not None and not self._group.waiting and self._group in budget.waiting_groups:
+                budget.waiting_groups.remove(self._group)
         self._count_as_granted()
         budget.granted_bytes += size - self.held
-        self.held = size
+        self._set_held(size)
         if budget.waiting:
             budget.grant_waiting()
 
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -140,7 +140,7 @@
             raise BodyRejectedError
 
     def account_for_head(self, size: int) -> None:
-        """Reserve memory for what is kept of a request apart from its body. Raise BodyRejectedError if there is none."""
+        """Reserve memory for what is kept of a request apart from its body. Raise BodyRejectedError without room."""
         if size <= UNCOUNTED_HEAD_MEMORY_BYTES or self.server.budget is None:
             return
         if self.head_reservation is None:
