--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -202,3 +202,57 @@
             listener.close()
 
     assert asyncio.run(play())
+
+
+async def read_to_end(reader):
+    """Return whether a connection ends; keep-alive messages may come before that."""
+    try:
+        async with asyncio.timeout(10.0):
+            while await reader.read(1000):
+                pass
+            return True
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+
+
+def test_a_stranger_that_only_keeps_its_link_alive_does_not_keep_it(monkeypatch):
+    monkeypatch.setattr(links, "IDENTIFY_TIMEOUT_S", 0.5)
+
+    async def play():
+        listener = Listener(asyncio.get_running_loop(), lambda link, message: None, lambda link: None)
+        await listener.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
+        ended = asyncio.ensure_future(read_to_end(reader))
+        with contextlib.suppress(ConnectionError):
+            while not ended.done():
+                writer.write(frame(KeepAlive()))
+                await asyncio.sleep(0.1)
+        writer.close()
+        listener.close()
+        return await ended
+
+    assert asyncio.run(play())
+
+
+def test_strangers_do_not_take_the_links_of_known_peers():
+    async def play():
+        heard = asyncio.Event()
+        listener = Listener(
+            asyncio.get_running_loop(), lambda link, message: heard.set(), lambda link: None, max_links=3
+        )
+        await listener.listen("127.0.0.1", 0)
+        address = listener.server.sockets[0].getsockname()
+        strangers = [await asyncio.open_connection(*address) for _ in range(3)]
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(frame(Hello("x")))
+        async with asyncio.timeout(5.0):
+            await heard.wait()
+        names = sorted(link.name for link in listener.links)
+        for _, each in [*strangers, (None, writer)]:
+            each.close()
+        listener.close()
+        return names
+
+    assert asyncio.run(play()) == ["", "", "x"]
--- a/thistleusher/transport/links.py
+++ b/thistleusher/transport/links.py
@@ -35,6 +35,7 @@
 SLOW_ATTEMPT_INTERVAL = 4
 RECONNECT_DELAY_S = 0.1
 MAX_UNSENT_BYTES = 16 * 1024 * 1024  # With more unsent data, the peer is considered not to read: the link is closed.
+IDENTIFY_TIMEOUT_S = 3.0  # Time for an accepted link to say whose it is; a hand-over gives up after 1 s.
 MAX_LINKS = 1024
 BACKLOG = 256
 MESSAGE_TIMEOUT_S = 20.0  # Time for one message to arrive: a complete state, from another region, beside others.
@@ -60,7 +61,7 @@
         self.transport: asyncio.Transport | None = None
         self.deframer = deframer or Deframer()
         self.last_received = loop.time()
-        self.last_sent = self.last_received
+        self.last_sent = self.opened_at = self.last_received
         self.message_due_at = self.last_received + MESSAGE_TIMEOUT_S  # End of the time for the incoming message.
         self.name = ""  # The peer's name, once known.
         self.peer_address = ""
@@ -124,6 +125,9 @@
         if now - self.last_received > RECEIVE_TIMEOUT_S:
             self.close("silent")
             return
+        if not self.deframer.identified and now > self.opened_at + IDENTIFY_TIMEOUT_S:
+            self.close("has not said whose it is")
+            return
         if self.deframer.held_bytes and now > self.message_due_at:
             self.close("a message has not come whole in time")
             return
@@ -326,7 +330,8 @@
         peer = link.transport.get_extra_info("peername")
         link.peer_address = peer[0] if peer else ""
         if len(self.links) > self.max_links:
-            link.close("too many connections")
+            strangers = (other for other in self.links if other is not link and not other.deframer.identified)
+            next(strangers, link).close("too many connections")
 
     def _message(self, link: Link, message: AnyMessage) -> None:
         if not link.name and isinstance(message, Hello | SubscribeRequest | HandOver):
