--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -1,11 +1,14 @@
 """Both clients of the library over an in-memory transport: attempt ids, headers and results."""
 
 import asyncio
+import gzip
+import tracemalloc
 
 import httpx
 import pytest
 
 from thistleusher.client import Answered, Client, PlainClient, Refused, UnknownEnd
+from thistleusher.client import client as client_module
 
 HOST = "shop.example"
 
@@ -140,3 +143,51 @@
     ):
         client.call("POST", "/x", deadline_s=2.0)
     assert closed and closed[0] <= 103.0 and len(pieces) < 10
+
+
+class EndlessBody(httpx.SyncByteStream, httpx.AsyncByteStream):
+    """A body that goes on far beyond the limit."""
+
+    def __init__(self, piece):
+        self.piece, self.taken = piece, 0
+
+    def __iter__(self):
+        while self.taken < 5_000_000:
+            self.taken += len(self.piece)
+            yield self.piece
+
+    async def __aiter__(self):
+        for piece in iter(self):
+            yield piece
+
+
+@both
+@pytest.mark.parametrize("packed", [False, True], ids=["plain", "packed"])
+def test_an_answer_without_end_is_cut_off_before_it_is_kept(form, packed, monkeypatch):
+    """FAULT: bytes without end, kept by the caller; packed ones count as what they become."""
+    monkeypatch.setattr(client_module, "MAX_ANSWER_BYTES", 1_000_000)
+    # Behind the end of what was packed, the rest unpacks to nothing.
+    body = EndlessBody(gzip.compress(bytes(500_000)) if packed else bytes(10_000))
+    headers = {"Content-Encoding": "gzip"} if packed else {}
+
+    def service(request):
+        if request.url.path == "/resolve":
+            return httpx.Response(200, json={"addresses": ["a.test:1"], "ttl_s": 5})
+        return httpx.Response(200, headers=headers, stream=body)
+
+    tracemalloc.start()
+    with pytest.raises(UnknownEnd):
+        make_call(form, service, "POST", body=b"b", deadline_s=5.0)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert body.taken <= 1_100_000 and peak_bytes < 20_000_000
+
+
+@both
+def test_a_packed_answer_is_unpacked(form):
+    def service(request):
+        if request.url.path == "/resolve":
+            return httpx.Response(200, json={"addresses": ["a.test:1"], "ttl_s": 5})
+        return httpx.Response(200, headers={"Content-Encoding": "gzip"}, content=gzip.compress(b"unpacked"))
+
+    assert make_call(form, service).body == b"unpacked"
