--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -10,13 +10,13 @@
 
 from thistleusher.core.request import BadRequest
 from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage, release
-from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES, joined_reservation
 from thistleusher.services.message_limits import FIELD_BYTES, MessageMeter
 
 READ_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
-# Of a head's bytes, the method, the version and the line ends do not count towards `max_head_bytes`.
-UNCOUNTED_HEAD_BYTES = 256
+# Allowance for the method, the version and the line ends, which do not count towards `max_head_bytes`.
+START_LINE_BYTES = 256
 UNCOUNTED_HEAD_MEMORY_BYTES = 4096  # Upper bound of a head that is not reserved; a connection holds one.
 QUEUED_REQUEST_BYTES = 4096  # Estimated memory of a request read ahead, in addition to its head and body.
 
@@ -55,7 +55,7 @@
     def __init__(self, server: HasLimits) -> None:
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
-        self.meter = MessageMeter(server.limits.max_head_bytes + UNCOUNTED_HEAD_BYTES)
+        self.meter = MessageMeter(server.limits.max_head_bytes + START_LINE_BYTES)
         self.reservation: Reservation | None = None  # Memory of the incoming body, if there is a budget.
         self.head_reservation: Reservation | None = None  # Memory of a large head, or of trailers.
         self.reset()
@@ -67,7 +67,7 @@
         self.body = bytearray()
         self.read_ahead_bytes = 0  # Memory of the request in addition to its body, if it was read ahead.
         self.in_head = True
-        self.meter.max_head_bytes = self.server.limits.max_head_bytes + UNCOUNTED_HEAD_BYTES
+        self.meter.max_head_bytes = self.server.limits.max_head_bytes + START_LINE_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -164,16 +164,9 @@
 
     def take_reservation(self) -> Reservation | None:
         """Return the reservation of a request that has come whole, for its end to release."""
-        reservation, self.reservation = self.reservation, None
-        head, self.head_reservation = self.head_reservation, None
-        head_bytes = head.held if head is not None else 0
-        if reservation is None:
-            reservation = head
-        else:
-            release(head)
-        if reservation is not None:
-            reservation.resize(len(self.body) + max(self.read_ahead_bytes, head_bytes))
-        return reservation
+        body, head = self.reservation, self.head_reservation
+        self.reservation = self.head_reservation = None
+        return joined_reservation(body, head, len(self.body), self.read_ahead_bytes)
 
     def drop_body(self) -> None:
         """Drop a body that is not needed any more, and its reservation."""
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, TypeVar
 
 import httptools
 
@@ -43,6 +43,27 @@
         """Hold nothing any more."""
 
 
+AnyReservation = TypeVar("AnyReservation", bound=BodyReservation)
+
+
+def joined_reservation(
+    body: AnyReservation | None, head: AnyReservation | None, body_bytes: int, other_bytes: int = 0
+) -> AnyReservation | None:
+    """Return one reservation for a message that has come whole, for its owner to release; None if it needs none.
+
+    `other_bytes`: memory of the message apart from its body, if that is more than its head has reserved.
+    """
+    if head is not None:
+        other_bytes = max(other_bytes, head.held)
+    if body is None:
+        body = head
+    elif head is not None:
+        head.release()
+    if body is not None:
+        body.resize(body_bytes + other_bytes)
+    return body
+
+
 class Response(NamedTuple):
     """A complete response; header names are in lower case."""
 
@@ -62,10 +83,6 @@
     """The received data is not a valid HTTP response, or exceeds the size limits."""
 
 
-class BodyLimitError(InvalidResponseError):
-    """The body is larger than it may be."""
-
-
 class ResponseReader:
     """Incremental parser of responses. A response that is delimited only by the end of the connection is an error.
 
@@ -89,7 +106,6 @@
         self.error = ""
         self.partial = False  # whether a response has begun and is not complete
         self.meter = MessageMeter(MAX_RESPONSE_HEAD_BYTES)
-        self.limit_exceeded = False  # whether `error` is that a response exceeds a limit
 
     def feed(self, data: bytes) -> list[Response]:
         """Parse more bytes and return the responses that they complete."""
@@ -99,19 +115,18 @@
                 if self.partial and self.reserve is not None:
                     self._account_for_head(self.reserve)
             except MessageLimitError as error:
-                self._end(f"response with {error}", limit_exceeded=True)
+                self._end(f"response with {error}")
             except InvalidResponseError as error:
-                self._end(str(error), limit_exceeded=True)
+                self._end(str(error))
             except httptools.HttpParserError as error:
-                self._end(str(error.__context__ or error), isinstance(error.__context__, BodyLimitError))
+                self._end(str(error.__context__ or error))
         responses = self.responses
         self.responses = []
         return responses
 
-    def _end(self, reason: str, limit_exceeded: bool) -> None:
+    def _end(self, reason: str) -> None:
         """Read no further, and keep nothing of an incomplete response."""
         self.error = reason
-        self.limit_exceeded = limit_exceeded
         self.headers = {}
         self.drop_body()
 
@@ -162,7 +177,7 @@
         if coding is not None and coding.lower() != b"chunked":
             raise InvalidResponseError("transfer-encoding: expected chunked")
         if length is not None and int(length) > self.max_body_bytes:
-            raise BodyLimitError(f"body is larger than {self.max_body_bytes} bytes")
+            raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
         if length is not None and int(length) > UNCOUNTED_BODY_BYTES and self.reserve is not None:
             self.reservation = self.reserve()
             self.reservation.ask(int(length))
@@ -189,7 +204,7 @@
         """Append to the body; raises InvalidResponseError if it exceeds the limit."""
         self.meter.count_body(len(data))
         if len(self.body) + len(data) > self.max_body_bytes:
-            raise BodyLimitError(f"body is larger than {self.max_body_bytes} bytes")
+            raise InvalidResponseError(f"body is larger than {self.max_body_bytes} bytes")
         self.body += data
         reserved = UNCOUNTED_BODY_BYTES if self.reservation is None else self.reservation.held
         if self.reserve is not None and len(self.body) > reserved:
@@ -206,17 +221,6 @@
         body = self.body
         self.body = bytearray()  # held here too, it would last until the connection's next response
         keep_alive = self.parser.should_keep_alive()
-        self.responses.append(Response(status, self.headers, body, keep_alive, self._take_reservation(len(body))))
-
-    def _take_reservation(self, body_bytes: int) -> BodyReservation | None:
-        """Return the reservation of a response that has come whole, for its owner to release."""
-        head, reservation = self.head_reservation, self.reservation
-        self.head_reservation = self.reservation = None
-        head_bytes = head.held if head is not None else 0
-        if reservation is None:
-            reservation = head
-        elif head is not None:
-            head.release()
-        if reservation is not None:
-            reservation.resize(body_bytes + head_bytes)
-        return reservation
+        reservation = joined_reservation(self.reservation, self.head_reservation, len(body))
+        self.reservation = self.head_reservation = None
+        self.responses.append(Response(status, self.headers, body, keep_alive, reservation))
