--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -177,33 +177,6 @@
     assert logged[0] == "FAULT"
 
 
-def test_a_message_that_does_not_come_whole_in_time_ends_its_link(monkeypatch):
-    """Each byte shows that the peer is up, so that a message sent byte by byte would be held for good."""
-    monkeypatch.setattr(links, "MESSAGE_TIMEOUT_S", 0.5)
-
-    async def play() -> bool:
-        listener = Listener(asyncio.get_running_loop(), lambda link, message: None, lambda link: None)
-        await listener.listen("127.0.0.1", 0)
-        reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
-        writer.write(frame(Hello("x")) + struct.pack(">I", 1_000_000))
-        try:
-            async with asyncio.timeout(10.0):
-                while True:
-                    writer.write(b"x")
-                    with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout(0.1):
-                            while await reader.read(1000):
-                                pass
-                            return True
-        except ConnectionError:
-            return True
-        finally:
-            writer.close()
-            listener.close()
-
-    assert asyncio.run(play())
-
-
 async def read_to_end(reader):
     """Return whether a connection ends; keep-alive messages may come before that."""
     try:
@@ -217,23 +190,31 @@
         return False
 
 
-def test_a_stranger_that_only_keeps_its_link_alive_does_not_keep_it(monkeypatch):
-    monkeypatch.setattr(links, "IDENTIFY_TIMEOUT_S", 0.5)
+async def ends_while_sending(first, again):
+    """Send to a listener, then something again and again; return whether the connection ends."""
+    listener = Listener(asyncio.get_running_loop(), lambda link, message: None, lambda link: None)
+    await listener.listen("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
+    writer.write(first)
+    ended = asyncio.ensure_future(read_to_end(reader))
+    with contextlib.suppress(ConnectionError):
+        while not ended.done():
+            writer.write(again)
+            await asyncio.sleep(0.1)
+    writer.close()
+    listener.close()
+    return await ended
 
-    async def play():
-        listener = Listener(asyncio.get_running_loop(), lambda link, message: None, lambda link: None)
-        await listener.listen("127.0.0.1", 0)
-        reader, writer = await asyncio.open_connection(*listener.server.sockets[0].getsockname())
-        ended = asyncio.ensure_future(read_to_end(reader))
-        with contextlib.suppress(ConnectionError):
-            while not ended.done():
-                writer.write(frame(KeepAlive()))
-                await asyncio.sleep(0.1)
-        writer.close()
-        listener.close()
-        return await ended
 
-    assert asyncio.run(play())
+def test_a_message_that_does_not_come_whole_in_time_ends_its_link(monkeypatch):
+    """Each byte shows that the peer is up, so that a message sent byte by byte would be held for good."""
+    monkeypatch.setattr(links, "MESSAGE_TIMEOUT_S", 0.5)
+    assert asyncio.run(ends_while_sending(frame(Hello("x")) + struct.pack(">I", 1_000_000), b"x"))
+
+
+def test_a_stranger_that_only_keeps_its_link_alive_does_not_keep_it(monkeypatch):
+    monkeypatch.setattr(links, "IDENTIFY_TIMEOUT_S", 0.5)
+    assert asyncio.run(ends_while_sending(b"", frame(KeepAlive())))
 
 
 def test_strangers_do_not_take_the_links_of_known_peers():
--- a/thistleusher/configuration/validation.py
+++ b/thistleusher/configuration/validation.py
@@ -45,11 +45,11 @@
 
 
 class ParsedJson(NamedTuple):
-    """A parsed JSON value, and the errors that only a strict reader reports."""
+    """A parsed JSON value, the errors that only a strict reader reports, and its text."""
 
     value: Any
     faults: list[str]
-    values: int = 0  # an upper bound of the number of its values
+    text: bytes = b""
 
 
 def count_values(body: bytes) -> int:
@@ -83,7 +83,7 @@
         value = json.loads(body, object_pairs_hook=table, parse_float=number, parse_constant=number)
     except (ValueError, RecursionError) as error:
         raise ExceptionGroup("configuration", [InvalidConfigurationError(f"body: invalid JSON: {error}")]) from None
-    return ParsedJson(value, faults, count_values(body))
+    return ParsedJson(value, faults, body)
 
 
 def read_configuration(body: bytes) -> Configuration:
@@ -103,7 +103,7 @@
     try:
         config = read_checked_configuration(stored)
     except InvalidTableError as error:
-        listed = _type_faults(document.value) if document.values <= MAX_LISTED_VALUES else []
+        listed = _type_faults(document.value) if count_values(document.text) <= MAX_LISTED_VALUES else []
         raise _error_group(listed or [str(error)]) from None
     faults = list(islice(chain(_number_faults(config, ""), _faults(config)), MAX_FAULTS))
     if faults:
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -65,7 +65,7 @@
         self.rejected = 0
         self._small: deque[Reservation] = deque()
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
-        self.waiting_groups: list[ReservationGroup] = []  # those in which a reservation waits
+        self.waiting_groups: dict[ReservationGroup, None] = {}  # those in which a reservation waits, in order
 
     def resize(self, capacity_bytes: int) -> None:
         """Set the capacity. A lower one takes nothing back from those who hold."""
@@ -135,7 +135,7 @@
             self.waiting.popleft().wait_for_budget()
             takes_up = True
         if not self.waiting:
-            self._budget.waiting_groups.remove(self)
+            self._budget.waiting_groups.pop(self, None)
         return takes_up
 
 
@@ -212,8 +212,7 @@
         """Wait until others of its group hold less."""
         group = self._group
         assert group is not None
-        if not group.waiting:
-            self._budget.waiting_groups.append(group)
+        self._budget.waiting_groups[group] = None
         self._wait_in(group.waiting)
 
     def _set_held(self, size: int) -> None:
@@ -273,8 +272,8 @@
         if self._queue is not None:
             self._queue.remove(self)
             self._queue = None
-            if self._group is not None and not self._group.waiting and self._group in budget.waiting_groups:
-                budget.waiting_groups.remove(self._group)
+            if self._group is not None and not self._group.waiting:
+                budget.waiting_groups.pop(self._group, None)
         self._count_as_granted()
         budget.granted_bytes += size - self.held
         self._set_held(size)
