--- a/tests/proxy/test_heads_in_memory.py
+++ b/tests/proxy/test_heads_in_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tests.proxy.loopback_rig import answer, play, until
+from thistleusher.net.memory_budget import Reservation, Stage
 
 KIB = 1024
 CAPACITY = 256 * KIB
@@ -61,3 +62,23 @@
         await settle(rig)
 
     play(scenario, capacity=CAPACITY)
+
+
+def test_a_large_head_does_not_keep_its_own_body_from_being_read():
+    """A backend's one body may be larger than its part of the memory; its head is not another body."""
+    body = b"b" * (560 * KIB)
+    more = b"".join(b"X-F%03d: v\r\n" % n for n in range(200)) + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks = b"".join(b"4000\r\n" + body[at : at + 0x4000] + b"\r\n" for at in range(0, len(body), 0x4000))
+    start = b"HTTP/1.1 200 X\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s.1\r\n"
+
+    async def scenario(rig):
+        others = Reservation(rig.budget, Stage.RESPONSE, bool)
+        assert others.ask(1100 * KIB)  # less than half of the capacity is free
+        for backend in rig.backends:
+            backend.script = [lambda attempt: start % attempt.encode() + more + chunks + b"0\r\n\r\n"]
+        got = await rig.ask("/p/")
+        assert got.status == 200 and got.body == body
+        others.release()
+        await settle(rig)
+
+    play(scenario, capacity=2048 * KIB)
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -69,8 +69,12 @@
         self.loop = pool.loop
         self.sock = sock
         self.transport: asyncio.Transport | None = None
-        reserve = self._reserve if pool.options.budget is not None else None
-        self.reader = ResponseReader(pool.options.max_body_bytes, reserve)
+        has_budget = pool.options.budget is not None
+        self.reader = ResponseReader(
+            pool.options.max_body_bytes,
+            self._reserve if has_budget else None,
+            self._reserve_head if has_budget else None,
+        )
         self.reading_paused = False  # Whether the response waits for memory.
         self.exchange: BackendExchange | None = None
         self.idle_since = 0.0
@@ -89,6 +93,11 @@
         assert self.pool.options.budget is not None
         return Reservation(self.pool.options.budget, Stage.RESPONSE, self._read_on, self.pool.memory_group)
 
+    def _reserve_head(self) -> Reservation:
+        """Return a reservation outside the backend's group, in which a response's own body would wait for it."""
+        assert self.pool.options.budget is not None
+        return Reservation(self.pool.options.budget, Stage.RESPONSE, bool)
+
     def _read_on(self) -> None:
         """Read the rest of a response that is granted memory."""
         if self.reading_paused and not self.closed and self.transport is not None:
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -91,12 +91,16 @@
     """
 
     def __init__(
-        self, max_body_bytes: int = MAX_BODY_BYTES, reserve: Callable[[], BodyReservation] | None = None
+        self,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        reserve: Callable[[], BodyReservation] | None = None,
+        reserve_head: Callable[[], BodyReservation] | None = None,
     ) -> None:
-        """`reserve` returns a reservation for a body; None if the memory of bodies is not limited."""
+        """`reserve` and `reserve_head` return a reservation for a body and a head; None if memory is not limited."""
         self.parser = httptools.HttpResponseParser(self)
         self.max_body_bytes = max_body_bytes
         self.reserve = reserve
+        self.reserve_head = reserve_head
         self.reservation: BodyReservation | None = None  # Memory of the incoming body.
         self.head_reservation: BodyReservation | None = None  # Memory of a large head, or of trailers.
         self.headers: dict[bytes, bytes] = {}
@@ -112,8 +116,8 @@
         if not self.error:
             try:
                 self.meter.feed(self.parser, data)
-                if self.partial and self.reserve is not None:
-                    self._account_for_head(self.reserve)
+                if self.partial and self.reserve_head is not None:
+                    self._account_for_head(self.reserve_head)
             except MessageLimitError as error:
                 self._end(f"response with {error}")
             except InvalidResponseError as error:
