--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 		$(if $(FAULTS),--faults $(FAULTS))
 
 test: $(VENV)/.dev  ## the tests, as CI runs them
-	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m pytest -q -n 4 --dist loadfile
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m pytest -q tests/crowds
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m pytest -q -n 4 --dist loadfile --ignore tests/crowds
 
 soak: $(VENV)/.dev  ## random failures with fresh seeds: make soak MINUTES=5
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" python -m soak --minutes $(MINUTES)
--- a/tests/system/programs.py
+++ b/tests/system/programs.py
@@ -25,8 +25,12 @@
 class Program:
     """A program on one machine; its folder lasts across starts."""
 
-    def __init__(self, folder: Path, name: str, ip: str, seeds: tuple[str, ...]) -> None:
+    def __init__(
+        self, folder: Path, name: str, ip: str, seeds: tuple[str, ...], more_settings: tuple[str, ...] = ()
+    ) -> None:
+        """`more_settings`: lines that go after those of each program, whose values they replace."""
         self.folder, self.name, self.ip, self.seeds = folder, name, ip, seeds
+        self.more_settings = more_settings
         self.process: subprocess.Popen[bytes] | None = None
         folder.mkdir(parents=True, exist_ok=True)
 
@@ -73,7 +77,7 @@
             lines.append(f"binds.control={self.ip}:{PORT}")
         if self.name == "proxy":
             lines += [f"binds.ready={self.ip}:{PORT + 1}", f"binds.front={self.ip}:{PORT + 2}"]
-        return "\n".join(lines) + "\n"
+        return "\n".join([*lines, *self.more_settings]) + "\n"
 
     def log(self) -> str:
         """Return what the process has logged."""
