--- a/tests/services/test_fair_reads.py
+++ b/tests/services/test_fair_reads.py
@@ -7,7 +7,14 @@
 import pytest
 import uvloop
 
-from thistleusher.services.fair_reads import READ_BYTES, FairReads
+from thistleusher.services.fair_reads import (
+    FIRST_READ_BYTES,
+    MAX_TURN_WORK,
+    MIN_READ_BYTES,
+    READ_BYTES,
+    RESUMED_A_TURN,
+    FairReads,
+)
 
 TOTAL_BYTES = 16 * 1024 * 1024
 
@@ -75,3 +82,61 @@
         receiver.transport.resume_reading()
 
     assert uvloop.run(receive(pause)).total == TOTAL_BYTES
+
+
+PARTS = 1000  # of a message, in each KiB
+
+
+class Costly(FairReads):
+    """A protocol whose bytes cost more time than others."""
+
+    log = []
+
+    def __init__(self, loop, name):
+        self.loop, self.transport, self.name, self.parts = loop, None, name, 0
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.parts += len(data) * PARTS // 1024
+        self.log.append((self.name, len(data)))
+
+    def take_work(self):
+        parts, self.parts = self.parts, 0
+        return parts
+
+    def wants_data(self):
+        return not self.transport.is_closing()
+
+
+@pytest.mark.parametrize("run", [uvloop.run, asyncio.run], ids=["uvloop", "asyncio"])
+@pytest.mark.parametrize("count", [1, 60])
+def test_costly_reads_of_many_take_a_bounded_part_of_a_turn(run, count):
+    async def main():
+        loop = asyncio.get_running_loop()
+        pairs = [socket.socketpair() for _ in range(count)]
+        Costly.log = log = []
+        protocols = [Costly(loop, n) for n in range(count)]
+        for protocol, (ours, theirs) in zip(protocols, pairs, strict=True):
+            theirs.setblocking(False)
+            ours.setblocking(False)
+            await loop.create_connection(lambda protocol=protocol: protocol, sock=ours)
+        for _, theirs in pairs:
+            theirs.send(bytes(100_000))
+        turns, seen = [], 0
+        for _ in range(200):
+            await asyncio.sleep(0)
+            turns.append(sum(size for _, size in log[seen:]) * PARTS // 1024)
+            seen = len(log)
+        for protocol, (_, theirs) in zip(protocols, pairs, strict=True):
+            protocol.transport.abort()
+            theirs.close()
+        return turns, {name for name, _ in log}
+
+    turns, served = run(main())
+    short_read = MIN_READ_BYTES * PARTS // 1024
+    # Of the first reads, which come all at once, those after the first are short.
+    assert max(turns) <= FIRST_READ_BYTES * PARTS // 1024 + count * short_read
+    assert sorted(turns)[-10] <= MAX_TURN_WORK + RESUMED_A_TURN * short_read
+    assert len(served) == count
--- a/thistleusher/net/backend_connection.py
+++ b/thistleusher/net/backend_connection.py
@@ -193,6 +193,10 @@
         """Return whether the connection is open and reading is not paused."""
         return not self.closed and not self.reading_paused
 
+    def take_work(self) -> int:
+        """Return the number of parts of responses that were read since the last call."""
+        return self.reader.meter.take_parts()
+
     def _own(self, responses: list[Response]) -> list[Response]:
         """Return the responses to the exchange; a surplus response may arrive before the expected one."""
         id_header = self.pool.options.request_id_header
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -145,6 +145,10 @@
         # A client may read no answer before it has sent its whole body.
         self.max_discarded_bytes = self.server.limits.max_body_bytes
         if self.server.budget is not None:
+    def take_work(self) -> int:
+        """Return the number of parts of requests that were read since the last call."""
+        return self.meter.take_parts()
+
             self.server.budget.rejected += 1
         self.reject(503, "no memory for this body now", NO_MEMORY_LINES)
 
--- a/thistleusher/services/fair_reads.py
+++ b/thistleusher/services/fair_reads.py
@@ -1,15 +1,29 @@
-"""Reading from a socket in turns: what one peer sends takes a bounded part of the event loop's time and memory.
+"""Reading from a socket in turns: what peers send takes a bounded part of the event loop's time and memory.
 
 An event loop hands a protocol a read of up to 256 KiB, and reads a fast peer's socket dozens of times before it looks
-at another one. A `FairReads` protocol takes at most `READ_BYTES` at a time. If there is more, it goes on after the
-other sockets have had their turn; meanwhile the kernel holds the rest, and so the peer back.
+at another one. A `FairReads` protocol takes at most `READ_BYTES` at a time. If there is more, it goes on in a later
+turn, after the other sockets; meanwhile the kernel holds the rest, and so the peer back.
+
+Bytes do not tell what they cost: a body in chunks of one byte takes a hundred times the time of one in large chunks.
+So a protocol also counts the work of a read (`take_work`). One whose reads are costly gets shorter ones, and once the
+reads of a turn have taken `MAX_TURN_WORK`, the others of that turn are short. Protocols that have more to read are
+served in the order in which they came, `RESUMED_A_TURN` in a turn. So neither one peer nor many together keep timers,
+new connections and answers waiting.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from weakref import WeakKeyDictionary
 
 READ_BYTES = 64 * 1024
+FIRST_READ_BYTES = 16 * 1024  # while nothing is known of what a peer sends
+MIN_READ_BYTES = 1024
+WORK_UNIT_BYTES = 1024  # bytes that take as long as one part of a message does
+MAX_READ_WORK = 512  # units, of about a microsecond each
+MAX_TURN_WORK = 1024
+RESUMED_A_TURN = 4
 
 # Filled by a read and passed on before the next one, on any connection.
 _read_buffer = memoryview(bytearray(READ_BYTES))
@@ -20,6 +34,7 @@
 
     transport: asyncio.Transport | None
     loop: asyncio.AbstractEventLoop
+    next_read_bytes = FIRST_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
@@ -29,17 +44,76 @@
         """Return whether the connection is open and the protocol itself has not paused reading."""
         raise NotImplementedError
 
+    def take_work(self) -> int:
+        """Return the number of parts of messages that were handled since the last call."""
+        return 0
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return _read_buffer
+        if not _turn_of(self.loop).has_work_left():
+            self.next_read_bytes = MIN_READ_BYTES
+        return _read_buffer[: self.next_read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass a read on. If it may not have been all, let the other sockets have their turn first."""
+        may_have_more = nbytes == self.next_read_bytes
         self.data_received(bytes(_read_buffer[:nbytes]))
-        if nbytes == READ_BYTES and self.transport is not None and self.wants_data():
+        work = self.take_work() + nbytes // WORK_UNIT_BYTES
+        turn = _turn_of(self.loop)
+        turn.spend(self.loop, work)
+        affordable_bytes = nbytes * MAX_READ_WORK // max(1, work)
+        self.next_read_bytes = min(READ_BYTES, max(MIN_READ_BYTES, affordable_bytes))
+        if may_have_more and self.transport is not None and self.wants_data():
             self.transport.pause_reading()
-            self.loop.call_soon(self._take_next_turn)
+            turn.resume_later(self)
 
-    def _take_next_turn(self) -> None:
+    def take_next_turn(self) -> None:
+        """Read on, unless the protocol has paused reading itself."""
         if self.transport is not None and self.wants_data():
             self.transport.resume_reading()
+
+
+class ReadTurn:
+    """The reads of one turn of an event loop, and the protocols that read on in a later one."""
+
+    def __init__(self) -> None:
+        self._work = 0
+        self._paused: deque[FairReads] = deque()
+        self._is_scheduled = False
+
+    def has_work_left(self) -> bool:
+        """Return whether the reads of this turn have taken less than they may."""
+        return self._work < MAX_TURN_WORK
+
+    def spend(self, loop: asyncio.AbstractEventLoop, work: int) -> None:
+        """Count the work of a read."""
+        self._work += work
+        self._schedule(loop)
+
+    def resume_later(self, protocol: FairReads) -> None:
+        """Let a protocol read on in a later turn."""
+        self._paused.append(protocol)
+        self._schedule(protocol.loop)
+
+    def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            loop.call_soon(self._begin, loop)
+
+    def _begin(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._is_scheduled = False
+        self._work = 0
+        for _ in range(min(RESUMED_A_TURN, len(self._paused))):
+            self._paused.popleft().take_next_turn()
+        if self._paused:
+            self._schedule(loop)
+
+
+_turns: WeakKeyDictionary[asyncio.AbstractEventLoop, ReadTurn] = WeakKeyDictionary()
+
+
+def _turn_of(loop: asyncio.AbstractEventLoop) -> ReadTurn:
+    turn = _turns.get(loop)
+    if turn is None:
+        turn = _turns[loop] = ReadTurn()
+    return turn
--- a/thistleusher/services/message_limits.py
+++ b/thistleusher/services/message_limits.py
@@ -38,6 +38,7 @@
         self._interim_responses = 0
         self._body_bytes = 0
         self._other_bytes = 0
+        self.parts = 0  # header fields and pieces of bodies of all messages, a measure of the time that they took
         self._slice_body_bytes = 0
         self._slice_ends_message = False
 
@@ -79,11 +80,13 @@
     def count_field(self) -> None:
         """Count a header or trailer field."""
         self.fields += 1
-        if self.fields > MAX_FIELDS:
-            raise MessageLimitError(f"more than {MAX_FIELDS} header fields")
+        self.parts += 1
+        if self.max_fields is not None and self.fields > self.max_fields:
+            raise MessageLimitError(f"more than {self.max_fields} header fields")
 
     def count_body(self, size: int) -> None:
-        """Count bytes of the body."""
+        """Count a piece of the body."""
+        self.parts += 1
         self._slice_body_bytes += size
         self._body_bytes += size
 
@@ -92,6 +95,11 @@
         self._interim_responses += 1
         if self._interim_responses > MAX_INTERIM_RESPONSES:
             raise MessageLimitError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+    def take_parts(self) -> int:
+        """Return the number of parts since the last call."""
+        parts, self.parts = self.parts, 0
+        return parts
+
 
     def end_message(self) -> None:
         """Start to count anew after a complete message. What follows it in the same slice is not counted."""
