--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -12,9 +12,9 @@
 
 from thistleusher.core.request import BadRequest
 from thistleusher.net import socket_state
-from thistleusher.net.memory_budget import Reservation, release
+from thistleusher.net.memory_budget import release
 from thistleusher.net.message_writer import response_head, write_message
-from thistleusher.net.request_buffer import BodyRejectedError, RequestBuffer
+from thistleusher.net.request_buffer import BodyRejectedError, RequestBuffer, RequestMemory
 from thistleusher.net.request_handler import ImmediateResponse, QueuedRequest, RequestHandler
 from thistleusher.net.unsent_responses import UnsentResponses
 from thistleusher.services.fair_reads import FairReads
@@ -26,6 +26,11 @@
 PROCESS_PAUSE_S = 1.0  # a timer that fires later than this shows that the process was suspended
 
 NO_MEMORY_LINES = b"Retry-After: 0.2\r\n"
+STALLED_BODY_S = 0.5  # a body of which nothing comes for this long makes room for one that waits
+
+
+class _RequestsEndedError(Exception):
+    """Bytes follow the last request that is read from a connection."""
 
 
 class ClientConnection(RequestBuffer, FairReads):
@@ -39,7 +44,7 @@
         self.transport: asyncio.Transport | None = None
         self.queue: deque[QueuedRequest] = deque()  # requests read ahead
         self.current_request: Any = None  # the request that awaits its response
-        self.current_reservation: Reservation | None = None
+        self.current_memory = RequestMemory()
         self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
         self.awaits_memory_since = 0.0  # Time on the loop's clock; 0 if the incoming body does not wait.
         self.memory_waited_s = 0.0  # Seconds of earlier waits of the incoming request.
@@ -74,6 +79,7 @@
         The transport closes once its responses are written. A client that does not read them delays that; lingering
         bounds the delay.
         """
+        self.forget_request()
         self._abandon_requests()
         if not self.closing:
             self.closing = True
@@ -84,7 +90,7 @@
         """Unregister, drop the requests read ahead, and report the disconnect for the current request."""
         self.closing = True
         self.disconnected = True
-        self.drop_body()  # The request will not be completed.
+        self.forget_request()  # It will not be completed.
         self._account_for_unsent()
         self.server.connections.discard(self)
         self._abandon_requests()
@@ -92,7 +98,7 @@
     def _abandon_requests(self) -> None:
         """Drop the requests read ahead, and report the disconnect for the current request."""
         while self.queue:
-            release(self.queue.popleft().reservation)
+            self.queue.popleft().memory.release()
         request = self.current_request
         self.current_request = None
         self._release_current()
@@ -110,20 +116,25 @@
         self.request_started_at = self.request_started_at or self.loop.time()
         try:
             self.meter.feed(self.parser, data)
-            if self.request_started_at:
+            if self.request_started_at and not self.discarding_input:
                 self.account_for_head(self.meter.kept_bytes)
-        except MessageLimitError as error:
-            self.reject(431, f"a request with {error}")
-        except BodyRejectedError:
-            self.reject_for_memory()
+        except (MessageLimitError, BodyRejectedError) as error:
+            self._reject_for(error)
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, BodyRejectedError):
-                self.reject_for_memory()
-            elif isinstance(cause, BadRequest):
-                self.reject(int(cause.args[0]), str(cause.args[1]))
-            else:
-                self.reject(400, "malformed HTTP")
+            self._reject_for(error.__context__)
+
+    def _reject_for(self, cause: BaseException | None) -> None:
+        """Reject the request that cannot be read; `cause`: why, None if it is malformed."""
+        if self.discarding_input or self.closing:
+            return  # What follows the last request that is read does not count.
+        if isinstance(cause, MessageLimitError):
+            self.reject(431, f"a request with {cause}")
+        elif isinstance(cause, BodyRejectedError):
+            self.reject_for_memory()
+        elif isinstance(cause, BadRequest):
+            self.reject(int(cause.args[0]), str(cause.args[1]))
+        else:
+            self.reject(400, "malformed HTTP")
 
     def wants_data(self) -> bool:
         """Return whether the connection is open and reading is not paused."""
@@ -131,12 +142,16 @@
             return False
         return not self.reading_paused and not self.disconnected
 
+    def take_work(self) -> int:
+        """Return the number of parts of requests that were read since the last call."""
+        return self.meter.take_parts()
+
     def reject(self, status: int, reason: str, header_lines: bytes = b"") -> None:
         """Answer an unreadable request with an error, after the requests before it, and close the connection."""
         self.discarding_input = True
         self.received_bytes = 0
         self.awaits_memory_since = 0.0
-        self.drop_body()
+        self.forget_request()
         response = ImmediateResponse(status, reason, header_lines)
         self._enqueue(QueuedRequest(response, keep_alive=False))
 
@@ -145,10 +160,6 @@
         # A client may read no answer before it has sent its whole body.
         self.max_discarded_bytes = self.server.limits.max_body_bytes
         if self.server.budget is not None:
-    def take_work(self) -> int:
-        """Return the number of parts of requests that were read since the last call."""
-        return self.meter.take_parts()
-
             self.server.budget.rejected += 1
         self.reject(503, "no memory for this body now", NO_MEMORY_LINES)
 
@@ -182,7 +193,9 @@
     # Parser callbacks; `RequestBuffer` has the others.
 
     def on_message_begin(self) -> None:
-        """Reset the buffer for a new request."""
+        """Reset the buffer for a new request, unless the one before was the last."""
+        if self.discarding_input or self.closing:
+            raise _RequestsEndedError
         self.reset()
         self.request_started_at = self.loop.time()
         self.memory_waited_s = 0.0
@@ -190,28 +203,25 @@
     def on_message_complete(self) -> None:
         """Queue the complete request, or the response to one that needs no decision."""
         self.request_started_at = 0.0
-        self.in_head = True
         self.meter.end_message()
         self.has_sent_request = True
         if self.current_request is not None or self.queue or self.writing_paused:
             self.account_for_read_ahead()
         request = self.server.read_request(self)
-        reservation = self.take_reservation()
-        self.body = bytearray()  # the request has it now; held here too, it would last until the next request
+        memory = self.take_memory()
         if self.awaits_memory_since:  # The body was completed by the read that began it.
             self.awaits_memory_since = 0.0
             self._read_on()
         if isinstance(request, ImmediateResponse):
-            if reservation is not None:
-                reservation.resize(self.read_ahead_bytes)  # The body is not needed.
+            release(memory.body)  # It is not needed.
             if request.closes:  # makes a client reconnect to repeat it
-                release(reservation)
+                memory.release()
                 self.reject(request.status, request.text)
                 return
         # A 503 closes the connection, so that repeated health checks do not displace the connections of served clients.
         unavailable = isinstance(request, ImmediateResponse) and request.status == 503
         keep_alive = self.parser.should_keep_alive() and not self.over_limit and not unavailable
-        self._enqueue(QueuedRequest(request, keep_alive, reservation))
+        self._enqueue(QueuedRequest(request, keep_alive, memory))
 
     # Responses, in request order.
 
@@ -225,13 +235,13 @@
     def process_queue(self) -> None:
         """Process the requests read ahead until one has to wait for its response."""
         while self.queue and self.current_request is None and not self.closing and not self.writing_paused:
-            request, self.keep_alive, reservation = self.queue.popleft()
+            request, self.keep_alive, memory = self.queue.popleft()
             if isinstance(request, ImmediateResponse):
                 self._write(request.status, request.header_lines, request.text.encode())
-                release(reservation)
+                memory.release()
             else:
                 self.current_request = request
-                self.current_reservation = reservation
+                self.current_memory = memory
                 self.server.handle_request(request, functools.partial(self.reply, request))
         self._read_on()
 
@@ -242,8 +252,8 @@
             self._resume_reading()
 
     def _release_current(self) -> None:
-        release(self.current_reservation)
-        self.current_reservation = None
+        self.current_memory.release()
+        self.current_memory = RequestMemory()
 
     def reply(self, request: Any, status: int, header_lines: bytes, body: bytes) -> None:
         """Write the final response to a request.
@@ -308,6 +318,7 @@
 
     def _discard_input(self) -> None:
         """Read and discard all further input."""
+        self.forget_request()
         if not self.discarding_input:
             self.discarding_input = True
             self.received_bytes = 0
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -55,6 +55,7 @@
 
     granted_bytes: held by the reservations to which memory was granted, whether they ask for more or not
     waiting_bytes: held by those that wait and were granted nothing yet
+    head_bytes: the part of both that large heads hold
     rejected: bodies rejected for lack of memory since the last report
     """
 
@@ -62,6 +63,7 @@
         self.capacity = capacity_bytes
         self.granted_bytes = 0
         self.waiting_bytes = 0
+        self.head_bytes = 0
         self.rejected = 0
         self._small: deque[Reservation] = deque()
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -9,17 +9,21 @@
 import httptools
 
 from thistleusher.core.request import BadRequest
+from thistleusher.net.head_memory import HeadReservation
 from thistleusher.net.memory_budget import BodyTooLargeError, MemoryBudget, Reservation, Stage, release
-from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES, joined_reservation
+from thistleusher.services.http_responses import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from thistleusher.services.message_limits import FIELD_BYTES, MessageMeter
 
 READ_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
 # Allowance for the method, the version and the line ends, which do not count towards `max_head_bytes`.
 START_LINE_BYTES = 256
-UNCOUNTED_HEAD_MEMORY_BYTES = 4096  # Upper bound of a head that is not reserved; a connection holds one.
+# Upper bound of a head that is not reserved: a part of `connection_limits.CONNECTION_BYTES`.
+UNCOUNTED_HEAD_MEMORY_BYTES = 4096
 QUEUED_REQUEST_BYTES = 4096  # Estimated memory of a request read ahead, in addition to its head and body.
 
+_NO_PARSER = httptools.HttpRequestParser(object())  # Of connections whose requests are not read any more.
+
 
 class BodyRejectedError(BadRequest):
     """There is no memory for a request now."""
@@ -38,12 +42,26 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
 
+class RequestMemory(NamedTuple):
+    """The reservations of a request that has come whole, held until it is answered."""
+
+    body: Reservation | None = None
+    head: Reservation | None = None
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        release(self.body)
+        release(self.head)
+
+
 class HasLimits(Protocol):
     """Holder of the limits of its connections; they may change while a connection is open."""
 
     limits: ClientLimits
     budget: MemoryBudget | None
     body_stage: Stage
+    # The buffers with an incomplete request whose head takes more than `UNCOUNTED_HEAD_MEMORY_BYTES`, oldest first.
+    incomplete_requests: dict[RequestBuffer, None]
 
 
 class RequestBuffer:
@@ -55,9 +73,9 @@
     def __init__(self, server: HasLimits) -> None:
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
-        self.meter = MessageMeter(server.limits.max_head_bytes + START_LINE_BYTES)
+        self.meter = MessageMeter(server.limits.max_head_bytes + START_LINE_BYTES, max_fields=None)
         self.reservation: Reservation | None = None  # Memory of the incoming body, if there is a budget.
-        self.head_reservation: Reservation | None = None  # Memory of a large head, or of trailers.
+        self.head_reservation: HeadReservation | None = None  # Memory of a large head, or of trailers.
         self.reset()
 
     def reset(self) -> None:
@@ -65,7 +83,6 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
-        self.read_ahead_bytes = 0  # Memory of the request in addition to its body, if it was read ahead.
         self.in_head = True
         self.meter.max_head_bytes = self.server.limits.max_head_bytes + START_LINE_BYTES
 
@@ -102,10 +119,10 @@
                 length = None
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
-        head_bytes = len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers)
-        if head_bytes > limits.max_head_bytes:
+        # Bytes on the wire without line ends and blanks: whoever counts more is within the limit too.
+        if self._head_bytes() + len(self.headers) > limits.max_head_bytes:
             raise BadRequest(431, "the head is too long")
-        self.account_for_head(head_bytes + FIELD_BYTES * len(self.headers))
+        self.account_for_head(self._head_memory())
         if length != 0 and self.server.budget is not None:
             self.reservation = Reservation(self.server.budget, self.server.body_stage, self.on_memory_granted)
             if length is not None:
@@ -131,6 +148,13 @@
         if self.reservation.is_waiting and not was_waiting:
             self.on_memory_awaited()
 
+    def _head_bytes(self) -> int:
+        return len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+
+    def _head_memory(self) -> int:
+        """Return the memory that the head takes, of which its bytes are the smaller part."""
+        return self._head_bytes() + FIELD_BYTES * len(self.headers)
+
     def _account_for_body(self) -> None:
         """Reserve memory for a body that is longer than what is reserved."""
         assert self.reservation is not None
@@ -144,9 +168,23 @@
         if size <= UNCOUNTED_HEAD_MEMORY_BYTES or self.server.budget is None:
             return
         if self.head_reservation is None:
-            self.head_reservation = Reservation(self.server.budget, self.server.body_stage, bool)
-        if not self.head_reservation.cover(size):
-            raise BodyRejectedError
+            self.head_reservation = HeadReservation(self.server.budget, self.server.body_stage)
+        self.server.incomplete_requests.setdefault(self)
+        while not self.head_reservation.cover(size):
+            if not self._refuse_an_older_request():
+                raise BodyRejectedError
+
+    def _refuse_an_older_request(self) -> bool:
+        """Make room for this head at the cost of the one that has been incomplete for longest, if there is another."""
+        oldest = next((each for each in self.server.incomplete_requests if each is not self), None)
+        if oldest is None:
+            return False
+        oldest.reject_for_memory()
+        return True
+
+    def reject_for_memory(self) -> None:
+        """Reject the incoming request, for which there is no memory; it was not read whole, so it has not run."""
+        self.forget_request()
 
     def account_for_read_ahead(self) -> None:
         """Reserve memory for a request that has to wait for the one before; a single read may hold thousands of them.
@@ -155,21 +193,27 @@
         """
         if self.server.budget is None:
             return
-        if self.reservation is None:
-            self.reservation = Reservation(self.server.budget, self.server.body_stage, bool)
-        head_bytes = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
-        self.read_ahead_bytes = head_bytes + QUEUED_REQUEST_BYTES
-        if not self.reservation.cover(len(self.body) + self.read_ahead_bytes):
-            raise BodyRejectedError
+        self.account_for_head(self._head_memory() + QUEUED_REQUEST_BYTES)
 
-    def take_reservation(self) -> Reservation | None:
-        """Return the reservation of a request that has come whole, for its end to release."""
-        body, head = self.reservation, self.head_reservation
+    def take_memory(self) -> RequestMemory:
+        """Return the reservations of a request that has come whole, for its end to release; keep nothing of it."""
+        memory = RequestMemory(self.reservation, self.head_reservation)
+        if memory.body is not None:
+            memory.body.resize(len(self.body))
         self.reservation = self.head_reservation = None
-        return joined_reservation(body, head, len(self.body), self.read_ahead_bytes)
+        self.server.incomplete_requests.pop(self, None)
+        # The request has them now; held here too, they would last until the next request.
+        self.body = bytearray()
+        self.headers = []
+        self.url = b""
+        return memory
 
-    def drop_body(self) -> None:
-        """Drop a body that is not needed any more, and its reservation."""
+    def forget_request(self) -> None:
+        """Keep nothing of the incoming request, in the parser neither, and read no more requests."""
+        self.server.incomplete_requests.pop(self, None)
+        self.parser = _NO_PARSER
+        self.url = b""
+        self.headers = []
         self.body = bytearray()
         release(self.reservation)
         release(self.head_reservation)
--- a/thistleusher/net/request_handler.py
+++ b/thistleusher/net/request_handler.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
-from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
-from thistleusher.net.request_buffer import ClientLimits
+from thistleusher.net.memory_budget import MemoryBudget, Stage
+from thistleusher.net.request_buffer import ClientLimits, RequestBuffer, RequestMemory
 
 if TYPE_CHECKING:
     from thistleusher.net.client_connection import ClientConnection
@@ -30,7 +30,7 @@
 
     request: Any
     keep_alive: bool
-    reservation: Reservation | None = None
+    memory: RequestMemory = RequestMemory()
 
 
 class RequestHandler(Protocol):
@@ -43,6 +43,7 @@
     draining: bool
     activity_counter: itertools.count[int]
     connections: set[ClientConnection]
+    incomplete_requests: dict[RequestBuffer, None]
 
     def connection_opened(self, connection: ClientConnection) -> None:
         """Register a new connection."""
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -9,7 +9,7 @@
 
 from thistleusher.net.client_connection import PROCESS_PAUSE_S, ClientConnection
 from thistleusher.net.memory_budget import MemoryBudget, Stage
-from thistleusher.net.request_buffer import ClientLimits
+from thistleusher.net.request_buffer import ClientLimits, RequestBuffer
 from thistleusher.net.request_handler import Reply
 from thistleusher.net.shutdown import GracefulShutdown
 
@@ -38,6 +38,7 @@
         self.budget: MemoryBudget | None = None  # Memory of the bodies; None: not limited.
         self.body_stage = Stage.CALL
         self.connections: set[ClientConnection] = set()
+        self.incomplete_requests: dict[RequestBuffer, None] = {}
         self.activity_counter = itertools.count()  # orders connections by activity; the loop's clock is too coarse
         self.shutting_down = False
         self.draining = False
--- a/thistleusher/proxy/http_messages.py
+++ b/thistleusher/proxy/http_messages.py
@@ -125,10 +125,11 @@
         )
 
     def release(self) -> None:
-        """Drop the body and the kept answer when the request is answered or its client has left.
+        """Drop the head, the body and the kept answer when the request is answered or its client has left.
 
         The request itself may be kept by reference cycles until the collector runs, which counts objects, not bytes.
         """
+        self.start = b""
         self.body = b""
         self.released = True
         if self.last_error is not None:
--- a/thistleusher/services/message_limits.py
+++ b/thistleusher/services/message_limits.py
@@ -4,8 +4,9 @@
 and knows no limit. A `MessageMeter` feeds it in slices and ends the message before more is kept:
 
 - `max_head_bytes` bounds the bytes since the last byte of a body, whatever they are: the first line, header fields,
-  interim responses, the size or an extension of a chunk, or trailer fields;
-- `MAX_FIELDS` bounds the header and trailer fields, of which each takes many times its bytes;
+  interim responses, the size or an extension of a chunk, or trailer fields; the line ends of fields do not count;
+- `max_fields` bounds the header and trailer fields, of which each takes many times its bytes, unless whoever reads the
+  message accounts for them (`kept_bytes`);
 - `MAX_INTERIM_RESPONSES` bounds the responses before the final one;
 - `CHUNK_OVERHEAD` bounds the bytes around a body in chunks, and so the time that they take.
 
@@ -18,7 +19,8 @@
 import httptools
 
 SLICE_BYTES = 16 * 1024  # A read may hold more; what is checked between two slices is not exceeded by more than one.
-MAX_FIELDS = 1024  # header and trailer fields of one message
+MAX_FIELDS = 1024  # header and trailer fields of one response
+LINE_END_BYTES = 2
 MAX_INTERIM_RESPONSES = 32
 FIELD_BYTES = 160  # memory of a header field in addition to its bytes
 CHUNK_OVERHEAD = 16  # bytes around a body in chunks per byte of the body; a chunk of one byte takes five or more
@@ -31,14 +33,16 @@
 class MessageMeter:
     """Counts what a message holds apart from its body, and raises MessageLimitError once that exceeds a limit."""
 
-    def __init__(self, max_head_bytes: int) -> None:
+    def __init__(self, max_head_bytes: int, max_fields: int | None = MAX_FIELDS) -> None:
+        """`max_fields`: None if only their bytes are bounded."""
         self.max_head_bytes = max_head_bytes
+        self.max_fields = max_fields
         self.fields = 0
+        self.parts = 0  # header fields and pieces of bodies of all messages, a measure of the time that they took
         self.bytes_since_body = 0  # bytes that the parser may hold
         self._interim_responses = 0
         self._body_bytes = 0
         self._other_bytes = 0
-        self.parts = 0  # header fields and pieces of bodies of all messages, a measure of the time that they took
         self._slice_body_bytes = 0
         self._slice_ends_message = False
 
@@ -67,9 +71,10 @@
         other_bytes = len(data) - self._slice_body_bytes
         self._other_bytes += other_bytes
         self.bytes_since_body = 0 if self._slice_body_bytes else self.bytes_since_body + other_bytes
-        if self.bytes_since_body > self.max_head_bytes:
+        if self.bytes_since_body - LINE_END_BYTES * self.fields > self.max_head_bytes:
             raise MessageLimitError(f"more than {self.max_head_bytes} bytes apart from its body")
-        if self._other_bytes > self.max_head_bytes + SLICE_BYTES + CHUNK_OVERHEAD * self._body_bytes:
+        line_end_bytes = LINE_END_BYTES * self.fields
+        if self._other_bytes - line_end_bytes > self.max_head_bytes + SLICE_BYTES + CHUNK_OVERHEAD * self._body_bytes:
             raise MessageLimitError(f"more than {CHUNK_OVERHEAD} bytes around each byte of its body")
 
     @property
@@ -90,16 +95,16 @@
         self._slice_body_bytes += size
         self._body_bytes += size
 
-    def count_interim_response(self) -> None:
-        """Count a complete interim response, which is a part of the final one."""
-        self._interim_responses += 1
-        if self._interim_responses > MAX_INTERIM_RESPONSES:
-            raise MessageLimitError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
     def take_parts(self) -> int:
         """Return the number of parts since the last call."""
         parts, self.parts = self.parts, 0
         return parts
 
+    def count_interim_response(self) -> None:
+        """Count a complete interim response, which is a part of the final one."""
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise MessageLimitError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     def end_message(self) -> None:
         """Start to count anew after a complete message. What follows it in the same slice is not counted."""
