--- a/thistleusher/control/program.py
+++ b/thistleusher/control/program.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 from typing import Any
 
-from thistleusher.common.body_memory import BodyMemory
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import log_event
 from thistleusher.common.listening import listening
@@ -28,6 +27,8 @@
 from thistleusher.control.storage import Storage
 from thistleusher.control.store_file import OpenedStore
 from thistleusher.control.store_opener import RETRY_DELAY_S, store_arguments, try_opening
+from thistleusher.net.body_memory import BodyMemory
+from thistleusher.net.connection_limits import core_connections
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.services.addresses import read_address
 from thistleusher.transport.call_server import CallServer, Handler
@@ -80,13 +81,18 @@
         self.outgoing: dict[str, ReconnectingLink] = {}  # keyed by address
         self.incoming: dict[str, Link] = {}  # keyed by the name in the peer's Hello
         self.frame_memory = FrameMemory.of_process(node_settings.limits.mem_mb)
-        self.listener = Listener(self.loop, self._received, self._disconnected, memory=self.frame_memory)
+        limits = node_settings.limits
+        connections = core_connections(limits.fd_limit, limits.mem_mb, takes_calls=True)
+        self.listener = Listener(
+            self.loop, self._received, self._disconnected, connections.links, memory=self.frame_memory
+        )
         self.api = CallServer(
             self.loop,
             self._handlers(),
             ClientLimits(max_body_bytes=MAX_BODY_BYTES, read_timeout_s=READ_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S),
+            connections.calls,
         )
-        self.body_memory = BodyMemory(node_settings.limits.mem_mb)
+        self.body_memory = BodyMemory(limits.mem_mb, connections.calls)
         self.api.budget = self.body_memory.budget
         self.pending_calls: dict[int, OnAnswer] = {}
         self.control_port = read_address(node_settings.binds.control)[1] if node_settings.binds.control else 0
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -71,7 +71,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass of it
-        self.server.connection_opened(self)
+        if not self.server.connection_opened(self):
+            self.abort()
 
     def eof_received(self) -> bool:
         """Treat the client as disconnected. A half-closed connection cannot be told from a closed one.
@@ -294,6 +295,12 @@
 
     # Closing.
 
+    def abort(self) -> None:
+        """Close at once, with what is unread and unwritten."""
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def close(self) -> None:
         """Close after the responses are written.
 
@@ -366,12 +373,10 @@
         assert self.transport is not None
         limits = self.server.limits
         if self.reading_paused and self.has_client_left():  # a paused transport does not detect the disconnect
-            self.closing = True
-            self.transport.abort()
+            self.abort()
         elif self.writing_paused:
             if self.is_stalled(now):
-                self.closing = True
-                self.transport.abort()
+                self.abort()
         elif self.awaits_memory_since:
             if self.memory_waited_s + now - self.awaits_memory_since > self.server.memory_wait_s(self):
                 self.reject_for_memory()
@@ -405,6 +410,14 @@
             return False
         return not self.has_unread_bytes()
 
+    def is_answered(self) -> bool:
+        """Return whether the last response is written, and the client has only to close its side."""
+        return self.closing and self.transport is not None and not self.transport.get_write_buffer_size()
+
+    def awaits_first_request(self) -> bool:
+        """Return whether no request of this connection has come whole, or none that could be read."""
+        return not (self.has_sent_request or self.current_request is not None or self.queue)
+
     def unacknowledged_bytes(self) -> int:
         """Return the bytes in the kernel's send buffer: up to megabytes, which take a slow client many seconds."""
         assert self.transport is not None
--- a/thistleusher/net/request_handler.py
+++ b/thistleusher/net/request_handler.py
@@ -26,7 +26,7 @@
 
 
 class QueuedRequest(NamedTuple):
-    """A request read ahead, or the response to send in its turn; `reservation`: the memory that it takes."""
+    """A request read ahead, or the response to send in its turn; `memory`: what it takes."""
 
     request: Any
     keep_alive: bool
@@ -45,8 +45,8 @@
     connections: set[ClientConnection]
     incomplete_requests: dict[RequestBuffer, None]
 
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Register a new connection."""
+    def connection_opened(self, connection: ClientConnection) -> bool:
+        """Register a new connection. Return False if it has to be closed unread, as there are too many."""
 
     def read_request(self, connection: ClientConnection) -> Any:
         """Return the complete request, to be passed to `handle_request`, or an `ImmediateResponse`."""
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from thistleusher.net.client_connection import PROCESS_PAUSE_S, ClientConnection
+from thistleusher.net.connection_set import DEFAULT_MAX_SURPLUS, ConnectionSet
 from thistleusher.net.memory_budget import MemoryBudget, Stage
 from thistleusher.net.request_buffer import ClientLimits, RequestBuffer
 from thistleusher.net.request_handler import Reply
@@ -31,14 +32,16 @@
         loop: asyncio.AbstractEventLoop,
         max_connections: int,
         limits: ClientLimits = ClientLimits(),  # noqa: B008
+        max_surplus: int = DEFAULT_MAX_SURPLUS,
     ) -> None:
+        """`max_surplus`: connections beyond `max_connections` that are answered 503."""
         self.loop = loop
-        self.max_connections = max_connections
+        self.connection_set = ConnectionSet(loop.time, max_connections, max_surplus)
+        self.connections = self.connection_set.open
+        self.incomplete_requests: dict[RequestBuffer, None] = {}
         self.limits = limits
         self.budget: MemoryBudget | None = None  # Memory of the bodies; None: not limited.
         self.body_stage = Stage.CALL
-        self.connections: set[ClientConnection] = set()
-        self.incomplete_requests: dict[RequestBuffer, None] = {}
         self.activity_counter = itertools.count()  # orders connections by activity; the loop's clock is too coarse
         self.shutting_down = False
         self.draining = False
@@ -70,19 +73,18 @@
         """Return whether work is unfinished whose client has disconnected, so that no connection represents it."""
         return False
 
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Register a new connection. Beyond the limit, close an idle one instead of refusing it.
+    @property
+    def max_connections(self) -> int:
+        """The number of connections beyond which others make room."""
+        return self.connection_set.max_connections
 
-        Idle connections that never sent a request are closed first, then the least recently active. If none is idle,
-        the new connection's request is answered 503: closing it without a response would lose the request.
-        """
-        self.connections.add(connection)
-        if len(self.connections) > self.max_connections:
-            for other in sorted(self.connections, key=lambda c: (c.has_sent_request, c.last_activity)):
-                if other is not connection and other.is_idle():
-                    other.close()
-                    return
-            connection.over_limit = True
+    @max_connections.setter
+    def max_connections(self, value: int) -> None:
+        self.connection_set.max_connections = value
+
+    def connection_opened(self, connection: ClientConnection) -> bool:
+        """Register a new connection. Return False if it has to be closed unread, as there are too many."""
+        return self.connection_set.add(connection)
 
     def sweep(self) -> None:
         """Check the time-outs of all connections, and schedule the next check."""
--- a/thistleusher/proxy/listener.py
+++ b/thistleusher/proxy/listener.py
@@ -12,6 +12,7 @@
 from thistleusher.configuration.index import Index
 from thistleusher.core import events
 from thistleusher.net.client_connection import ClientConnection
+from thistleusher.net.connection_set import DEFAULT_MAX_SURPLUS
 from thistleusher.net.memory_budget import Stage
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.server import Server
@@ -31,9 +32,15 @@
 class ProxyServer(Server):
     """Accepts the connections of the proxy's clients and reads their requests."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, ingress: ProxyIngress, max_connections: int) -> None:
-        """`max_connections`: maximum number of concurrent connections."""
-        super().__init__(loop, max_connections)
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ingress: ProxyIngress,
+        max_connections: int,
+        max_surplus: int = DEFAULT_MAX_SURPLUS,
+    ) -> None:
+        """`max_connections`, `max_surplus`: bounds of the concurrent connections (`Server`)."""
+        super().__init__(loop, max_connections, max_surplus=max_surplus)
         self.budget = ingress.upstream.options.budget  # One budget for both directions.
         self.body_stage = Stage.REQUEST
         self.ingress = ingress
--- a/thistleusher/proxy/program.py
+++ b/thistleusher/proxy/program.py
@@ -15,7 +15,6 @@
 from typing import Any
 
 from thistleusher.common.background import start_background
-from thistleusher.common.body_memory import BodyMemory
 from thistleusher.common.errors import ErrorKind, ServiceError
 from thistleusher.common.events import Event, log_event
 from thistleusher.common.incarnations import new_incarnation
@@ -25,6 +24,8 @@
 from thistleusher.common.process_start import PROCESS_STARTED_AT
 from thistleusher.common.settings_file import SettingsFile
 from thistleusher.net.backend_connection import UpstreamOptions
+from thistleusher.net.body_memory import BodyMemory
+from thistleusher.net.connection_limits import proxy_connections
 from thistleusher.net.connection_pool import Endpoint
 from thistleusher.net.memory_budget import BYTES_PER_MB
 from thistleusher.net.request_buffer import ClientLimits
@@ -66,16 +67,12 @@
 NEAR_CONNECT_TIMEOUT_S = 0.25  # connect time-out to a backend of this region
 BACKEND_IDLE_TIMEOUT_S = 16.0  # assumed; pools use half of it, and less if a backend's Keep-Alive says so
 UNACKNOWLEDGED_TIMEOUT_S = 1.2  # a backend connection is closed after this time without a TCP acknowledgement
-RESERVED_DESCRIPTORS = 200  # file descriptors kept for the process itself
-SPARE_DESCRIPTORS = 120  # further file descriptors for connections other than those to clients and backends
-MIN_CONNECTIONS = 32  # lower bound for clients and for backends each, even with a small descriptor limit
 SHUTDOWN_NOTICE_S = 0.4  # minimum time between announcing the shutdown and closing the listener
 CLOSE_RESERVE_S = 0.3  # part of the grace period kept for closing all sockets
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Limits of the listeners for the directory and for readiness checks.
 CALL_LIMITS = ClientLimits(max_body_bytes=4096, read_timeout_s=3.0, idle_timeout_s=10.0)
 REJECTIONS_REPORT_INTERVAL_S = 5.0
-MAX_HAND_OVER_LINKS = 64  # concurrent connections on which other proxies send copies of the state
 
 
 class ProxyProgram:
@@ -95,10 +92,9 @@
             now,
             PROCESS_STARTED_AT,
         )
-        free = node_settings.limits.fd_limit - RESERVED_DESCRIPTORS - SPARE_DESCRIPTORS
-        connections = max(MIN_CONNECTIONS, free // 2)
+        connections = proxy_connections(node_settings.limits.fd_limit, node_settings.limits.mem_mb)
         self.next_rejections_report = now
-        self.body_memory = BodyMemory(node_settings.limits.mem_mb)
+        self.body_memory = BodyMemory(node_settings.limits.mem_mb, connections.clients)
         self.budget = self.body_memory.budget
         self.invalid_answers = InvalidAnswers(now)
         options = UpstreamOptions(
@@ -109,11 +105,11 @@
             self.budget,
             self.invalid_answers.record,
         )
-        self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_TIMEOUT_S, connections, options)
+        self.upstream = Upstream(loop, CONNECT_TIMEOUT_S, BACKEND_IDLE_TIMEOUT_S, connections.backends, options)
         self.ingress = ProxyIngress(loop, self.decisions, self.upstream, self._charge)
-        self.server = ProxyServer(loop, self.ingress, connections)
-        self.directory = CallServer(loop, [Handler(Resolve, self.resolve)], CALL_LIMITS)
-        self.readiness = CallServer(loop, [Handler(Readiness, self.ready)], CALL_LIMITS)
+        self.server = ProxyServer(loop, self.ingress, connections.clients, connections.surplus)
+        self.directory = CallServer(loop, [Handler(Resolve, self.resolve)], CALL_LIMITS, connections.directory)
+        self.readiness = CallServer(loop, [Handler(Readiness, self.ready)], CALL_LIMITS, connections.readiness)
         self.directory.budget = self.readiness.budget = self.budget
         attributes = {
             "front": node_settings.binds.front,
@@ -151,7 +147,7 @@
             loop,
             self._on_hand_over,
             lambda link: None,
-            max_links=MAX_HAND_OVER_LINKS,
+            max_links=connections.hand_overs,
             memory=frame_memory,
             first_bytes=MAX_MESSAGE_BYTES,
         )
--- a/thistleusher/registry/program.py
+++ b/thistleusher/registry/program.py
@@ -19,6 +19,7 @@
 from thistleusher.common.process import serve
 from thistleusher.common.process_start import PROCESS_STARTED_AT
 from thistleusher.common.settings_file import SettingsFile
+from thistleusher.net.connection_limits import core_connections
 from thistleusher.registry.outputs import CallPlatform, ConnectToCore, Output, SendToControl, SendToSubscriber
 from thistleusher.registry.platform_client import PlatformClient
 from thistleusher.registry.registry import Registry
@@ -52,7 +53,9 @@
             self.node_settings.bootstrap,
         )
         self.platform_call: asyncio.Task[None] | None = None
-        memory = FrameMemory.of_process(self.node_settings.limits.mem_mb)
+        limits = self.node_settings.limits
+        connections = core_connections(limits.fd_limit, limits.mem_mb, takes_calls=False)
+        memory = FrameMemory.of_process(limits.mem_mb)
         self.control = CoreLinks(
             self.loop,
             lambda: self.node_settings.port(CONTROL),
@@ -68,7 +71,9 @@
             own_address=self.node_settings.ip,
             memory=memory,
         )
-        self.listener = Listener(self.loop, self._receive_from_subscriber, self._remove_subscriber, memory=memory)
+        self.listener = Listener(
+            self.loop, self._receive_from_subscriber, self._remove_subscriber, connections.links, memory=memory
+        )
         self.subscribers: dict[str, Link] = {}
 
     async def run(self) -> None:
--- a/thistleusher/transport/call_server.py
+++ b/thistleusher/transport/call_server.py
@@ -11,12 +11,12 @@
 from thistleusher.common.errors import RESPONSES, ErrorKind, ServiceError, retry_after_header
 from thistleusher.common.events import Event, log_event
 from thistleusher.net.client_connection import ClientConnection
+from thistleusher.net.connection_limits import MAX_CALL_CONNECTIONS
 from thistleusher.net.request_buffer import ClientLimits
 from thistleusher.net.request_handler import ImmediateResponse, Reply
 from thistleusher.net.server import Server
 from thistleusher.transport.calls import CALLS, CallAnswer, ReplaceConfiguration, Resolve
 
-MAX_CONNECTIONS = 400
 JSON_HEADER = b"Content-Type: application/json\r\n"
 MAX_SHOWN_PATH = 80  # Maximum number of characters of an unknown path that the error response includes.
 
@@ -47,7 +47,7 @@
         loop: asyncio.AbstractEventLoop,
         handlers: list[Handler[Any]],
         limits: ClientLimits,
-        max_connections: int = MAX_CONNECTIONS,
+        max_connections: int = MAX_CALL_CONNECTIONS,
     ) -> None:
         super().__init__(loop, max_connections, limits)
         self.handlers = {handler.call: handler for handler in handlers}
