--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -5,6 +5,8 @@
 import pytest
 
 from thistleusher.net.memory_budget import (
+    MAX_PASSED,
+    MEDIUM_BODY_BYTES,
     SMALL_BODY_BYTES,
     WAITING_SHARE,
     BodyTooLargeError,
@@ -241,3 +243,18 @@
     assert all(body.is_waiting for body in growing)
     other.release()
     assert not any(body.is_waiting for body in growing)
+
+
+def test_a_medium_body_does_not_wait_behind_large_ones_but_does_not_starve_them():
+    """FAULT: large bodies that stopped short of their end kept uploads of 1 MiB waiting until they were refused."""
+    bodies = Bodies()
+    stalled = [bodies.new(n) for n in range(2)]
+    assert all(each.ask(25 * MB) for each in stalled)
+    assert not bodies.new("large").ask(25 * MB)
+    medium = [bodies.new(n) for n in range(40)]
+    assert not any([each.ask(MEDIUM_BODY_BYTES) for each in medium])
+    stalled[0].release()
+    assert bodies.granted == list(range(MAX_PASSED))
+    for n in range(MAX_PASSED):
+        medium[n].release()
+    assert bodies.granted[MAX_PASSED:] == ["large"]
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -48,6 +48,7 @@
         self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
         self.awaits_memory_since = 0.0  # Time on the loop's clock; 0 if the incoming body does not wait.
         self.memory_waited_s = 0.0  # Seconds of earlier waits of the incoming request.
+        self.last_received_at = 0.0  # Time on the loop's clock.
         self.received_bytes = 0  # Size of the input that was discarded.
         self.max_discarded_bytes = MAX_LINGER_BYTES
         self.discarded_bytes = 0  # Value of `received_bytes` at the last check while lingering.
@@ -114,7 +115,8 @@
                 self._pause_reading()
             return
         self.last_activity = next(self.server.activity_counter)
-        self.request_started_at = self.request_started_at or self.loop.time()
+        self.last_received_at = self.loop.time()
+        self.request_started_at = self.request_started_at or self.last_received_at
         try:
             self.meter.feed(self.parser, data)
             if self.request_started_at and not self.discarding_input:
@@ -423,6 +425,13 @@
         assert self.transport is not None
         return socket_state.unacknowledged_bytes(self.transport.get_extra_info("socket"))
 
+    def has_stalled_body(self, now: float) -> bool:
+        """Return whether memory is held for a body of which nothing has come for `STALLED_BODY_S`."""
+        holds_memory = self.reservation is not None and not self.reservation.is_waiting
+        if not holds_memory or self.discarding_input or now - self.last_received_at < STALLED_BODY_S:
+            return False
+        return not self.has_unread_bytes()
+
     def has_client_left(self) -> bool:
         """Return whether the client has closed its side, even if the event loop has not read that yet."""
         if self.disconnected or self.transport is None:
--- a/thistleusher/net/memory_budget.py
+++ b/thistleusher/net/memory_budget.py
@@ -12,6 +12,7 @@
   rejected once they hold `WAITING_SHARE` of the capacity;
 - a request that is held finds memory for its response: requests get only a part of the capacity, responses more;
 - bodies of at most `SMALL_BODY_BYTES` go before larger ones and may use the whole capacity, so they do not starve;
+- those of at most `MEDIUM_BODY_BYTES` go before larger ones of their stage, `MAX_PASSED` of them at a time;
 - larger ones of a stage are served in the order in which they asked;
 - the bodies of one group, the responses of one backend, hold at most `GROUP_SHARE` of the capacity once less than
   `FREE_FOR_ALL_SHARE` of it is free, but for one body that is larger; what does not fit waits for its group alone.
@@ -22,10 +23,12 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 SMALL_BODY_BYTES = 64 * 1024
+MEDIUM_BODY_BYTES = 1024 * 1024
+MAX_PASSED = 16  # medium bodies that are granted memory before a larger one that waits
 GROWTH_BYTES = 64 * 1024  # steps in which a body of unknown length is reserved
 WAITING_SHARE = 0.15  # fraction of the capacity for bytes of bodies that wait
 ALONE_SHARE = 0.1  # fraction of the capacity that may be in use when a body beyond its stage's part is taken in
@@ -66,7 +69,9 @@
         self.head_bytes = 0
         self.rejected = 0
         self._small: deque[Reservation] = deque()
+        self._medium: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
         self._large: dict[Stage, deque[Reservation]] = {stage: deque() for stage in Stage}
+        self._passed = dict.fromkeys(Stage, 0)  # medium bodies granted since the last larger one, while such wait
         self.waiting_groups: dict[ReservationGroup, None] = {}  # those in which a reservation waits, in order
 
     def resize(self, capacity_bytes: int) -> None:
@@ -79,9 +84,20 @@
     @property
     def waiting(self) -> int:
         """The number of reservations that wait."""
-        queued = len(self._small) + sum(len(queue) for queue in self._large.values())
+        queued = sum(len(queue) for queue in self._queues())
         return queued + sum(len(group.waiting) for group in self.waiting_groups)
 
+    def waits_for_capacity(self) -> bool:
+        """Return whether a reservation waits for the memory of others, not only for that of its group."""
+        return any(self._queues())
+
+    def _queues(self) -> Iterator[deque[Reservation]]:
+        """Yield the queues in the order in which they are served."""
+        yield self._small
+        for stage in (Stage.RESPONSE, Stage.REQUEST, Stage.CALL):
+            yield self._medium[stage]
+            yield self._large[stage]
+
     @property
     def held(self) -> int:
         """The bytes of all reservations."""
@@ -97,7 +113,20 @@
 
     def queue(self, stage: Stage, size: int) -> deque[Reservation]:
         """Return the queue in which a body of this size waits."""
-        return self._small if size <= SMALL_BODY_BYTES else self._large[stage]
+        if size <= SMALL_BODY_BYTES:
+            return self._small
+        return (self._medium if size <= MEDIUM_BODY_BYTES else self._large)[stage]
+
+    def may_pass(self, queue: deque[Reservation], stage: Stage) -> bool:
+        """Return whether the first of a queue may be granted memory before larger ones of its stage that wait."""
+        return queue is not self._medium[stage] or not self._large[stage] or self._passed[stage] < MAX_PASSED
+
+    def count_grant(self, stage: Stage, size: int) -> None:
+        """Note that a body was granted memory, for the order of those that wait."""
+        if size > MEDIUM_BODY_BYTES or not self._large[stage]:
+            self._passed[stage] = 0
+        elif size > SMALL_BODY_BYTES:
+            self._passed[stage] += 1
 
     def grant_waiting(self) -> None:
         """Grant what fits by now: small bodies first, then responses, as each of these frees its request too."""
@@ -106,8 +135,8 @@
             self._grant_from_queues()
 
     def _grant_from_queues(self) -> None:
-        for queue in (self._small, self._large[Stage.RESPONSE], self._large[Stage.REQUEST], self._large[Stage.CALL]):
-            while queue and (not queue[0].group_has_room() or queue[0].fits()):
+        for queue in self._queues():
+            while queue and (not queue[0].group_has_room() or queue[0].may_be_granted(queue)):
                 reservation = queue.popleft()
                 if reservation.group_has_room():
                     reservation.grant()
@@ -186,9 +215,10 @@
         if not self.group_has_room():
             self.wait_for_group()
             return False
-        if (self.held or not queue) and self.fits():
+        if (self.held or not queue) and self.may_be_granted(queue):
             budget.granted_bytes += size - self.held
             self._set_held(size)
+            budget.count_grant(self._stage, size)
             return True
         self._wait_in(queue)
         return False
@@ -230,6 +260,11 @@
         if size > self.held and not self.is_waiting:
             self.ask(-(-size // GROWTH_BYTES) * GROWTH_BYTES)
 
+    def may_be_granted(self, queue: deque[Reservation]) -> bool:
+        """Return whether what is wanted could be granted now; `queue`: the one in which it waits or would wait."""
+        may_pass = bool(self.held) or self._budget.may_pass(queue, self._stage)
+        return may_pass and self.fits()
+
     def fits(self) -> bool:
         """Return whether what is wanted could be granted now."""
         budget = self._budget
@@ -248,6 +283,7 @@
         self._count_as_granted()
         self._budget.granted_bytes += self.wanted - self.held
         self._set_held(self.wanted)
+        self._budget.count_grant(self._stage, self.wanted)
         self._on_granted()
 
     def _count_as_granted(self) -> None:
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -92,11 +92,22 @@
         was_paused = now > self.sweep_due + PROCESS_PAUSE_S
         for connection in list(self.connections):
             if was_paused:  # clients could make no progress while this process was suspended
-                connection.last_progress_at = now
+                connection.last_progress_at = connection.last_received_at = now
             connection.check_timeouts(now)
+        self._refuse_stalled_bodies(now)
         self.sweep_due = now + SWEEP_INTERVAL_S
         self.sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
+    def _refuse_stalled_bodies(self, now: float) -> None:
+        """While bodies wait for memory, refuse those of which nothing comes any more, the longest stalled first."""
+        if self.budget is None or not self.budget.waits_for_capacity():
+            return
+        stalled = [connection for connection in self.connections if connection.has_stalled_body(now)]
+        for connection in sorted(stalled, key=lambda each: each.last_received_at):
+            if not self.budget.waits_for_capacity():
+                return
+            connection.reject_for_memory()
+
     async def drain(self, notice: Awaitable[object], shutdown: GracefulShutdown | None = None) -> None:
         """Serve until `notice` is done and `shutdown` accepts no more requests; then close, finishing pending requests.
 
