--- a/thistleusher/net/config.py
+++ b/thistleusher/net/config.py
@@ -15,6 +15,7 @@
 from thistleusher.services.addresses import Address, read_address
 
 DEFAULT_MAX_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192.0
 DEFAULT_BACKEND_IDLE_S = 15.0  # idle time-out of backends' connections, if `limits.connIdle` is missing
 
 
@@ -35,6 +36,7 @@
     peers_all: Address | None  # one address at which a datagram reaches all peers
     seed: int
     max_sockets: int
+    memory_mb: float  # limit of the process's memory
     backend_idle_s: float  # seconds for which backends keep idle connections open
     known: BackendList | None  # endpoint list in effect until discovery answers
     settings: Settings
@@ -81,6 +83,7 @@
     def address(key: str) -> Address | None:
         return read_address(str(data[key])) if data.get(key) else None
 
+    limits = data.get("limits", {})
     settings, load_fields = nested_settings(data["settings"])
     listen = address("listen")
     discovery = address("discovery")
@@ -95,7 +98,8 @@
         peers_all=address("peers_all"),
         peers=tuple(read_address(str(p)) for p in data.get("peers", ())),
         seed=int(str(data.get("seed", "0")), 16),
-        max_sockets=int(data.get("limits", {}).get("sockets", DEFAULT_MAX_SOCKETS)),
+        max_sockets=int(limits.get("sockets", DEFAULT_MAX_SOCKETS)),
+        memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         backend_idle_s=float(data["settings"].get("limits", {}).get("connIdle", DEFAULT_BACKEND_IDLE_S)),
         known=parse_backend_list(data["known"]) if data.get("known") else None,
         settings=settings,
--- a/thistleusher/net/daemon.py
+++ b/thistleusher/net/daemon.py
@@ -13,7 +13,9 @@
 from thistleusher.core.events import BackendEntry, Phase
 from thistleusher.core.ports import Scheduler
 from thistleusher.net.backend_list import BackendList, ListedBackend
+from thistleusher.net.body_memory import UPDATE_INTERVAL_S, BodyMemory
 from thistleusher.net.config import Config
+from thistleusher.net.connection_limits import connections_in_memory
 from thistleusher.net.connection_pool import Endpoint
 from thistleusher.net.discovery import DiscoveryClient
 from thistleusher.net.ingress import Ingress
@@ -61,7 +63,11 @@
         self.upstream = Upstream(loop, connect_timeout, config.backend_idle_s, max_sockets)
         self.gateway = make_gateway(settings, config.seed, clock(), placement)
         self.ingress = Ingress(loop, settings, self.gateway, self.upstream, config.load_fields, clock, scheduler)
-        self.server = IngressServer(loop, self.ingress, max_sockets)
+        max_clients = max(MIN_SOCKETS, min(max_sockets, connections_in_memory(config.memory_mb)))
+        self.server = IngressServer(loop, self.ingress, max_clients)
+        self.body_memory = BodyMemory(config.memory_mb, max_clients)
+        self.server.budget = self.body_memory.budget
+        self.memory_timer = loop.call_soon(self._update_memory)
         self.discovery: DiscoveryClient | None = None
         self.list_version = config.known.version if config.known else 0
         self.counter: CounterClient | CounterGroup | None = None
@@ -114,6 +120,11 @@
 
     # While serving.
 
+    def _update_memory(self) -> None:
+        """Size the budget for requests by what the process takes otherwise."""
+        self.body_memory.update(self.loop.time())
+        self.memory_timer = self.loop.call_later(UPDATE_INTERVAL_S, self._update_memory)
+
     def update_backends(self, backends: BackendList) -> None:
         """Apply a list from discovery, and keep its version for the saved list."""
         self.ingress.update_backends(backends)
@@ -166,6 +177,7 @@
 
     def close(self) -> None:
         """Close all sockets at once. Pending requests get no response."""
+        self.memory_timer.cancel()
         self.server.close()
         if self.discovery is not None:
             self.discovery.close()
