--- a/tests/services/test_fair_reads.py
+++ b/tests/services/test_fair_reads.py
@@ -8,11 +8,11 @@
 import uvloop
 
 from thistleusher.services.fair_reads import (
+    COSTLY_A_TURN,
     FIRST_READ_BYTES,
     MAX_TURN_WORK,
     MIN_READ_BYTES,
     READ_BYTES,
-    RESUMED_A_TURN,
     FairReads,
 )
 
@@ -138,5 +138,40 @@
     short_read = MIN_READ_BYTES * PARTS // 1024
     # Of the first reads, which come all at once, those after the first are short.
     assert max(turns) <= FIRST_READ_BYTES * PARTS // 1024 + count * short_read
-    assert sorted(turns)[-10] <= MAX_TURN_WORK + RESUMED_A_TURN * short_read
+    assert sorted(turns)[-10] <= MAX_TURN_WORK + COSTLY_A_TURN * short_read
     assert len(served) == count
+
+
+def test_a_large_body_does_not_wait_behind_costly_reads():
+    """FAULT: beside many clients with costly requests a large upload ran out of its time."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        pairs = [socket.socketpair() for _ in range(61)]
+        Costly.log = log = []
+        protocols = [Costly(loop, n) for n in range(60)] + [Cheap(loop, "cheap")]
+        for protocol, (ours, theirs) in zip(protocols, pairs, strict=True):
+            ours.setblocking(False)
+            theirs.setblocking(False)
+            await loop.create_connection(lambda protocol=protocol: protocol, sock=ours)
+        for _, theirs in pairs:
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * 1024 * 1024)
+            theirs.send(bytes(160_000))
+        turns = 0
+        while sum(size for name, size in log if name == "cheap") < 160_000:
+            await asyncio.sleep(0)
+            turns += 1
+        for protocol, (_, theirs) in zip(protocols, pairs, strict=True):
+            protocol.transport.abort()
+            theirs.close()
+        return turns, len({name for name, _ in log})
+
+    turns, served = uvloop.run(main())
+    assert turns <= 40 and served == 61
+
+
+class Cheap(Costly):
+    """A protocol whose bytes cost next to nothing."""
+
+    def take_work(self):
+        return 0
--- a/thistleusher/services/fair_reads.py
+++ b/thistleusher/services/fair_reads.py
@@ -7,8 +7,8 @@
 Bytes do not tell what they cost: a body in chunks of one byte takes a hundred times the time of one in large chunks.
 So a protocol also counts the work of a read (`take_work`). One whose reads are costly gets shorter ones, and once the
 reads of a turn have taken `MAX_TURN_WORK`, the others of that turn are short. Protocols that have more to read are
-served in the order in which they came, `RESUMED_A_TURN` in a turn. So neither one peer nor many together keep timers,
-new connections and answers waiting.
+served in the order in which they came, `CHEAP_A_TURN` and `COSTLY_A_TURN` in a turn, so that large bodies do not wait
+behind costly reads. So neither one peer nor many together keep timers, new connections and answers waiting.
 """
 
 from __future__ import annotations
@@ -20,10 +20,12 @@
 READ_BYTES = 64 * 1024
 FIRST_READ_BYTES = 16 * 1024  # while nothing is known of what a peer sends
 MIN_READ_BYTES = 1024
+MIN_CHEAP_READ_BYTES = 16 * 1024
 WORK_UNIT_BYTES = 1024  # bytes that take as long as one part of a message does
 MAX_READ_WORK = 512  # units, of about a microsecond each
 MAX_TURN_WORK = 1024
-RESUMED_A_TURN = 4
+COSTLY_A_TURN = 4
+CHEAP_A_TURN = 16
 
 # Filled by a read and passed on before the next one, on any connection.
 _read_buffer = memoryview(bytearray(READ_BYTES))
@@ -35,6 +37,7 @@
     transport: asyncio.Transport | None
     loop: asyncio.AbstractEventLoop
     next_read_bytes = FIRST_READ_BYTES
+    reads_are_cheap = False
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
@@ -51,7 +54,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
         if not _turn_of(self.loop).has_work_left():
-            self.next_read_bytes = MIN_READ_BYTES
+            self.next_read_bytes = MIN_CHEAP_READ_BYTES if self.reads_are_cheap else MIN_READ_BYTES
         return _read_buffer[: self.next_read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -63,6 +66,7 @@
         turn.spend(self.loop, work)
         affordable_bytes = nbytes * MAX_READ_WORK // max(1, work)
         self.next_read_bytes = min(READ_BYTES, max(MIN_READ_BYTES, affordable_bytes))
+        self.reads_are_cheap = affordable_bytes >= READ_BYTES
         if may_have_more and self.transport is not None and self.wants_data():
             self.transport.pause_reading()
             turn.resume_later(self)
@@ -78,7 +82,8 @@
 
     def __init__(self) -> None:
         self._work = 0
-        self._paused: deque[FairReads] = deque()
+        self._cheap: deque[FairReads] = deque()
+        self._costly: deque[FairReads] = deque()
         self._is_scheduled = False
 
     def has_work_left(self) -> bool:
@@ -92,7 +97,7 @@
 
     def resume_later(self, protocol: FairReads) -> None:
         """Let a protocol read on in a later turn."""
-        self._paused.append(protocol)
+        (self._cheap if protocol.reads_are_cheap else self._costly).append(protocol)
         self._schedule(protocol.loop)
 
     def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -103,9 +108,10 @@
     def _begin(self, loop: asyncio.AbstractEventLoop) -> None:
         self._is_scheduled = False
         self._work = 0
-        for _ in range(min(RESUMED_A_TURN, len(self._paused))):
-            self._paused.popleft().take_next_turn()
-        if self._paused:
+        for paused, count in ((self._cheap, CHEAP_A_TURN), (self._costly, COSTLY_A_TURN)):
+            for _ in range(min(count, len(paused))):
+                paused.popleft().take_next_turn()
+        if self._cheap or self._costly:
             self._schedule(loop)
 
 
