--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -74,6 +74,8 @@
     "bodies short of their end": BODY * 60,
     "bodies of 60 KiB short of their end, and refused heads": [Member(body_short_of_its_end(60 * KIB))] * 200
     + REFUSED * 200,
+    "large bodies that come slowly": [Member(START + b"Content-Length: %d\r\n\r\n" % (4 * MIB) + b"b", sends_on=True)]
+    * 60,
     "chunks short of their end": [Member(chunks_short_of_their_end(4 * MIB, KIB))] * 60,
     "bodies in chunks of one byte": [Member(chunks_short_of_their_end(0, 1), repeat=b"1\r\nc\r\n" * 4096)] * 60,
     "empty lines": [Member(b"", repeat=b"\r\n" * 4096)] * 60,
@@ -154,7 +156,9 @@
     assert answers[200]
 
 
-@pytest.mark.parametrize("crowd", ["bodies short of their end", "chunks short of their end"])
+@pytest.mark.parametrize(
+    "crowd", ["bodies short of their end", "large bodies that come slowly", "chunks short of their end"]
+)
 def test_an_ordinary_upload_is_served_beside_large_bodies_that_do_not_end(tmp_path, crowd):
     def upload(deployment):
         return deployment.ask("/pay/1", LARGE_UPLOAD)
--- a/thistleusher/net/client_connection.py
+++ b/thistleusher/net/client_connection.py
@@ -80,8 +80,7 @@
                 self._pause_reading()
             return
         self.last_activity = next(self.server.activity_counter)
-        self.last_received_at = self.loop.time()
-        self.request_started_at = self.request_started_at or self.last_received_at
+        self.request_started_at = self.request_started_at or self.loop.time()
         try:
             self.meter.feed(self.parser, data)
             if self.request_started_at and not self.discarding_input:
@@ -145,6 +144,7 @@
         if self.request_started_at:
             self.request_started_at += waited_s
         self.awaits_memory_since = 0.0
+        self.body_progress.restart(self.loop.time(), len(self.body))
         self._read_on()
 
     def pause_writing(self) -> None:
@@ -167,6 +167,7 @@
         self.reset()
         self.request_started_at = self.loop.time()
         self.memory_waited_s = 0.0
+        self.body_progress.restart(self.request_started_at, 0)
 
     def on_message_complete(self) -> None:
         """Queue the complete request, or the response to one that needs no decision."""
@@ -334,6 +335,7 @@
         """Enforce the time-outs for a first byte, memory, a whole request, the next one, and reading of responses."""
         self._account_for_unsent()
         if not self.closing and self.transport is not None:
+            self.body_progress.update(now, len(self.body))
             self._check_open(now)
 
     def _check_open(self, now: float) -> None:
--- a/thistleusher/net/connection_state.py
+++ b/thistleusher/net/connection_state.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from thistleusher.net import socket_state
+from thistleusher.net.body_progress import BodyProgress
 from thistleusher.net.request_buffer import RequestBuffer, RequestMemory
 from thistleusher.net.request_handler import QueuedRequest, RequestHandler
 from thistleusher.net.unsent_responses import UnsentResponses
 
 MAX_LINGER_BYTES = 256 * 1024  # input that is read and discarded while lingering
-STALLED_BODY_S = 0.5  # a body of which nothing comes for this long makes room for one that waits
 
 
 class ConnectionState(RequestBuffer):
@@ -30,7 +30,7 @@
         self.unsent = UnsentResponses(server.budget) if server.budget is not None else None
         self.awaits_memory_since = 0.0  # Time on the loop's clock; 0 if the incoming body does not wait.
         self.memory_waited_s = 0.0  # Seconds of earlier waits of the incoming request.
-        self.last_received_at = 0.0  # Time on the loop's clock.
+        self.body_progress = BodyProgress()
         self.received_bytes = 0  # Size of the input that was discarded.
         self.max_discarded_bytes = MAX_LINGER_BYTES
         self.discarded_bytes = 0  # Value of `received_bytes` at the last check while lingering.
@@ -83,12 +83,10 @@
         assert self.transport is not None
         return socket_state.unacknowledged_bytes(self.transport.get_extra_info("socket"))
 
-    def has_stalled_body(self, now: float) -> bool:
-        """Return whether memory is held for a body of which nothing has come for `STALLED_BODY_S`."""
+    def has_stalled_body(self) -> bool:
+        """Return whether memory is held for a body of which next to nothing comes."""
         holds_memory = self.reservation is not None and not self.reservation.is_waiting
-        if not holds_memory or self.discarding_input or now - self.last_received_at < STALLED_BODY_S:
-            return False
-        return not self.has_unread_bytes()
+        return holds_memory and self.body_progress.has_stalled and not self.has_unread_bytes()
 
     def has_client_left(self) -> bool:
         """Return whether the client has closed its side, even if the event loop has not read that yet."""
--- a/thistleusher/net/server.py
+++ b/thistleusher/net/server.py
@@ -92,18 +92,19 @@
         was_paused = now > self.sweep_due + PROCESS_PAUSE_S
         for connection in list(self.connections):
             if was_paused:  # clients could make no progress while this process was suspended
-                connection.last_progress_at = connection.last_received_at = now
+                connection.last_progress_at = now
+                connection.body_progress.restart(now, len(connection.body))
             connection.check_timeouts(now)
-        self._refuse_stalled_bodies(now)
+        self._refuse_stalled_bodies()
         self.sweep_due = now + SWEEP_INTERVAL_S
         self.sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
-    def _refuse_stalled_bodies(self, now: float) -> None:
-        """While bodies wait for memory, refuse those of which nothing comes any more, the longest stalled first."""
+    def _refuse_stalled_bodies(self) -> None:
+        """While bodies wait for memory, refuse those of which next to nothing comes, the oldest requests first."""
         if self.budget is None or not self.budget.waits_for_capacity():
             return
-        stalled = [connection for connection in self.connections if connection.has_stalled_body(now)]
-        for connection in sorted(stalled, key=lambda each: each.last_received_at):
+        stalled = [connection for connection in self.connections if connection.has_stalled_body()]
+        for connection in sorted(stalled, key=lambda each: each.request_started_at):
             if not self.budget.waits_for_capacity():
                 return
             connection.reject_for_memory()
