--- a/thistleusher/net/config.py
+++ b/thistleusher/net/config.py
@@ -36,11 +36,11 @@
     peers_all: Address | None  # one address at which a datagram reaches all peers
     seed: int
     max_sockets: int
-    memory_mb: float  # limit of the process's memory
     backend_idle_s: float  # seconds for which backends keep idle connections open
     known: BackendList | None  # endpoint list in effect until discovery answers
     settings: Settings
     load_fields: tuple[str, ...]  # names of the load report's values that are used
+    memory_mb: float = DEFAULT_MEMORY_MB  # limit of the process's memory
 
 
 def read_data(path: str) -> dict[str, Any]:
@@ -99,9 +99,9 @@
         peers=tuple(read_address(str(p)) for p in data.get("peers", ())),
         seed=int(str(data.get("seed", "0")), 16),
         max_sockets=int(limits.get("sockets", DEFAULT_MAX_SOCKETS)),
-        memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         backend_idle_s=float(data["settings"].get("limits", {}).get("connIdle", DEFAULT_BACKEND_IDLE_S)),
         known=parse_backend_list(data["known"]) if data.get("known") else None,
         settings=settings,
         load_fields=load_fields,
+        memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
     )
