--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -176,6 +176,6 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM"))
 
 
-def open_sockets(pid: int) -> int:
-    """Return the number of sockets that a process holds open."""
+def open_descriptors(pid: int) -> int:
+    """Return the number of descriptors that a process holds open."""
     return len(list(Path(f"/proc/{pid}/fd").iterdir()))
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -31,7 +31,7 @@
     READY,
     RESERVED_DESCRIPTORS,
     Deployment,
-    open_sockets,
+    open_descriptors,
     peak_kb,
 )
 from tests.net.program import FEW
@@ -112,12 +112,8 @@
             async def call():
                 answers[await ordinary(deployment)] += 1
 
-            sampling = asyncio.create_task(sample(deployment.programs[program].process.pid))
-            crowd = Crowd(deployment.ip, port, members)
-            await play_beside(crowd, call)
-            print(f"connections of the crowd: {crowd.connections}, answers: {crowd.answers}")
-            sampling.cancel()
-            most = (await asyncio.gather(sampling))[0]
+            pid = deployment.programs[program].process.pid
+            most = await most_descriptors(pid, Crowd(deployment.ip, port, members), call)
             faults = deployment.faults()
             print(f"{program} had {most} descriptors; answers to the ordinary caller: {dict(answers)}")
             if most > DESCRIPTORS - RESERVED_DESCRIPTORS:
@@ -130,12 +126,21 @@
     return asyncio.run(main())
 
 
+async def most_descriptors(pid, crowd, ordinary):
+    """Play a crowd beside an ordinary caller; return the most descriptors that a process had meanwhile."""
+    sampling = asyncio.create_task(sample(pid))
+    await play_beside(crowd, ordinary)
+    print(f"connections of the crowd: {crowd.connections}, answers: {crowd.answers}")
+    sampling.cancel()
+    return (await asyncio.gather(sampling))[0]
+
+
 async def sample(pid):
     """Return the most descriptors that a process had, when cancelled."""
     most = 0
     try:
         while True:
-            most = max(most, open_sockets(pid))
+            most = max(most, open_descriptors(pid))
             await asyncio.sleep(SAMPLE_S)
     except (asyncio.CancelledError, OSError):
         return most
@@ -212,11 +217,8 @@
                 statuses[status] += 1
                 return status
 
-        sampling = asyncio.create_task(sample(pid))
         try:
-            await play_beside(Crowd(HOST, service.port, AT_THE_SERVICE[crowd]), ordinary)
-            sampling.cancel()
-            most = (await asyncio.gather(sampling))[0]
+            most = await most_descriptors(pid, Crowd(HOST, service.port, AT_THE_SERVICE[crowd]), ordinary)
             print(f"took {peak_kb(pid) / 1024:.0f} MB, {most} descriptors; {statuses}")
             assert service.process.returncode is None
             assert peak_kb(pid) <= SERVICE_MEMORY_MB * KIB
--- a/thistleusher/net/body_progress.py
+++ b/thistleusher/net/body_progress.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 INTERVAL_S = 0.5
-MIN_INTERVAL_BYTES = 16 * 1024  # less than a client sends that is to send a megabyte within some seconds
+# Lower bound of what comes in an interval: less than a client sends that is to send a megabyte within some seconds.
+MIN_INTERVAL_BYTES = 16 * 1024
 
 
 class BodyProgress:
@@ -18,7 +19,7 @@
     def __init__(self) -> None:
         self._began_at = 0.0
         self._size = 0
-        self.has_stalled = False  # whether less than `MIN_INTERVAL_BYTES` came in the last whole interval
+        self.has_stalled = False  # Whether less than `MIN_INTERVAL_BYTES` came in the last whole interval
 
     def restart(self, now: float, size: int) -> None:
         """Begin an interval in which nothing has come yet; `size`: of what has come before."""
--- a/thistleusher/net/connection_limits.py
+++ b/thistleusher/net/connection_limits.py
@@ -13,10 +13,10 @@
 from thistleusher.net.memory_budget import BYTES_PER_MB
 
 CONNECTION_BYTES = 16 * 1024
-MEMORY_SHARE = 0.15  # fraction of a process's memory for the connections of its clients
-RESERVED_DESCRIPTORS = 200  # of the limit, for files
-SPARE_DESCRIPTORS = 120  # for links to other processes, listeners, and what the runtime opens
-MIN_CONNECTIONS = 32  # for clients and for backends each, however small the limits are
+MEMORY_SHARE = 0.15  # Fraction of a process's memory for the connections of its clients
+RESERVED_DESCRIPTORS = 200  # Descriptors of the limit that are kept for files.
+SPARE_DESCRIPTORS = 120  # Descriptors for links to other processes, listeners, and what the runtime opens.
+MIN_CONNECTIONS = 32  # Lower bound of connections to clients and to backends each, however small the limits are.
 MIN_CALL_CONNECTIONS = 8
 # Fractions of the descriptors for sockets.
 DIRECTORY_SHARE = 1 / 30
@@ -24,7 +24,7 @@
 HAND_OVER_SHARE = 1 / 120
 SURPLUS_SHARE = 1 / 120
 MAX_CALL_CONNECTIONS = 400
-CALL_SHARE = 0.25  # for operators' calls, of the descriptors of a machine of the core
+CALL_SHARE = 0.25  # Fraction of the descriptors of a machine of the core that operators' calls may take.
 
 
 class ProxyConnections(NamedTuple):
--- a/thistleusher/net/connection_set.py
+++ b/thistleusher/net/connection_set.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from thistleusher.net.client_connection import ClientConnection
 
-BATCH = 64  # candidates found in one search
+BATCH = 64  # Upper bound of the candidates that one search finds.
 DEFAULT_MAX_SURPLUS = 32
 
 
--- a/thistleusher/net/head_memory.py
+++ b/thistleusher/net/head_memory.py
@@ -11,7 +11,7 @@
 
 from thistleusher.net.memory_budget import MemoryBudget, Reservation, Stage
 
-HEAD_SHARE = 0.25  # fraction of the budget's capacity
+HEAD_SHARE = 0.25  # Fraction of the budget's capacity that all heads may take.
 
 
 class HeadReservation(Reservation):
--- a/thistleusher/net/request_buffer.py
+++ b/thistleusher/net/request_buffer.py
@@ -84,6 +84,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.in_head = True
+        self.head_memory = 0  # Bytes that the complete head takes in memory.
         self.meter.max_head_bytes = self.server.limits.max_head_bytes + START_LINE_BYTES
 
     def on_url(self, url: bytes) -> None:
@@ -120,9 +121,11 @@
         if self.parser.should_upgrade():
             raise BadRequest(400, "no other protocol is spoken here")
         # Bytes on the wire without line ends and blanks: whoever counts more is within the limit too.
-        if self._head_bytes() + len(self.headers) > limits.max_head_bytes:
+        head_bytes = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        if head_bytes + len(self.headers) > limits.max_head_bytes:
             raise BadRequest(431, "the head is too long")
-        self.account_for_head(self._head_memory())
+        self.head_memory = head_bytes + FIELD_BYTES * len(self.headers)
+        self.account_for_head(self.head_memory)
         if length != 0 and self.server.budget is not None:
             self.reservation = Reservation(self.server.budget, self.server.body_stage, self.on_memory_granted)
             if length is not None:
@@ -148,13 +151,6 @@
         if self.reservation.is_waiting and not was_waiting:
             self.on_memory_awaited()
 
-    def _head_bytes(self) -> int:
-        return len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
-
-    def _head_memory(self) -> int:
-        """Return the memory that the head takes, of which its bytes are the smaller part."""
-        return self._head_bytes() + FIELD_BYTES * len(self.headers)
-
     def _account_for_body(self) -> None:
         """Reserve memory for a body that is longer than what is reserved."""
         assert self.reservation is not None
@@ -193,7 +189,7 @@
         """
         if self.server.budget is None:
             return
-        self.account_for_head(self._head_memory() + QUEUED_REQUEST_BYTES)
+        self.account_for_head(self.head_memory + QUEUED_REQUEST_BYTES)
 
     def take_memory(self) -> RequestMemory:
         """Return the reservations of a request that has come whole, for its end to release; keep nothing of it."""
--- a/thistleusher/net/request_handler.py
+++ b/thistleusher/net/request_handler.py
@@ -7,8 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
-from thistleusher.net.memory_budget import MemoryBudget, Stage
-from thistleusher.net.request_buffer import ClientLimits, RequestBuffer, RequestMemory
+from thistleusher.net.request_buffer import HasLimits, RequestMemory
 
 if TYPE_CHECKING:
     from thistleusher.net.client_connection import ClientConnection
@@ -33,17 +32,13 @@
     memory: RequestMemory = RequestMemory()
 
 
-class RequestHandler(Protocol):
+class RequestHandler(HasLimits, Protocol):
     """The part of a server that its connections use."""
 
     loop: asyncio.AbstractEventLoop
-    limits: ClientLimits
-    budget: MemoryBudget | None
-    body_stage: Stage
     draining: bool
     activity_counter: itertools.count[int]
     connections: set[ClientConnection]
-    incomplete_requests: dict[RequestBuffer, None]
 
     def connection_opened(self, connection: ClientConnection) -> bool:
         """Register a new connection. Return False if it has to be closed unread, as there are too many."""
--- a/thistleusher/services/fair_reads.py
+++ b/thistleusher/services/fair_reads.py
@@ -38,6 +38,7 @@
     loop: asyncio.AbstractEventLoop
     next_read_bytes = FIRST_READ_BYTES
     reads_are_cheap = False
+    _read_turn: ReadTurn | None = None
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
@@ -53,7 +54,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        if not _turn_of(self.loop).has_work_left():
+        if self._read_turn is None:
+            self._read_turn = _turn_of(self.loop)
+        if not self._read_turn.has_work_left():
             self.next_read_bytes = MIN_CHEAP_READ_BYTES if self.reads_are_cheap else MIN_READ_BYTES
         return _read_buffer[: self.next_read_bytes]
 
@@ -62,7 +65,8 @@
         may_have_more = nbytes == self.next_read_bytes
         self.data_received(bytes(_read_buffer[:nbytes]))
         work = self.take_work() + nbytes // WORK_UNIT_BYTES
-        turn = _turn_of(self.loop)
+        turn = self._read_turn
+        assert turn is not None  # set by `get_buffer`, which comes before each read
         turn.spend(self.loop, work)
         affordable_bytes = nbytes * MAX_READ_WORK // max(1, work)
         self.next_read_bytes = min(READ_BYTES, max(MIN_READ_BYTES, affordable_bytes))
--- a/thistleusher/services/http_responses.py
+++ b/thistleusher/services/http_responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol, TypeVar
+from typing import NamedTuple, Protocol
 
 import httptools
 
@@ -43,24 +43,17 @@
         """Hold nothing any more."""
 
 
-AnyReservation = TypeVar("AnyReservation", bound=BodyReservation)
-
-
 def joined_reservation(
-    body: AnyReservation | None, head: AnyReservation | None, body_bytes: int, other_bytes: int = 0
-) -> AnyReservation | None:
-    """Return one reservation for a message that has come whole, for its owner to release; None if it needs none.
-
-    `other_bytes`: memory of the message apart from its body, if that is more than its head has reserved.
-    """
-    if head is not None:
-        other_bytes = max(other_bytes, head.held)
+    body: BodyReservation | None, head: BodyReservation | None, body_bytes: int
+) -> BodyReservation | None:
+    """Return one reservation for a response that has come whole, for its owner to release; None if it needs none."""
+    head_bytes = head.held if head is not None else 0
     if body is None:
         body = head
     elif head is not None:
         head.release()
     if body is not None:
-        body.resize(body_bytes + other_bytes)
+        body.resize(body_bytes + head_bytes)
     return body
 
 
